--- /dev/null
+++ b/crates/rw-cli/src/commands/dev.rs
@@ -0,0 +1,212 @@
+//! `dev`: a whole small fleet in one process, to try and to check.
+
+use super::CommandSpec;
+use crate::{
+    CliError,
+    dev_fleet::{DevFleet, start_fleet},
+    logs::start_logs,
+    stop::stop_signal,
+};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use rw_http::{Client, Method, Pooling, Request, Url};
+use std::{net::SocketAddr, time::Duration};
+
+/// Time limit of one request of the check.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait until all nodes are ready.
+const READY_TRIES: u32 = 200;
+/// Pause between looks at whether a node is ready.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
+/// The command.
+pub fn spec() -> CommandSpec {
+    CommandSpec {
+        name: "dev",
+        build,
+        run,
+    }
+}
+
+fn build() -> Command {
+    Command::new("dev")
+        .about("Runs a platform stand-in, two engines, a service and three nodes in one process")
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Sends one request of every kind, prints a line for each and ends"),
+        )
+        .after_help("Example:\n  redwingweir dev --check")
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    start_logs("warn", "text")?;
+    let check = matches.get_flag("check");
+    let stop = stop_signal()?;
+    smol::block_on(async {
+        let fleet = start_fleet().await?;
+        wait_ready(&fleet).await?;
+        if check {
+            return check_all(&fleet).await;
+        }
+        print_hint(&fleet);
+        stop.await;
+        Ok(())
+    })
+}
+
+fn print_hint(fleet: &DevFleet) {
+    println!("try:");
+    println!(
+        "  curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer {}' \
+         -d '{{\"model\":\"small\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'",
+        fleet.callers[0], fleet.key
+    );
+}
+
+async fn wait_ready(fleet: &DevFleet) -> Result<(), CliError> {
+    for addr in &fleet.callers {
+        let probe = Probe {
+            name: "ready",
+            method: Method::Get,
+            path: "/readyz",
+            body: "",
+            key: None,
+            wants: "ready",
+        };
+        let mut tries = 0;
+        while send(&probe, *addr, fleet.key).await.is_err() {
+            tries += 1;
+            if tries > READY_TRIES {
+                return Err(CliError::Failed(format!("node at {addr} is not ready")));
+            }
+            smol::Timer::after(READY_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+/// One request of the check.
+struct Probe {
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+    body: &'static str,
+    key: Option<&'static str>,
+    wants: &'static str,
+}
+
+const PROBES: &[Probe] = &[
+    Probe {
+        name: "models",
+        method: Method::Get,
+        path: "/v1/models",
+        body: "",
+        key: None,
+        wants: "small",
+    },
+    Probe {
+        name: "chat, whole",
+        method: Method::Post,
+        path: "/v1/chat/completions",
+        body: r#"{"model":"small","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}"#,
+        key: None,
+        wants: "\"completion_tokens\":8",
+    },
+    Probe {
+        name: "chat, streamed",
+        method: Method::Post,
+        path: "/v1/chat/completions",
+        body: r#"{"model":"small","max_tokens":8,"stream":true,"messages":[{"role":"user","content":"hello"}]}"#,
+        key: None,
+        wants: "data: [DONE]",
+    },
+    Probe {
+        name: "completion, whole",
+        method: Method::Post,
+        path: "/v1/completions",
+        body: r#"{"model":"small","max_tokens":8,"prompt":"hello"}"#,
+        key: None,
+        wants: "\"completion_tokens\":8",
+    },
+    Probe {
+        name: "completion, streamed",
+        method: Method::Post,
+        path: "/v1/completions",
+        body: r#"{"model":"small","max_tokens":8,"stream":true,"prompt":"hello"}"#,
+        key: None,
+        wants: "data: [DONE]",
+    },
+    Probe {
+        name: "service, idempotent",
+        method: Method::Get,
+        path: "/services/reservations/lookup/7",
+        body: "",
+        key: None,
+        wants: "GET /lookup/7",
+    },
+    Probe {
+        name: "service, non-idempotent",
+        method: Method::Post,
+        path: "/services/reservations/reserve",
+        body: r#"{"score":7}"#,
+        key: Some("check-1"),
+        wants: "\"run\":2",
+    },
+    Probe {
+        name: "service, sent again with its key",
+        method: Method::Post,
+        path: "/services/reservations/reserve",
+        body: r#"{"score":7}"#,
+        key: Some("check-1"),
+        wants: "\"run\":2",
+    },
+];
+
+async fn check_all(fleet: &DevFleet) -> Result<(), CliError> {
+    let mut failed = 0;
+    for (i, probe) in PROBES.iter().enumerate() {
+        let addr = fleet.callers[i % fleet.callers.len()];
+        match send(probe, addr, fleet.key).await {
+            Ok(()) => println!("ok      {}", probe.name),
+            Err(error) => {
+                failed += 1;
+                println!("failed  {}: {error}", probe.name);
+            }
+        }
+    }
+    if failed > 0 {
+        return Err(CliError::Failed(format!(
+            "{failed} of {} requests failed",
+            PROBES.len()
+        )));
+    }
+    Ok(())
+}
+
+async fn send(probe: &Probe, addr: SocketAddr, key: &str) -> Result<(), CliError> {
+    let failed = |text: String| CliError::Failed(text);
+    let url =
+        Url::parse(&format!("http://{addr}{}", probe.path)).map_err(|e| failed(e.to_string()))?;
+    let mut request = Request::new(probe.method, url);
+    request.set_body(probe.body);
+    request.insert_header("authorization", format!("Bearer {key}"));
+    if let Some(key) = probe.key {
+        request.insert_header("idempotency-key", key);
+    }
+    let client = Client::default();
+    let sent = client
+        .send(&addr.to_string(), request, Pooling::Fresh, LIMIT)
+        .await;
+    let reply = sent.map_err(|e| failed(e.to_string()))?;
+    let status = reply.status();
+    let body = reply
+        .bytes(LIMIT)
+        .await
+        .map_err(|e| failed(e.to_string()))?;
+    let text = String::from_utf8_lossy(&body);
+    if status != 200 || !text.contains(probe.wants) {
+        return Err(failed(format!("status {status}, body {text}")));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/rw-cli/src/commands/fake.rs
@@ -0,0 +1,140 @@
+//! `fake`: a stand-in of the platform, an engine or a plain service.
+
+use super::CommandSpec;
+use crate::{
+    CliError,
+    settings::{parse, text},
+    stop::stop_signal,
+};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use rw_fakes::{EngineSettings, FakeEngine, FakePlatform, FakeService, PlatformSettings};
+use rw_types::Role;
+use smol::future;
+use std::net::SocketAddr;
+
+/// The command.
+pub fn spec() -> CommandSpec {
+    CommandSpec {
+        name: "fake",
+        build,
+        run,
+    }
+}
+
+fn build() -> Command {
+    Command::new("fake")
+        .about("Runs a stand-in for tests and trials; POST /fault sets its faults")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("platform")
+                .about("Table service, object store, VM list, weight store")
+                .arg(listen())
+                .arg(number("list-lag-ms", "0", "Lag of the VM list, ms"))
+                .arg(number(
+                    "weight-rate",
+                    "1000000000",
+                    "Bytes a second of the weight store",
+                )),
+        )
+        .subcommand(
+            Command::new("engine")
+                .about("A model engine")
+                .arg(listen())
+                .arg(
+                    Arg::new("model")
+                        .long("model")
+                        .action(ArgAction::Append)
+                        .help("A model it holds; may be repeated"),
+                )
+                .arg(number(
+                    "prefill-rate",
+                    "100000",
+                    "Prefill speed, tokens a second",
+                ))
+                .arg(number(
+                    "decode-rate",
+                    "1000",
+                    "Decode speed of a stream, tokens a second",
+                ))
+                .arg(number("slots", "64", "Streams taken at once"))
+                .arg(number("change-ms", "2000", "Time that an order takes, ms"))
+                .arg(
+                    Arg::new("ignores-fence")
+                        .long("ignores-fence")
+                        .action(ArgAction::SetTrue)
+                        .help("Takes orders with old fencing tokens"),
+                ),
+        )
+        .subcommand(
+            Command::new("service")
+                .about("A plain service")
+                .arg(listen()),
+        )
+        .after_help("Example:\n  redwingweir fake engine --listen 127.0.0.1:9001 --model small")
+}
+
+fn listen() -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .default_value("127.0.0.1:0")
+        .help("Address, ip:port")
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let Some((what, matches)) = matches.subcommand() else {
+        return Err(CliError::NoSetting(
+            "platform, engine or service".to_owned(),
+        ));
+    };
+    let listen: SocketAddr = parse(matches, "listen", "ip:port")?;
+    match what {
+        "platform" => run_platform(listen, matches),
+        "engine" => run_engine(listen, matches),
+        _ => {
+            let service = FakeService::bind(listen).map_err(CliError::Bind)?;
+            announce(service.addr().map_err(CliError::Bind)?, service.run())
+        }
+    }
+}
+
+fn run_platform(listen: SocketAddr, matches: &ArgMatches) -> Result<(), CliError> {
+    let settings = PlatformSettings {
+        listen,
+        list_lag: parse(matches, "list-lag-ms", "a whole number")?,
+        weight_rate: parse(matches, "weight-rate", "a whole number")?,
+    };
+    let platform = FakePlatform::bind(settings).map_err(CliError::Bind)?;
+    announce(platform.addr().map_err(CliError::Bind)?, platform.run())
+}
+
+fn run_engine(listen: SocketAddr, matches: &ArgMatches) -> Result<(), CliError> {
+    let mut models: Vec<String> = matches
+        .get_many("model")
+        .map(|m| m.cloned().collect())
+        .unwrap_or_default();
+    models.sort();
+    let settings = EngineSettings {
+        listen,
+        models,
+        role: Role::Mixed,
+        prefill_rate: parse(matches, "prefill-rate", "a whole number")?,
+        decode_rate: parse(matches, "decode-rate", "a whole number")?,
+        slots: parse(matches, "slots", "a whole number")?,
+        checks_fence: !matches.get_flag("ignores-fence"),
+        change_ms: parse(matches, "change-ms", "a whole number")?,
+    };
+    text(matches, "listen")?;
+    let engine = FakeEngine::bind(settings).map_err(CliError::Bind)?;
+    announce(engine.addr().map_err(CliError::Bind)?, engine.run())
+}
+
+fn announce(addr: SocketAddr, serving: impl Future<Output = ()>) -> Result<(), CliError> {
+    println!("listening {addr}");
+    let stop = stop_signal()?;
+    smol::block_on(future::or(serving, stop));
+    Ok(())
+}
--- /dev/null
+++ b/crates/rw-cli/src/commands/serve.rs
@@ -0,0 +1,40 @@
+//! `serve`: one entry node.
+
+use super::CommandSpec;
+use crate::{
+    CliError,
+    logs::start_logs,
+    settings::{node_settings, text, with_settings},
+    stop::stop_signal,
+};
+use clap::{ArgMatches, Command};
+use rw_node::Bound;
+
+/// The command.
+pub fn spec() -> CommandSpec {
+    CommandSpec {
+        name: "serve",
+        build,
+        run,
+    }
+}
+
+fn build() -> Command {
+    with_settings(Command::new("serve"))
+        .about("Runs one entry node until SIGTERM, then lets every request end")
+        .after_help(
+            "Example:\n  REDWINGWEIR_TOKEN=... REDWINGWEIR_SECRET=... \\\n  \
+             redwingweir serve --vm vm-1 --centre cairo-a --platform 10.0.0.1:7000",
+        )
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let settings = node_settings(matches)?;
+    start_logs(text(matches, "log")?, text(matches, "log-format")?)?;
+    let bound = Bound::bind(settings)?;
+    let [callers, peers, operators] = bound.addrs().map_err(CliError::Bind)?;
+    println!("listening callers={callers} peers={peers} operators={operators}");
+    let stop = stop_signal()?;
+    smol::block_on(bound.run(stop))?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/rw-cli/src/dev_fleet.rs
@@ -0,0 +1,180 @@
+//! A whole small fleet in one process, on ports given by the kernel.
+
+use crate::CliError;
+use rw_fakes::{EngineSettings, FakeEngine, FakePlatform, FakeService, PlatformSettings};
+use rw_http::Client;
+use rw_node::{Bound, NodeSettings};
+use rw_platform::{HttpPlatform, accept_config, read_head};
+use rw_types::{
+    Account, Config, Model, Role, Service, ServiceKind, Target, TargetKind, Version, WorkKind,
+    hash_key,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Loopback with a port given by the kernel.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Entry nodes of the fleet.
+const NODES: usize = 3;
+/// Secret under which the one account's key is hashed; this fleet keeps nothing.
+const SECRET: [u8; 32] = [7; 32];
+/// Time limit of a platform call.
+const PLATFORM_LIMIT: Duration = Duration::from_secs(1);
+
+/// What a caller needs to reach the fleet.
+#[derive(Debug)]
+pub struct DevFleet {
+    /// Callers' listeners of the nodes.
+    pub callers: Vec<SocketAddr>,
+    /// Operators' listeners of the nodes.
+    pub operators: Vec<SocketAddr>,
+    /// Bearer key of the one account.
+    pub key: &'static str,
+}
+
+/// Starts the fleet on the global executor.
+///
+/// # Errors
+///
+/// [`CliError::Bind`], [`CliError::Serve`], or [`CliError::Failed`] if the platform stand-in does
+/// not take the configuration.
+pub async fn start_fleet() -> Result<DevFleet, CliError> {
+    let platform = FakePlatform::bind(PlatformSettings {
+        listen: ANY,
+        list_lag: 0,
+        weight_rate: 1 << 30,
+    })
+    .map_err(CliError::Bind)?;
+    let platform_addr = platform.addr().map_err(CliError::Bind)?;
+    smol::spawn(platform.run()).detach();
+    let mut targets = Vec::new();
+    for name in ["engine-1", "engine-2"] {
+        targets.push(start_engine(name)?);
+    }
+    targets.push(start_service()?);
+    let key = "dev-key-for-loopback-only";
+    let config = dev_config(targets, key);
+    accept(&platform_addr.to_string(), &config).await?;
+    let mut fleet = DevFleet {
+        callers: Vec::new(),
+        operators: Vec::new(),
+        key,
+    };
+    for n in 1..=NODES {
+        start_node(n, platform_addr, &mut fleet)?;
+    }
+    Ok(fleet)
+}
+
+fn start_engine(name: &str) -> Result<Target, CliError> {
+    let settings = EngineSettings {
+        listen: ANY,
+        models: vec!["small".to_owned()],
+        role: Role::Mixed,
+        prefill_rate: 100_000,
+        decode_rate: 1_000,
+        slots: 64,
+        checks_fence: true,
+        change_ms: 500,
+    };
+    let engine = FakeEngine::bind(settings).map_err(CliError::Bind)?;
+    let addr = engine.addr().map_err(CliError::Bind)?;
+    smol::spawn(engine.run()).detach();
+    Ok(target(name, addr, TargetKind::Engine, "chat", &["small"]))
+}
+
+fn start_service() -> Result<Target, CliError> {
+    let service = FakeService::bind(ANY).map_err(CliError::Bind)?;
+    let addr = service.addr().map_err(CliError::Bind)?;
+    smol::spawn(service.run()).detach();
+    Ok(target(
+        "service-1",
+        addr,
+        TargetKind::Plain,
+        "reservations",
+        &[],
+    ))
+}
+
+fn target(
+    name: &str,
+    addr: SocketAddr,
+    kind: TargetKind,
+    service: &str,
+    models: &[&str],
+) -> Target {
+    Target {
+        name: name.to_owned(),
+        addr: addr.to_string(),
+        centre: "centre-a".to_owned(),
+        kind,
+        service: service.to_owned(),
+        group: String::new(),
+        models: models.iter().map(|m| (*m).to_owned()).collect(),
+        role: Role::Mixed,
+        checks_fence: true,
+        leaving: false,
+    }
+}
+
+fn dev_config(targets: Vec<Target>, key: &str) -> Config {
+    let service = |name: &str, kind| Service {
+        name: name.to_owned(),
+        kind,
+        idempotent: vec!["/lookup".to_owned()],
+    };
+    let mut config = Config {
+        version: Version(1),
+        models: vec![Model {
+            name: "small".to_owned(),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+            bytes: 1 << 20,
+            replicas: 1,
+        }],
+        services: vec![
+            service("chat", ServiceKind::Engine),
+            service("reservations", ServiceKind::Plain),
+        ],
+        targets,
+        accounts: vec![Account {
+            name: "dev".to_owned(),
+            keys: vec![hash_key(&SECRET, key)],
+            share: 1,
+        }],
+        kinds: vec![WorkKind {
+            name: "quick".to_owned(),
+            priority: 5,
+            deadline_ms: 5_000,
+            objective: 0.99,
+        }],
+        change_weight: 1.0,
+    };
+    config.sort();
+    config
+}
+
+async fn accept(platform: &str, config: &Config) -> Result<(), CliError> {
+    let client = HttpPlatform::new(Client::default(), platform, PLATFORM_LIMIT);
+    let failed = |e: rw_platform::PlatformError| CliError::Failed(e.to_string());
+    let (_, head) = read_head(&client).await.map_err(failed)?;
+    accept_config(&client, config, &head)
+        .await
+        .map_err(failed)?;
+    Ok(())
+}
+
+fn start_node(n: usize, platform: SocketAddr, fleet: &mut DevFleet) -> Result<(), CliError> {
+    let centre = if n == NODES { "centre-b" } else { "centre-a" };
+    let settings = NodeSettings::loopback(&format!("vm-{n}"), centre, platform);
+    let bound = Bound::bind(settings)?;
+    let [callers, _, operators] = bound.addrs().map_err(CliError::Bind)?;
+    fleet.callers.push(callers);
+    fleet.operators.push(operators);
+    smol::spawn(async move {
+        if let Err(error) = bound.run(std::future::pending()).await {
+            log::error!("node ended: {error}");
+        }
+    })
+    .detach();
+    Ok(())
+}
--- /dev/null
+++ b/crates/rw-cli/src/error.rs
@@ -0,0 +1,58 @@
+//! Errors of the command line.
+
+use displaydoc::Display;
+use rw_node::{RpcError, ServeError};
+use std::io;
+
+/// Why a command failed. The text names the place and the remedy.
+#[derive(Debug, Display)]
+pub enum CliError {
+    /// setting {name}: '{value}' is not {wanted}; correct it
+    BadSetting {
+        /// Flag.
+        name: String,
+        /// Value as given.
+        value: String,
+        /// What is wanted.
+        wanted: &'static str,
+    },
+    /// setting {0} is missing; give the flag or the variable
+    NoSetting(String),
+    /// {0}
+    Serve(ServeError),
+    /// {0}
+    Rpc(RpcError),
+    /// --listen can't be bound: {0}; choose a free address of this VM
+    Bind(io::Error),
+    /// logs can't be written: {0}; check the log settings
+    Logs(String),
+    /// signals can't be watched: {0}; check the limit of open files
+    Signals(io::Error),
+    /// {0}
+    Failed(String),
+}
+
+impl std::error::Error for CliError {}
+
+impl CliError {
+    /// Exit code: 2 for a mistake in what was given, 1 for work that failed.
+    #[must_use]
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Failed(_) | Self::Rpc(_) | Self::Signals(_) => 1,
+            _ => 2,
+        }
+    }
+}
+
+impl From<ServeError> for CliError {
+    fn from(error: ServeError) -> Self {
+        Self::Serve(error)
+    }
+}
+
+impl From<RpcError> for CliError {
+    fn from(error: RpcError) -> Self {
+        Self::Rpc(error)
+    }
+}
--- /dev/null
+++ b/crates/rw-cli/src/logs.rs
@@ -0,0 +1,46 @@
+//! Structured logs.
+
+use crate::CliError;
+use logforth::{
+    append,
+    layout::{JsonLayout, TextLayout},
+    record::{Level, LevelFilter},
+    starter_log,
+};
+
+/// Starts logging to standard error at `level` as `format`.
+///
+/// # Errors
+///
+/// [`CliError::BadSetting`] for an unknown level or format.
+pub fn start_logs(level: &str, format: &str) -> Result<(), CliError> {
+    let filter = LevelFilter::MoreSevereEqual(parse_level(level)?);
+    let stderr = match format {
+        "text" => append::Stderr::default().with_layout(TextLayout::default().no_color()),
+        "json" => append::Stderr::default().with_layout(JsonLayout::default()),
+        _ => return Err(bad("--log-format", format, "text or json")),
+    };
+    // Without a filter the reactor's trace lines would be printed too.
+    starter_log::builder()
+        .dispatch(|d| d.filter(filter).append(stderr))
+        .apply();
+    Ok(())
+}
+
+fn parse_level(level: &str) -> Result<Level, CliError> {
+    match level {
+        "error" => Ok(Level::Error),
+        "warn" => Ok(Level::Warn),
+        "info" => Ok(Level::Info),
+        "debug" => Ok(Level::Debug),
+        _ => Err(bad("--log", level, "error, warn, info or debug")),
+    }
+}
+
+fn bad(name: &str, value: &str, wanted: &'static str) -> CliError {
+    CliError::BadSetting {
+        name: name.to_owned(),
+        value: value.to_owned(),
+        wanted,
+    }
+}
--- /dev/null
+++ b/crates/rw-cli/src/settings.rs
@@ -0,0 +1,260 @@
+//! The settings of `serve`, each a flag and an environment variable.
+
+use crate::CliError;
+use clap::{Arg, ArgMatches, Command, parser::ValueSource};
+use rw_node::NodeSettings;
+use std::{str::FromStr, time::Duration};
+
+/// One setting.
+#[derive(Debug, Clone, Copy)]
+pub struct Setting {
+    /// Flag without its dashes.
+    pub name: &'static str,
+    /// Environment variable.
+    pub env: &'static str,
+    /// Default, if there is one.
+    pub default: Option<&'static str>,
+    /// What it is, with its unit.
+    pub help: &'static str,
+    /// Whether its value is never shown.
+    pub secret: bool,
+}
+
+const fn plain(
+    name: &'static str,
+    env: &'static str,
+    default: Option<&'static str>,
+    help: &'static str,
+) -> Setting {
+    Setting {
+        name,
+        env,
+        default,
+        help,
+        secret: false,
+    }
+}
+
+const fn secret(name: &'static str, env: &'static str, help: &'static str) -> Setting {
+    Setting {
+        name,
+        env,
+        default: None,
+        help,
+        secret: true,
+    }
+}
+
+/// All settings of `serve`.
+pub const SETTINGS: &[Setting] = &[
+    plain(
+        "vm",
+        "REDWINGWEIR_VM",
+        None,
+        "Name of this VM in the platform's list",
+    ),
+    plain(
+        "centre",
+        "REDWINGWEIR_CENTRE",
+        None,
+        "Data centre of this VM",
+    ),
+    plain(
+        "listen",
+        "REDWINGWEIR_LISTEN",
+        Some("127.0.0.1:8080"),
+        "Callers' listener, ip:port",
+    ),
+    plain(
+        "peer-listen",
+        "REDWINGWEIR_PEER_LISTEN",
+        Some("127.0.0.1:8081"),
+        "Peers' listener, ip:port",
+    ),
+    plain(
+        "operator-listen",
+        "REDWINGWEIR_OPERATOR_LISTEN",
+        Some("127.0.0.1:8082"),
+        "Operators' listener, ip:port",
+    ),
+    plain(
+        "platform",
+        "REDWINGWEIR_PLATFORM",
+        None,
+        "The platform's ip:port",
+    ),
+    plain(
+        "platform-limit-ms",
+        "REDWINGWEIR_PLATFORM_LIMIT_MS",
+        Some("2000"),
+        "Time limit of a platform call, ms",
+    ),
+    secret(
+        "token",
+        "REDWINGWEIR_TOKEN",
+        "Token of peers and operators; prefer the variable",
+    ),
+    secret(
+        "secret",
+        "REDWINGWEIR_SECRET",
+        "64 hex digits under which account keys are hashed; prefer the variable",
+    ),
+    plain(
+        "max-body",
+        "REDWINGWEIR_MAX_BODY",
+        Some("4194304"),
+        "Largest request body, bytes",
+    ),
+    plain(
+        "silence-ms",
+        "REDWINGWEIR_SILENCE_MS",
+        Some("30000"),
+        "Longest silence of a target, ms",
+    ),
+    plain(
+        "poll-ms",
+        "REDWINGWEIR_POLL_MS",
+        Some("2000"),
+        "Pause between reads of the platform, ms",
+    ),
+    plain(
+        "report-poll-ms",
+        "REDWINGWEIR_REPORT_POLL_MS",
+        Some("500"),
+        "Pause between reads of a target's load, ms",
+    ),
+    plain(
+        "log",
+        "REDWINGWEIR_LOG",
+        Some("info"),
+        "Log level: error, warn, info or debug",
+    ),
+    plain(
+        "log-format",
+        "REDWINGWEIR_LOG_FORMAT",
+        Some("text"),
+        "Log format: text or json",
+    ),
+];
+
+/// Adds the settings to a command.
+#[must_use]
+pub fn with_settings(command: Command) -> Command {
+    command.args(SETTINGS.iter().map(arg))
+}
+
+fn arg(setting: &Setting) -> Arg {
+    let arg = Arg::new(setting.name)
+        .long(setting.name)
+        .env(setting.env)
+        .hide_env_values(setting.secret)
+        .help(setting.help);
+    match setting.default {
+        Some(default) => arg.default_value(default),
+        None => arg,
+    }
+}
+
+/// Lines that say each setting's value and where it came from.
+#[must_use]
+pub fn describe(matches: &ArgMatches) -> Vec<String> {
+    SETTINGS.iter().map(|s| describe_one(s, matches)).collect()
+}
+
+fn describe_one(setting: &Setting, matches: &ArgMatches) -> String {
+    let source = match matches.value_source(setting.name) {
+        Some(ValueSource::CommandLine) => format!("flag --{}", setting.name),
+        Some(ValueSource::EnvVariable) => format!("variable {}", setting.env),
+        Some(_) => "default".to_owned(),
+        None => "not set".to_owned(),
+    };
+    let value = matches
+        .get_one::<String>(setting.name)
+        .map_or("-", String::as_str);
+    let shown = if setting.secret && value != "-" {
+        "(hidden)"
+    } else {
+        value
+    };
+    format!("{:<18} {:<24} {}", setting.name, shown, source)
+}
+
+/// The settings, checked.
+///
+/// # Errors
+///
+/// [`CliError::NoSetting`] or [`CliError::BadSetting`] for the first that is wrong.
+pub fn node_settings(matches: &ArgMatches) -> Result<NodeSettings, CliError> {
+    let ms = |name| parse::<u64>(matches, name, "a whole number of milliseconds");
+    let addr = |name| parse(matches, name, "ip:port");
+    Ok(NodeSettings {
+        vm: text(matches, "vm")?.to_owned(),
+        centre: text(matches, "centre")?.to_owned(),
+        listen: addr("listen")?,
+        peer_listen: addr("peer-listen")?,
+        operator_listen: addr("operator-listen")?,
+        platform: addr("platform")?.to_string(),
+        platform_limit: Duration::from_millis(ms("platform-limit-ms")?),
+        token: token(matches)?,
+        secret: parse_secret(text(matches, "secret")?)?,
+        max_body: parse(matches, "max-body", "a whole number of bytes")?,
+        silence: Duration::from_millis(ms("silence-ms")?),
+        poll: Duration::from_millis(ms("poll-ms")?),
+        report_poll: Duration::from_millis(ms("report-poll-ms")?),
+    })
+}
+
+/// Shortest token taken, in bytes.
+const MIN_TOKEN: usize = 16;
+
+fn token(matches: &ArgMatches) -> Result<String, CliError> {
+    let token = text(matches, "token")?;
+    if token.len() < MIN_TOKEN {
+        return Err(bad("token", "(hidden)", "at least 16 bytes long"));
+    }
+    Ok(token.to_owned())
+}
+
+/// A setting's text.
+///
+/// # Errors
+///
+/// [`CliError::NoSetting`] if it isn't given.
+pub fn text<'a>(matches: &'a ArgMatches, name: &str) -> Result<&'a str, CliError> {
+    let value = matches.get_one::<String>(name).map(String::as_str);
+    value.ok_or_else(|| CliError::NoSetting(format!("--{name}")))
+}
+
+/// A setting's value.
+///
+/// # Errors
+///
+/// [`CliError::NoSetting`] if it isn't given, [`CliError::BadSetting`] if it isn't `wanted`.
+pub fn parse<T: FromStr>(
+    matches: &ArgMatches,
+    name: &str,
+    wanted: &'static str,
+) -> Result<T, CliError> {
+    let value = text(matches, name)?;
+    value.parse().map_err(|_| bad(name, value, wanted))
+}
+
+fn parse_secret(hex: &str) -> Result<[u8; 32], CliError> {
+    let wrong = || bad("secret", "(hidden)", "64 hex digits");
+    if hex.len() != 64 || !hex.is_ascii() {
+        return Err(wrong());
+    }
+    let mut secret = [0; 32];
+    for (i, byte) in secret.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).map_err(|_| wrong())?;
+    }
+    Ok(secret)
+}
+
+fn bad(name: &str, value: &str, wanted: &'static str) -> CliError {
+    CliError::BadSetting {
+        name: format!("--{name}"),
+        value: value.to_owned(),
+        wanted,
+    }
+}
--- /dev/null
+++ b/crates/rw-core/src/effect.rs
@@ -0,0 +1,92 @@
+//! What the shell is to do.
+
+use crate::{Answer, Claim};
+use rw_types::{AttemptId, Refusal, RequestId, Version};
+
+/// An effect, as data.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Write a claim if its row still has `version`, then report what the table says.
+    WriteClaim {
+        /// Request.
+        id: RequestId,
+        /// Row key.
+        key: String,
+        /// Version that the row must have.
+        version: Version,
+        /// Claim.
+        claim: Claim,
+    },
+    /// Read a claim back, because the answer to the write was lost.
+    ReadClaim {
+        /// Request.
+        id: RequestId,
+        /// Row key.
+        key: String,
+    },
+    /// Record how a claimed request ended; retried in the background until it is settled.
+    SettleClaim {
+        /// Row key.
+        key: String,
+        /// Version that the row must have.
+        version: Version,
+        /// Claim with its last state.
+        claim: Claim,
+    },
+    /// Send the request to a target.
+    Dispatch {
+        /// Request.
+        id: RequestId,
+        /// Attempt.
+        attempt: AttemptId,
+        /// Target name.
+        target: String,
+        /// `ip:port` of the target.
+        addr: String,
+        /// Token to resume from.
+        resume: u64,
+    },
+    /// Give the caller the whole answer of the attempt that just ended.
+    Deliver {
+        /// Request.
+        id: RequestId,
+    },
+    /// Give the caller the recorded answer of an earlier run.
+    Replay {
+        /// Request.
+        id: RequestId,
+        /// Recorded answer.
+        answer: Answer,
+    },
+    /// Give the caller a final answer that is not a target's.
+    Refuse {
+        /// Request.
+        id: RequestId,
+        /// Why, what is known of the run, and when to come back.
+        refusal: Refusal,
+    },
+    /// Stop an attempt whose caller is gone.
+    Cancel {
+        /// Request.
+        id: RequestId,
+        /// Attempt.
+        attempt: AttemptId,
+    },
+}
+
+impl Effect {
+    /// The request an effect belongs to, if any.
+    #[must_use]
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Self::WriteClaim { id, .. }
+            | Self::ReadClaim { id, .. }
+            | Self::Dispatch { id, .. }
+            | Self::Deliver { id }
+            | Self::Replay { id, .. }
+            | Self::Refuse { id, .. }
+            | Self::Cancel { id, .. } => Some(*id),
+            Self::SettleClaim { .. } => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rw-core/src/node.rs
@@ -0,0 +1,110 @@
+//! The node's state and its one entry point.
+
+use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use rw_types::{AttemptId, Config, Millis, RequestId};
+use std::sync::Arc;
+
+/// Everything a node decides by.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) settings: CoreSettings,
+    pub(crate) config: Arc<Config>,
+    pub(crate) members: Members,
+    pub(crate) targets: Targets,
+    /// Open requests, sorted by identity.
+    pub(crate) requests: Vec<Request>,
+    /// What planners want of targets, in order of urgency; the authority acts on it.
+    pub(crate) wishes: Vec<Wish>,
+    pub(crate) leaving: bool,
+    next_attempt: u64,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: CoreSettings) -> Self {
+        Self {
+            settings,
+            config: Arc::default(),
+            members: Members::default(),
+            targets: Targets::default(),
+            requests: Vec::new(),
+            wishes: Vec::new(),
+            leaving: false,
+            next_attempt: 1,
+        }
+    }
+
+    /// Takes one event at time `now` and returns what is to be done.
+    pub fn step(&mut self, now: Millis, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Arrived { id, call } => self.arrive(now, id, call, &mut effects),
+            Event::ClaimRead { id, read } => self.claim_read(now, id, read, &mut effects),
+            Event::Ended { id, attempt, end } => {
+                self.end_attempt(now, id, attempt, end, &mut effects)
+            }
+            Event::CallerGone { id } => self.drop_caller(id, &mut effects),
+            Event::ConfigRead(config) => self.apply_config(config),
+            Event::Reported { target, report } => self.targets.report(now, &target, report),
+            Event::VmsRead(vms) => self.members.replace(vms),
+            Event::Leave => self.leaving = true,
+        }
+        effects
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The targets as known.
+    #[must_use]
+    pub fn targets(&self) -> &Targets {
+        &self.targets
+    }
+
+    /// What planners want of targets.
+    #[must_use]
+    pub fn wishes(&self) -> &[Wish] {
+        &self.wishes
+    }
+
+    /// The VMs as known.
+    #[must_use]
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Requests without a final answer.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether the node takes new requests: it has a configuration and isn't leaving.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.leaving && self.config.version.0 > 0
+    }
+
+    pub(crate) fn new_attempt(&mut self) -> AttemptId {
+        let attempt = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        attempt
+    }
+
+    pub(crate) fn request_index(&self, id: RequestId) -> Option<usize> {
+        self.requests.binary_search_by_key(&id, |r| r.id).ok()
+    }
+
+    fn apply_config(&mut self, config: Arc<Config>) {
+        // A version in force never gives way to a lower one, whoever sends it.
+        if config.version <= self.config.version {
+            return;
+        }
+        self.targets.apply(&config);
+        self.config = config;
+    }
+}
--- /dev/null
+++ b/crates/rw-core/src/settings.rs
@@ -0,0 +1,36 @@
+//! Settings of the reducer.
+
+use rw_types::BootId;
+
+/// What a node knows of itself and the limits it decides by. Times in milliseconds.
+#[derive(Debug, Clone)]
+pub struct CoreSettings {
+    /// Name of this VM in the platform's list.
+    pub vm: String,
+    /// Random number of this boot.
+    pub boot: BootId,
+    /// Data centre of this VM.
+    pub centre: String,
+    /// Seed of the routing picks.
+    pub seed: u64,
+    /// Most dispatches of one idempotent request.
+    pub attempts: u32,
+    /// Time to come back that refusals name when nothing better is known.
+    pub retry_ms: u64,
+    /// How long a target that failed gets no new work.
+    pub rest_ms: u64,
+}
+
+impl Default for CoreSettings {
+    fn default() -> Self {
+        Self {
+            vm: String::new(),
+            boot: BootId(0),
+            centre: String::new(),
+            seed: 0,
+            attempts: 3,
+            retry_ms: 1_000,
+            rest_ms: 1_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rw-core/src/target_state.rs
@@ -0,0 +1,109 @@
+//! What a node knows of each target.
+
+use rw_types::{Config, LoadReport, Millis, Target};
+
+/// One target with its latest report and this node's own work on it.
+#[derive(Debug, Clone)]
+pub struct TargetState {
+    /// As operators declared it.
+    pub spec: Target,
+    /// Whether this node watches its load and may route to it.
+    pub watched: bool,
+    /// Latest report, all zero before the first.
+    pub report: LoadReport,
+    /// When the report was made, by this node's clock.
+    pub reported: Millis,
+    /// Requests of this node that run on it.
+    pub running: u32,
+    /// Prompt tokens this node sent since the report was made.
+    pub unreported: u64,
+    /// No new work before this time, after a failure.
+    pub resting: Millis,
+}
+
+impl TargetState {
+    fn new(spec: Target) -> Self {
+        let report = LoadReport {
+            models: spec.models.clone(),
+            role: spec.role,
+            ..Default::default()
+        };
+        Self {
+            spec,
+            watched: true,
+            report,
+            reported: Millis(0),
+            running: 0,
+            unreported: 0,
+            resting: Millis(0),
+        }
+    }
+
+    /// Whether it may get new work at `now`.
+    #[must_use]
+    pub fn is_open(&self, now: Millis) -> bool {
+        self.watched && !self.spec.leaving && self.resting <= now
+    }
+}
+
+/// All targets, sorted by name.
+#[derive(Debug, Clone, Default)]
+pub struct Targets {
+    list: Vec<TargetState>,
+}
+
+impl Targets {
+    /// Takes over the targets of a configuration and keeps what is known of those that stay.
+    pub fn apply(&mut self, config: &Config) {
+        let old = std::mem::take(&mut self.list);
+        self.list = config
+            .targets
+            .iter()
+            .map(|spec| match find(&old, &spec.name) {
+                Some(i) => TargetState {
+                    spec: spec.clone(),
+                    ..old[i].clone()
+                },
+                None => TargetState::new(spec.clone()),
+            })
+            .collect();
+    }
+
+    /// All targets.
+    #[must_use]
+    pub fn all(&self) -> &[TargetState] {
+        &self.list
+    }
+
+    /// The target of that name.
+    pub fn find_mut(&mut self, name: &str) -> Option<&mut TargetState> {
+        let i = find(&self.list, name)?;
+        Some(&mut self.list[i])
+    }
+
+    /// The target of that name.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<&TargetState> {
+        Some(&self.list[find(&self.list, name)?])
+    }
+
+    /// The target at a position of [`Targets::all`].
+    pub fn at_mut(&mut self, index: usize) -> &mut TargetState {
+        &mut self.list[index]
+    }
+
+    /// Takes over a target's report.
+    pub fn report(&mut self, now: Millis, name: &str, report: LoadReport) {
+        let Some(target) = self.find_mut(name) else {
+            return;
+        };
+        target.reported = Millis(now.0.saturating_sub(report.age_ms));
+        target.unreported = 0;
+        target.report = report;
+    }
+}
+
+fn find(list: &[TargetState], name: &str) -> Option<usize> {
+    list.binary_search_by(|t| t.spec.name.as_str().cmp(name))
+        .ok()
+}
--- /dev/null
+++ b/crates/rw-fakes/src/lib.rs
@@ -0,0 +1,16 @@
+//! Small, seeded stand-ins of the platform, an engine and a plain service.
+//!
+//! They take faults by a control call, `POST /fault`, and tell what was really run and held by
+//! `GET /held`, so that tests count on the target's side.
+
+mod engine;
+mod fault;
+mod platform;
+mod service;
+mod table_state;
+
+pub use engine::{EngineSettings, FakeEngine, Generate};
+pub use fault::{Armed, Fault, Faults};
+pub use platform::{FakePlatform, PlatformSettings};
+pub use service::{FakeService, Held};
+pub use table_state::TableState;
--- /dev/null
+++ b/crates/rw-fakes/src/table_state.rs
@@ -0,0 +1,85 @@
+//! The rows of the table stand-in.
+
+use rw_platform::{Put, Row, Txn, TxnReply};
+use rw_types::Version;
+
+/// Rows sorted by key, with one version counter.
+#[derive(Debug, Clone, Default)]
+pub struct TableState {
+    rows: Vec<Row>,
+    version: u64,
+    /// Transactions that wrote.
+    pub writes: u64,
+    /// Rows read or scanned for.
+    pub reads: u64,
+}
+
+impl TableState {
+    /// Runs a transaction.
+    pub fn txn(&mut self, txn: &Txn) -> TxnReply {
+        let conflicts: Vec<Row> = txn
+            .checks
+            .iter()
+            .map(|c| (c, self.row(&c.key)))
+            .filter(|(c, row)| c.version != row.version)
+            .map(|(_, row)| row)
+            .collect();
+        if !conflicts.is_empty() {
+            return TxnReply {
+                version: Version(0),
+                conflicts,
+            };
+        }
+        self.version += 1;
+        self.writes += 1;
+        txn.puts.iter().for_each(|put| self.put(put));
+        TxnReply {
+            version: Version(self.version),
+            conflicts,
+        }
+    }
+
+    /// A row as it is; version zero if absent.
+    #[must_use]
+    pub fn row(&self, key: &str) -> Row {
+        match self.index(key) {
+            Ok(i) => self.rows[i].clone(),
+            Err(_) => Row {
+                key: key.to_owned(),
+                ..Row::default()
+            },
+        }
+    }
+
+    /// Rows under a prefix written after `since`.
+    #[must_use]
+    pub fn scan(&self, prefix: &str, since: Version) -> Vec<Row> {
+        let start = self.rows.partition_point(|r| r.key.as_str() < prefix);
+        self.rows[start..]
+            .iter()
+            .take_while(|r| r.key.starts_with(prefix))
+            .filter(|r| r.version > since)
+            .cloned()
+            .collect()
+    }
+
+    fn put(&mut self, put: &Put) {
+        let row = Row {
+            key: put.key.clone(),
+            value: put.value.clone(),
+            version: Version(self.version),
+        };
+        match self.index(&put.key) {
+            Ok(i) if put.value.is_empty() => {
+                self.rows.remove(i);
+            }
+            Ok(i) => self.rows[i] = row,
+            Err(_) if put.value.is_empty() => {}
+            Err(i) => self.rows.insert(i, row),
+        }
+    }
+
+    fn index(&self, key: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|r| r.key.as_str().cmp(key))
+    }
+}
--- /dev/null
+++ b/crates/rw-http/src/client.rs
@@ -0,0 +1,157 @@
+//! A client with a pool of idle connections per address.
+
+use crate::{Reply, SendError};
+use http_types::{Body, Method, Request, Url};
+use smol::{Timer, future, net::TcpStream};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+/// Longest age of a pooled connection, so that one that something between lost track of is left.
+const MAX_AGE: Duration = Duration::from_secs(30);
+/// Longest idle time of a pooled connection; below the idle limit of the listeners.
+const MAX_IDLE: Duration = Duration::from_secs(3);
+/// Most idle connections kept for one address.
+const MAX_POOLED: usize = 64;
+/// Longest wait for a connection to open.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Whether a call may ride on a pooled connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pooling {
+    /// A pooled one or a new one; an idempotent call that can be repeated.
+    Reuse,
+    /// Always a new one, so that a connection closed meanwhile can't make the outcome unknown.
+    Fresh,
+}
+
+#[derive(Debug)]
+pub(crate) struct Conn {
+    pub(crate) stream: TcpStream,
+    pub(crate) addr: SocketAddr,
+    born: Instant,
+    idle_since: Instant,
+}
+
+#[derive(Debug)]
+struct Idle {
+    addr: SocketAddr,
+    conns: Vec<Conn>,
+}
+
+/// Client of any number of addresses; clones share the pool.
+#[derive(Debug, Clone, Default)]
+pub struct Client {
+    idle: Arc<Mutex<Vec<Idle>>>,
+}
+
+impl Client {
+    /// Sends `request` to `addr` and waits for the answer's head.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] only if no byte can have left; the other kinds leave it open.
+    pub async fn send(
+        &self,
+        addr: &str,
+        request: Request,
+        pooling: Pooling,
+        limit: Duration,
+    ) -> Result<Reply, SendError> {
+        let addr: SocketAddr = addr.parse().map_err(|_| SendError::BadAddr)?;
+        let conn = match self.pooled(addr, pooling) {
+            Some(conn) => conn,
+            None => open(addr, limit.min(CONNECT_LIMIT)).await?,
+        };
+        let answer = within(limit, async_h1::connect(conn.stream.clone(), request)).await?;
+        let response = answer.map_err(|_| SendError::Broken)?;
+        Reply::check(response, conn, self.clone())
+    }
+
+    fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<Conn> {
+        if pooling == Pooling::Fresh {
+            return None;
+        }
+        let mut idle = self.lock();
+        let i = idle.binary_search_by_key(&addr, |e| e.addr).ok()?;
+        while let Some(conn) = idle[i].conns.pop() {
+            if conn.born.elapsed() < MAX_AGE && conn.idle_since.elapsed() < MAX_IDLE {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn put_back(&self, mut conn: Conn) {
+        conn.idle_since = Instant::now();
+        let mut idle = self.lock();
+        let i = match idle.binary_search_by_key(&conn.addr, |e| e.addr) {
+            Ok(i) => i,
+            Err(i) => {
+                let addr = conn.addr;
+                idle.insert(
+                    i,
+                    Idle {
+                        addr,
+                        conns: Vec::new(),
+                    },
+                );
+                i
+            }
+        };
+        if idle[i].conns.len() < MAX_POOLED {
+            idle[i].conns.push(conn);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+async fn open(addr: SocketAddr, limit: Duration) -> Result<Conn, SendError> {
+    let opened = within(limit, TcpStream::connect(addr)).await;
+    let stream = match opened {
+        Ok(Ok(stream)) => stream,
+        _ => return Err(SendError::NotSent),
+    };
+    // A delayed small segment costs more than the system call.
+    stream.set_nodelay(true).map_err(|_| SendError::NotSent)?;
+    let now = Instant::now();
+    Ok(Conn {
+        stream,
+        addr,
+        born: now,
+        idle_since: now,
+    })
+}
+
+/// Runs `work` for at most `limit`.
+pub(crate) async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = T>,
+) -> Result<T, SendError> {
+    let timer = async {
+        Timer::after(limit).await;
+        Err(SendError::TimedOut)
+    };
+    future::or(async { Ok(work.await) }, timer).await
+}
+
+/// A POST of `body` as JSON to `http://addr path`.
+///
+/// # Errors
+///
+/// [`SendError::BadAddr`] if `addr` and `path` make no URL.
+pub fn post_json(addr: &str, path: &str, body: Vec<u8>) -> Result<Request, SendError> {
+    let url = Url::parse(&format!("http://{addr}{path}")).map_err(|_| SendError::BadAddr)?;
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(Body::from_bytes(body));
+    request.insert_header("content-type", "application/json");
+    Ok(request)
+}
--- /dev/null
+++ b/crates/rw-http/src/listen.rs
@@ -0,0 +1,134 @@
+//! A listener that bounds what a slow or silent peer can hold.
+
+use async_h1::server::Server;
+use http_types::{Request, Response, StatusCode};
+use smol::{
+    Async,
+    io::AsyncReadExt as _,
+    net::{TcpListener, TcpStream},
+};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+/// Limits of one listener.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Longest wait for a request's header, which also bounds idle connections.
+    pub header_time: Duration,
+    /// Most open connections; more are closed at once.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_time: Duration::from_secs(10),
+            connections: 20_000,
+        }
+    }
+}
+
+/// A bound TCP listener that serves HTTP.
+#[derive(Debug)]
+pub struct Listener {
+    tcp: TcpListener,
+    limits: Limits,
+    open: Arc<AtomicUsize>,
+}
+
+impl Listener {
+    /// Binds `addr`; port zero lets the kernel choose.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system, for example that the port is in use.
+    pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
+        let tcp = Async::<std::net::TcpListener>::bind(addr)?.into();
+        Ok(Self {
+            tcp,
+            limits,
+            open: Arc::default(),
+        })
+    }
+
+    /// The address bound.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.tcp.local_addr()
+    }
+
+    /// Serves every connection with `handler` until the future is dropped; connections then end
+    /// with their tasks on the global executor.
+    pub async fn run<H, F>(&self, handler: H)
+    where
+        H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        loop {
+            let Ok((stream, _)) = self.tcp.accept().await else {
+                // Out of descriptors: wait for some to be freed.
+                smol::Timer::after(Duration::from_millis(20)).await;
+                continue;
+            };
+            if self.open.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+                self.open.fetch_sub(1, Ordering::Relaxed);
+                continue;
+            }
+            let open = self.open.clone();
+            let handler = handler.clone();
+            smol::spawn(async move {
+                serve(stream, handler).await;
+                open.fetch_sub(1, Ordering::Relaxed);
+            })
+            .detach();
+        }
+    }
+}
+
+async fn serve<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let endpoint = |request: Request| {
+        let answer = handler(request);
+        async move { Ok(answer.await) }
+    };
+    // A connection that breaks is the peer's matter; the handler has counted what it ran.
+    let _ = Server::new(stream, endpoint).accept().await;
+}
+
+/// Reads a request's body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// 413 if it is longer, 400 if it is cut.
+pub async fn read_body(request: &mut Request, limit: u64) -> Result<Vec<u8>, StatusCode> {
+    let declared = request.len();
+    if declared.is_some_and(|n| n as u64 > limit) {
+        return Err(StatusCode::PayloadTooLarge);
+    }
+    let mut body = Vec::with_capacity(declared.unwrap_or(0));
+    let mut bounded = request.take_body().take(limit + 1);
+    let read = bounded.read_to_end(&mut body).await;
+    read.map_err(|_| StatusCode::BadRequest)?;
+    if body.len() as u64 > limit {
+        return Err(StatusCode::PayloadTooLarge);
+    }
+    if declared.is_some_and(|n| n != body.len()) {
+        return Err(StatusCode::BadRequest);
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/rw-node/src/attempt.rs
@@ -0,0 +1,222 @@
+//! One dispatch of a generation request, read token by token.
+
+use crate::{Shell, completion::chunk, drive::Caller, payload::Payload};
+use rw_core::{AttemptEnd, Call, Work};
+use rw_http::{Pooling, Response, SendError, SseLines, post_json};
+use rw_types::{AttemptId, RequestId};
+use serde::{Deserialize, Serialize};
+
+/// What a request has gathered over its attempts.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) id: RequestId,
+    pub(crate) kind: String,
+    pub(crate) key: Option<String>,
+    pub(crate) work: Work,
+    pub(crate) payload: Payload,
+    /// Text gathered for a whole answer.
+    pub(crate) text: String,
+    /// Tokens gathered.
+    pub(crate) tokens: u64,
+    /// Answer of a plain service.
+    pub(crate) plain: Option<Response>,
+}
+
+/// How running an attempt ended.
+#[derive(Debug)]
+pub(crate) enum Ran {
+    /// The target's side ended.
+    Ended(AttemptEnd),
+    /// The caller's side ended.
+    CallerGone,
+}
+
+#[derive(Debug, Serialize)]
+struct Generate<'a> {
+    attempt: AttemptId,
+    model: &'a str,
+    prompt: u64,
+    text: &'a str,
+    output: u64,
+    resume: u64,
+    priority: u8,
+}
+
+#[derive(Debug, Deserialize)]
+struct Token<'a> {
+    attempt: AttemptId,
+    n: u64,
+    #[serde(default, borrow)]
+    text: std::borrow::Cow<'a, str>,
+    #[serde(default)]
+    end: bool,
+}
+
+impl Attempt {
+    pub(crate) fn new(id: RequestId, call: &Call, payload: Payload) -> Self {
+        Self {
+            id,
+            kind: call.kind.clone(),
+            key: call.key.clone(),
+            work: call.work.clone(),
+            payload,
+            text: String::new(),
+            tokens: 0,
+            plain: None,
+        }
+    }
+}
+
+impl Shell {
+    pub(crate) async fn run_attempt(
+        &self,
+        n: AttemptId,
+        addr: &str,
+        resume: u64,
+        attempt: &mut Attempt,
+        caller: &mut Caller,
+    ) -> Ran {
+        let ran = match attempt.payload {
+            Payload::Generate { .. } => self.generate(n, addr, resume, attempt, caller).await,
+            Payload::Plain { .. } => Ran::Ended(self.call_plain(n, addr, attempt).await),
+        };
+        let label = match &ran {
+            Ran::Ended(AttemptEnd::Whole { .. }) => "whole",
+            Ran::Ended(AttemptEnd::Unsent) => "unsent",
+            Ran::Ended(AttemptEnd::Declined) => "declined",
+            Ran::Ended(AttemptEnd::Broken { .. }) => "broken",
+            Ran::CallerGone => "caller-gone",
+        };
+        self.metrics.attempts.with_label_values(&[label]).inc();
+        ran
+    }
+
+    async fn generate(
+        &self,
+        n: AttemptId,
+        addr: &str,
+        resume: u64,
+        attempt: &mut Attempt,
+        caller: &mut Caller,
+    ) -> Ran {
+        match self.open_stream(n, addr, resume, attempt).await {
+            Ok(Some(lines)) => self.relay(n, lines, attempt, caller).await,
+            Ok(None) => Ran::Ended(AttemptEnd::Declined),
+            Err(error) => Ran::Ended(ended(error, attempt.tokens)),
+        }
+    }
+
+    /// The token stream, or `None` if the engine says that it did not run the request.
+    async fn open_stream(
+        &self,
+        n: AttemptId,
+        addr: &str,
+        resume: u64,
+        attempt: &Attempt,
+    ) -> Result<Option<SseLines>, SendError> {
+        let (
+            Payload::Generate { text, .. },
+            Work::Generate {
+                model,
+                prompt,
+                output,
+                ..
+            },
+        ) = (&attempt.payload, &attempt.work)
+        else {
+            return Err(SendError::BadAddr);
+        };
+        let priority = self.config().kind(&attempt.kind).map_or(0, |k| k.priority);
+        let body = Generate {
+            attempt: n,
+            model,
+            prompt: *prompt,
+            text,
+            output: *output,
+            resume,
+            priority,
+        };
+        let bytes = serde_json::to_vec(&body).map_err(|_| SendError::BadAddr)?;
+        let request = post_json(addr, "/generate", bytes)?;
+        let reply = self
+            .client
+            .send(addr, request, Pooling::Reuse, self.settings.silence)
+            .await?;
+        if reply.status() == 200 {
+            return Ok(Some(reply.lines()));
+        }
+        if reply.header("x-outcome") == Some("not-run") {
+            return Ok(None);
+        }
+        Err(SendError::Broken)
+    }
+
+    async fn relay(
+        &self,
+        n: AttemptId,
+        mut lines: SseLines,
+        attempt: &mut Attempt,
+        caller: &mut Caller,
+    ) -> Ran {
+        loop {
+            let line = match lines.next(self.settings.silence).await {
+                Ok(Some(line)) => line,
+                // An end without the last event is a cut stream.
+                Ok(None) => return Ran::Ended(ended(SendError::Short, attempt.tokens)),
+                Err(error) => return Ran::Ended(ended(error, attempt.tokens)),
+            };
+            let token = serde_json::from_str::<Token<'_>>(line);
+            let Ok(token) = token else {
+                return Ran::Ended(ended(SendError::Broken, attempt.tokens));
+            };
+            // Another attempt's token, a gap or a repeat: the stream can't be trusted.
+            if token.attempt != n || token.n != attempt.tokens {
+                return Ran::Ended(ended(SendError::Broken, attempt.tokens));
+            }
+            if token.end {
+                return Ran::Ended(AttemptEnd::Whole {
+                    status: 200,
+                    body: String::new(),
+                });
+            }
+            attempt.tokens += 1;
+            if !pass_on(attempt, caller, &token.text).await {
+                return Ran::CallerGone;
+            }
+        }
+    }
+}
+
+/// Gives a token to the caller, or keeps it for the whole answer; false if the caller is gone.
+async fn pass_on(attempt: &mut Attempt, caller: &mut Caller, text: &str) -> bool {
+    let (
+        Payload::Generate {
+            stream: true, chat, ..
+        },
+        Work::Generate { model, .. },
+    ) = (&attempt.payload, &attempt.work)
+    else {
+        attempt.text.push_str(text);
+        return true;
+    };
+    caller.start_stream();
+    let Some(stream) = &caller.stream else {
+        return false;
+    };
+    stream
+        .send(Ok(chunk(attempt.id, model, *chat, text)))
+        .await
+        .is_ok()
+}
+
+/// The end of an attempt that failed with `error`.
+pub(crate) fn ended(error: SendError, tokens: u64) -> AttemptEnd {
+    if error.is_unsent() {
+        AttemptEnd::Unsent
+    } else {
+        AttemptEnd::Broken {
+            tokens,
+            crashed: error == SendError::Broken,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rw-node/src/callers.rs
@@ -0,0 +1,97 @@
+//! The callers' HTTP API.
+
+use crate::{
+    Shell,
+    completion::{bad_request, refuse},
+    parse::{header, parse_generate, parse_plain},
+};
+use rw_http::{Method, Request, Response, json, raw, read_body};
+use rw_types::{Outcome, Refusal, RefusalKind};
+use std::sync::Arc;
+
+impl Shell {
+    /// Answers one request of a caller.
+    pub(crate) async fn answer_caller(self: Arc<Self>, mut request: Request) -> Response {
+        let path = request.url().path().to_owned();
+        match path.as_str() {
+            "/healthz" => return raw(200, b"ok\n".to_vec(), "text/plain"),
+            "/readyz" => return self.ready(),
+            "/metrics" => return raw(200, self.metrics.text(), "text/plain; version=0.0.4"),
+            _ => {}
+        }
+        let config = self.config();
+        let Some(account) = self.account(&request) else {
+            let kind = RefusalKind::UnknownKey;
+            return refuse(&Refusal {
+                kind,
+                outcome: Outcome::NotRun,
+                retry_ms: 0,
+            });
+        };
+        let Some(caller) = config.accounts.get(account).map(|a| a.name.clone()) else {
+            return refuse(&Refusal {
+                kind: RefusalKind::Leaving,
+                outcome: Outcome::NotRun,
+                retry_ms: 0,
+            });
+        };
+        if request.method() == Method::Get && path == "/v1/models" {
+            return models(&config);
+        }
+        let body = match read_body(&mut request, self.settings.max_body).await {
+            Ok(body) => body,
+            Err(status) => {
+                return bad_request(
+                    status.into(),
+                    "the body is cut or over the limit; send a smaller one",
+                );
+            }
+        };
+        let now = self.now();
+        let parsed = match (request.method(), path.as_str()) {
+            (Method::Post, "/v1/chat/completions") => {
+                parse_generate(&request, &body, true, &caller, &config, now)
+            }
+            (Method::Post, "/v1/completions") => {
+                parse_generate(&request, &body, false, &caller, &config, now)
+            }
+            (_, path) if path.starts_with("/services/") => {
+                let (name, rest) = split_service(path);
+                parse_plain(&request, body, name, rest, &caller, &config, now)
+            }
+            _ => return bad_request(404, "no such path; use /v1/… or /services/<name>/…"),
+        };
+        match parsed {
+            Ok((call, payload)) => self.answer_call(call, payload).await,
+            Err(error) => bad_request(400, &error.to_string()),
+        }
+    }
+
+    fn ready(&self) -> Response {
+        if self.lock().is_ready() {
+            raw(200, b"ready\n".to_vec(), "text/plain")
+        } else {
+            raw(503, b"not ready\n".to_vec(), "text/plain")
+        }
+    }
+
+    fn account(&self, request: &Request) -> Option<usize> {
+        let key = header(request, "authorization")?.strip_prefix("Bearer ")?;
+        self.accounts().find(&self.settings.secret, key)
+    }
+}
+
+fn models(config: &rw_types::Config) -> Response {
+    let entry = |name: &str| serde_json::json!({ "id": name, "object": "model" });
+    let data: Vec<_> = config.models.iter().map(|m| entry(&m.name)).collect();
+    json(200, &serde_json::json!({ "object": "list", "data": data }))
+}
+
+/// Service name and the path below it.
+fn split_service(path: &str) -> (&str, &str) {
+    let rest = path.trim_start_matches("/services/");
+    match rest.find('/') {
+        Some(i) => rest.split_at(i),
+        None => (rest, "/"),
+    }
+}
--- /dev/null
+++ b/crates/rw-node/src/claims.rs
@@ -0,0 +1,68 @@
+//! Claims in the table.
+
+use crate::Shell;
+use rw_core::{Claim, ClaimRead};
+use rw_platform::{PlatformError, Row, Table as _, Txn};
+use rw_types::Version;
+use std::{sync::Arc, time::Duration};
+
+/// First pause before an unsettled claim is written again; doubled up to the last.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause before an unsettled claim is written again.
+const SETTLE_PAUSE_MAX: Duration = Duration::from_secs(5);
+/// Tries to settle a claim before it is left to its claimant's answer.
+const SETTLE_TRIES: u32 = 120;
+
+impl Shell {
+    pub(crate) async fn write_claim(
+        &self,
+        key: &str,
+        version: Version,
+        claim: &Claim,
+    ) -> ClaimRead {
+        let Ok(value) = serde_json::to_string(claim) else {
+            return ClaimRead::Untaken;
+        };
+        let txn = Txn::new().check(key, version).put(key, value);
+        match self.platform.txn(&txn).await {
+            Ok(reply) if reply.applied() => ClaimRead::Written(reply.version),
+            Ok(reply) => found(reply.conflicts.first()),
+            Err(PlatformError::NotSent) => ClaimRead::Untaken,
+            Err(_) => ClaimRead::Lost,
+        }
+    }
+
+    pub(crate) async fn read_claim(&self, key: &str) -> ClaimRead {
+        match self.platform.get(vec![key.to_owned()]).await {
+            Ok(rows) => found(rows.rows.first()),
+            Err(_) => ClaimRead::Unreadable,
+        }
+    }
+
+    /// Writes the last state of a claim until the table has it.
+    pub(crate) async fn settle_claim(self: Arc<Self>, key: String, version: Version, claim: Claim) {
+        let mut pause = SETTLE_PAUSE;
+        for _ in 0..SETTLE_TRIES {
+            match self.write_claim(&key, version, &claim).await {
+                ClaimRead::Written(_) | ClaimRead::Found(_) => return,
+                _ => {}
+            }
+            smol::Timer::after(pause).await;
+            pause = (pause * 2).min(SETTLE_PAUSE_MAX);
+        }
+        log::warn!("claim left unsettled; a resend of its key will be told that it may have run");
+    }
+}
+
+fn found(row: Option<&Row>) -> ClaimRead {
+    let Some(row) = row else {
+        return ClaimRead::Unreadable;
+    };
+    if row.value.is_empty() {
+        return ClaimRead::Found(None);
+    }
+    match serde_json::from_str(&row.value) {
+        Ok(claim) => ClaimRead::Found(Some((claim, row.version))),
+        Err(_) => ClaimRead::Unreadable,
+    }
+}
--- /dev/null
+++ b/crates/rw-node/src/completion.rs
@@ -0,0 +1,100 @@
+//! Answers in the usual format for language models.
+
+use rw_http::{Response, json, raw};
+use rw_types::{Outcome, Refusal, RequestId};
+use serde::Serialize;
+use serde_json::json as value;
+
+/// One piece of a streamed answer.
+#[must_use]
+pub fn chunk(id: RequestId, model: &str, chat: bool, text: &str) -> Vec<u8> {
+    let (object, choice) = if chat {
+        (
+            "chat.completion.chunk",
+            value!({ "index": 0, "delta": { "content": text } }),
+        )
+    } else {
+        ("text_completion", value!({ "index": 0, "text": text }))
+    };
+    let body =
+        value!({ "id": format!("rw-{id}"), "object": object, "model": model, "choices": [choice] });
+    format!("data: {body}\n\n").into_bytes()
+}
+
+/// A whole answer.
+#[must_use]
+pub fn whole(id: RequestId, model: &str, chat: bool, text: &str, tokens: u64) -> Response {
+    let (object, choice) = if chat {
+        let message = value!({ "role": "assistant", "content": text });
+        (
+            "chat.completion",
+            value!({ "index": 0, "message": message, "finish_reason": "stop" }),
+        )
+    } else {
+        (
+            "text_completion",
+            value!({ "index": 0, "text": text, "finish_reason": "stop" }),
+        )
+    };
+    let usage = value!({ "completion_tokens": tokens });
+    let body = value!({ "id": format!("rw-{id}"), "object": object, "model": model, "choices": [choice], "usage": usage });
+    with_outcome(json(200, &body), Outcome::Done)
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorText<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorText<'a> {
+    kind: &'a str,
+    message: &'a str,
+    outcome: Outcome,
+    retry_after_ms: u64,
+}
+
+/// The body of a refusal as JSON.
+#[must_use]
+pub fn refusal_body(refusal: &Refusal) -> String {
+    let kind = value!(refusal.kind);
+    let message = refusal.kind.to_string();
+    let error = ErrorText {
+        kind: kind.as_str().unwrap_or_default(),
+        message: &message,
+        outcome: refusal.outcome,
+        retry_after_ms: refusal.retry_ms,
+    };
+    serde_json::to_string(&ErrorBody { error }).unwrap_or_default()
+}
+
+/// A final answer that is not a target's.
+#[must_use]
+pub fn refuse(refusal: &Refusal) -> Response {
+    let body = refusal_body(refusal).into_bytes();
+    let mut response = raw(refusal.kind.status(), body, "application/json");
+    if refusal.retry_ms > 0 {
+        let seconds = refusal.retry_ms.div_ceil(1_000);
+        response.insert_header("retry-after", seconds.to_string());
+    }
+    with_outcome(response, refusal.outcome)
+}
+
+/// A refusal of a request that could not be read.
+#[must_use]
+pub fn bad_request(status: u16, message: &str) -> Response {
+    let error = ErrorText {
+        kind: "bad-request",
+        message,
+        outcome: Outcome::NotRun,
+        retry_after_ms: 0,
+    };
+    with_outcome(json(status, &ErrorBody { error }), Outcome::NotRun)
+}
+
+/// Names the outcome in the answer's header.
+#[must_use]
+pub fn with_outcome(mut response: Response, outcome: Outcome) -> Response {
+    response.insert_header("x-outcome", outcome.as_str());
+    response
+}
--- /dev/null
+++ b/crates/rw-node/src/drive.rs
@@ -0,0 +1,192 @@
+//! Drives one request: runs its effects until it has its final answer.
+
+use crate::{
+    Shell,
+    attempt::{Attempt, Ran},
+    completion::{refusal_body, refuse, whole, with_outcome},
+    payload::Payload,
+};
+use rw_core::{Call, Effect, Event, Work};
+use rw_http::{Response, events, raw};
+use rw_types::{AttemptId, Outcome, Refusal, RequestId};
+use std::{io, sync::Arc};
+
+/// Pieces of a stream that wait for a slow caller.
+const STREAM_DEPTH: usize = 64;
+
+/// Where a request's answer goes.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    /// The answer's head; taken by the first thing sent.
+    head: Option<async_channel::Sender<Response>>,
+    /// The stream, once its head is sent.
+    pub(crate) stream: Option<async_channel::Sender<io::Result<Vec<u8>>>>,
+}
+
+impl Caller {
+    /// Sends the head of a stream, once.
+    pub(crate) fn start_stream(&mut self) {
+        if let Some(head) = self.head.take() {
+            let (tx, rx) = async_channel::bounded(STREAM_DEPTH);
+            self.stream = Some(tx);
+            let _ = head.try_send(with_outcome(events(rx), Outcome::Done));
+        }
+    }
+
+    async fn answer(&mut self, response: Response) {
+        if let Some(head) = self.head.take() {
+            let _ = head.try_send(response);
+        }
+    }
+
+    /// Ends a started stream so that the caller sees that it isn't whole.
+    async fn cut(&mut self, refusal: &Refusal) {
+        if let Some(stream) = self.stream.take() {
+            let event = format!("event: error\ndata: {}\n\n", refusal_body(refusal));
+            let _ = stream.send(Ok(event.into_bytes())).await;
+            let _ = stream
+                .send(Err(io::ErrorKind::ConnectionAborted.into()))
+                .await;
+        }
+    }
+}
+
+impl Shell {
+    /// Runs a request to its final answer, or to the head of its stream.
+    pub(crate) async fn answer_call(self: Arc<Self>, call: Call, payload: Payload) -> Response {
+        let (tx, rx) = async_channel::bounded(1);
+        let caller = Caller {
+            head: Some(tx),
+            stream: None,
+        };
+        let shell = self.clone();
+        // A task of its own: a non-idempotent run must reach its record without its caller.
+        smol::spawn(async move { shell.drive(call, payload, caller).await }).detach();
+        match rx.recv().await {
+            Ok(response) => response,
+            Err(_) => raw(500, Vec::new(), "text/plain"),
+        }
+    }
+
+    async fn drive(self: Arc<Self>, call: Call, payload: Payload, mut caller: Caller) {
+        let id = self.new_request();
+        let arrived = self.now();
+        let kind = call.kind.clone();
+        let mut attempt = Attempt::new(id, &call, payload);
+        let mut effects = self.step(Event::Arrived {
+            id,
+            call: call.clone(),
+        });
+        while let Some(event) = self
+            .run_effects(id, effects, &mut attempt, &mut caller)
+            .await
+        {
+            effects = self.step(event);
+        }
+        let seconds = self.now().since(arrived) as f64 / 1_000.0;
+        self.metrics
+            .whole
+            .with_label_values(&[&kind])
+            .observe(seconds);
+    }
+
+    /// Runs the effects of one step; `None` once the request has its final answer.
+    async fn run_effects(
+        self: &Arc<Self>,
+        id: RequestId,
+        effects: Vec<Effect>,
+        attempt: &mut Attempt,
+        caller: &mut Caller,
+    ) -> Option<Event> {
+        let mut next = None;
+        for effect in effects {
+            match effect {
+                Effect::SettleClaim {
+                    key,
+                    version,
+                    claim,
+                } => {
+                    smol::spawn(self.clone().settle_claim(key, version, claim)).detach();
+                }
+                Effect::WriteClaim {
+                    key,
+                    version,
+                    claim,
+                    ..
+                } => {
+                    let read = self.write_claim(&key, version, &claim).await;
+                    next = Some(Event::ClaimRead { id, read });
+                }
+                Effect::ReadClaim { key, .. } => {
+                    let read = self.read_claim(&key).await;
+                    next = Some(Event::ClaimRead { id, read });
+                }
+                Effect::Dispatch {
+                    attempt: n,
+                    addr,
+                    resume,
+                    ..
+                } => {
+                    next = Some(self.dispatch(id, n, &addr, resume, attempt, caller).await);
+                }
+                Effect::Deliver { .. } => self.deliver(id, attempt, caller).await,
+                Effect::Replay { answer, .. } => {
+                    self.count(&attempt.kind, Outcome::Done);
+                    let response = raw(answer.status, answer.body.into_bytes(), "application/json");
+                    caller.answer(with_outcome(response, Outcome::Done)).await;
+                }
+                Effect::Refuse { refusal, .. } => {
+                    self.count(&attempt.kind, refusal.outcome);
+                    caller.cut(&refusal).await;
+                    caller.answer(refuse(&refusal)).await;
+                }
+                Effect::Cancel { .. } => {}
+            }
+        }
+        next
+    }
+
+    async fn dispatch(
+        &self,
+        id: RequestId,
+        n: AttemptId,
+        addr: &str,
+        resume: u64,
+        attempt: &mut Attempt,
+        caller: &mut Caller,
+    ) -> Event {
+        match self.run_attempt(n, addr, resume, attempt, caller).await {
+            Ran::Ended(end) => Event::Ended {
+                id,
+                attempt: n,
+                end,
+            },
+            Ran::CallerGone => Event::CallerGone { id },
+        }
+    }
+
+    async fn deliver(&self, id: RequestId, attempt: &mut Attempt, caller: &mut Caller) {
+        self.count(&attempt.kind, Outcome::Done);
+        if let Some(stream) = caller.stream.take() {
+            let _ = stream.send(Ok(b"data: [DONE]\n\n".to_vec())).await;
+            return;
+        }
+        let response = match (&attempt.payload, &attempt.work) {
+            (Payload::Generate { chat, .. }, Work::Generate { model, .. }) => {
+                whole(id, model, *chat, &attempt.text, attempt.tokens)
+            }
+            _ => match attempt.plain.take() {
+                Some(response) => with_outcome(response, Outcome::Done),
+                None => raw(500, Vec::new(), "text/plain"),
+            },
+        };
+        caller.answer(response).await;
+    }
+
+    fn count(&self, kind: &str, outcome: Outcome) {
+        self.metrics
+            .answers
+            .with_label_values(&[kind, outcome.as_str()])
+            .inc();
+    }
+}
--- /dev/null
+++ b/crates/rw-node/src/metrics.rs
@@ -0,0 +1,70 @@
+//! Counters and histograms, by kind of work.
+
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the time histograms, in seconds.
+const BUCKETS: &[f64] = &[
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.31, 1.0, 3.0, 10.0, 30.0, 100.0,
+];
+
+/// What a node counts.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Final answers by kind of work and outcome.
+    pub answers: IntCounterVec,
+    /// Dispatches by how they ended.
+    pub attempts: IntCounterVec,
+    /// Platform calls by how they ended.
+    pub platform: IntCounterVec,
+    /// Seconds from arrival to the first byte of the answer, by kind of work.
+    pub first_byte: HistogramVec,
+    /// Seconds from arrival to the whole answer, by kind of work.
+    pub whole: HistogramVec,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// A name that the library does not accept or that is registered already.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histogram = HistogramVec::new(options, &["kind"])?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let answers = counter("rw_answers_total", "Final answers.", &["kind", "outcome"])?;
+        let attempts = counter("rw_attempts_total", "Dispatches to targets.", &["end"])?;
+        let platform = counter("rw_platform_total", "Platform calls.", &["call", "end"])?;
+        let first_byte = histogram("rw_first_byte_seconds", "Arrival to first byte.")?;
+        let whole = histogram("rw_whole_seconds", "Arrival to whole answer.")?;
+        Ok(Self {
+            registry,
+            answers,
+            attempts,
+            platform,
+            first_byte,
+            whole,
+        })
+    }
+
+    /// All metrics in the text format.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory fails only for a metric without a name.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/rw-node/src/parse.rs
@@ -0,0 +1,195 @@
+//! From an HTTP request to a call.
+
+use crate::payload::Payload;
+use displaydoc::Display;
+use rw_core::{Call, Work};
+use rw_http::{Method, Request};
+use rw_types::{Config, Millis, fingerprint};
+use serde::Deserialize;
+
+/// Bytes of text taken for one token.
+const TOKEN_BYTES: usize = 4;
+/// Bytes of text in one piece of the prefix cache, about a thousand tokens.
+const PIECE_BYTES: usize = 4_000;
+/// Tokens generated if the request names no limit.
+const DEFAULT_OUTPUT: u64 = 16;
+/// Most tokens of one output.
+const MAX_OUTPUT: u64 = 1_000_000;
+/// Time for the whole answer if neither the request nor its kind of work names one, in ms.
+const DEFAULT_DEADLINE: u64 = 60_000;
+/// Longest idempotency key, in bytes.
+const MAX_KEY: usize = 200;
+
+/// Why a request can't be read. The text names the field and the remedy.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum ParseError {
+    /// the body is not the JSON wanted: {0}; correct that field
+    Json(String),
+    /// header '{0}' is not a whole number of milliseconds; correct it
+    Deadline(String),
+    /// field 'prompt' or 'messages' is missing or empty; send the text to complete
+    NoText,
+    /// field 'max_tokens' is above 1000000; ask for less
+    TooLong,
+    /// header 'idempotency-key' is empty, longer than 200 bytes or has other than visible ASCII; correct it
+    BadKey,
+    /// header 'x-work-kind' names '{0}', which is not declared; use a declared kind or leave it out
+    UnknownKind(String),
+}
+
+impl std::error::Error for ParseError {}
+
+#[derive(Debug, Deserialize)]
+struct GenerateBody {
+    model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+/// A generation request of the usual format.
+pub fn parse_generate(
+    request: &Request,
+    body: &[u8],
+    chat: bool,
+    caller: &str,
+    config: &Config,
+    now: Millis,
+) -> Result<(Call, Payload), ParseError> {
+    let parsed: GenerateBody =
+        serde_json::from_slice(body).map_err(|e| ParseError::Json(e.to_string()))?;
+    let text = if chat {
+        join(&parsed.messages)
+    } else {
+        parsed.prompt
+    };
+    if text.is_empty() {
+        return Err(ParseError::NoText);
+    }
+    let output = parsed.max_tokens.unwrap_or(DEFAULT_OUTPUT);
+    if output > MAX_OUTPUT {
+        return Err(ParseError::TooLong);
+    }
+    let work = Work::Generate {
+        model: parsed.model,
+        prompt: text.len().div_ceil(TOKEN_BYTES) as u64,
+        output,
+        pieces: pieces(&text),
+    };
+    let call = call(request, body, work, caller, config, now)?;
+    let payload = Payload::Generate {
+        text,
+        stream: parsed.stream,
+        chat,
+    };
+    Ok((call, payload))
+}
+
+/// A call of a plain service under `/services/<name>/…`.
+pub fn parse_plain(
+    request: &Request,
+    body: Vec<u8>,
+    name: &str,
+    rest: &str,
+    caller: &str,
+    config: &Config,
+    now: Millis,
+) -> Result<(Call, Payload), ParseError> {
+    let method = request.method();
+    let safe = matches!(method, Method::Get | Method::Head | Method::Options);
+    let declared = config
+        .service(name)
+        .is_some_and(|s| s.idempotent.iter().any(|prefix| rest.starts_with(prefix)));
+    let work = Work::Service {
+        name: name.to_owned(),
+        idempotent: safe || declared,
+    };
+    let call = call(request, &body, work, caller, config, now)?;
+    let query = request
+        .url()
+        .query()
+        .map(|q| format!("?{q}"))
+        .unwrap_or_default();
+    let payload = Payload::Plain {
+        method,
+        path: format!("{rest}{query}"),
+        kind: header(request, "content-type").map(str::to_owned),
+        body,
+    };
+    Ok((call, payload))
+}
+
+fn call(
+    request: &Request,
+    body: &[u8],
+    work: Work,
+    caller: &str,
+    config: &Config,
+    now: Millis,
+) -> Result<Call, ParseError> {
+    let kind = header(request, "x-work-kind").unwrap_or_default();
+    let declared = config.kind(kind);
+    if !kind.is_empty() && declared.is_none() {
+        return Err(ParseError::UnknownKind(kind.to_owned()));
+    }
+    let budget = match header(request, "x-deadline-ms") {
+        Some(text) => text
+            .parse()
+            .map_err(|_| ParseError::Deadline("x-deadline-ms".to_owned()))?,
+        None => declared.map_or(DEFAULT_DEADLINE, |k| k.deadline_ms),
+    };
+    let key = header(request, "idempotency-key");
+    if key.is_some_and(|k| {
+        k.is_empty() || k.len() > MAX_KEY || !k.bytes().all(|b| b.is_ascii_graphic())
+    }) {
+        return Err(ParseError::BadKey);
+    }
+    // The path is part of what the key stands for.
+    let mut hashed = request.url().path().as_bytes().to_vec();
+    hashed.push(b'\n');
+    hashed.extend_from_slice(body);
+    Ok(Call {
+        caller: caller.to_owned(),
+        kind: kind.to_owned(),
+        work,
+        key: key.map(str::to_owned),
+        fingerprint: fingerprint(&hashed),
+        deadline: now.plus(budget),
+    })
+}
+
+/// First value of a request header.
+pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.header(name).map(|v| v.last().as_str())
+}
+
+fn join(messages: &[Message]) -> String {
+    let lines = messages
+        .iter()
+        .map(|m| format!("{}: {}\n", m.role, m.content));
+    lines.collect()
+}
+
+/// Hashes of the text's prefixes, one per whole piece.
+fn pieces(text: &str) -> Vec<u64> {
+    let bytes = text.as_bytes();
+    let ends = (1..=bytes.len() / PIECE_BYTES).map(|n| n * PIECE_BYTES);
+    let mut last = 0_u64;
+    ends.map(|end| {
+        let mut part = last.to_le_bytes().to_vec();
+        part.extend_from_slice(&bytes[end - PIECE_BYTES..end]);
+        last = fingerprint(&part);
+        last
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/rw-node/src/rpc.rs
@@ -0,0 +1,93 @@
+//! JSON-RPC between the system's own processes, carried by `async-h1`.
+
+use crate::Shell;
+use displaydoc::Display;
+use jsonrpsee_core::server::RpcModule;
+use jsonrpsee_types::ErrorObjectOwned;
+use rw_http::{Client, Pooling, Request, Response, post_json, raw, read_body};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{sync::Arc, time::Duration};
+use subtle::ConstantTimeEq as _;
+
+/// Largest call taken, in bytes.
+const MAX_CALL: u64 = 16 << 20;
+
+/// What a method returns.
+pub(crate) type RpcResult<T> = Result<T, ErrorObjectOwned>;
+
+/// Why a call to another process has no result.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum RpcError {
+    /// nothing answers at {0}; check the address and that the process runs
+    Unreachable(String),
+    /// the token was refused; set the one that the nodes were started with
+    Token,
+    /// the other side refused: {0}
+    Refused(String),
+    /// the answer could not be read; check that both sides run the same version
+    Garbled,
+}
+
+impl std::error::Error for RpcError {}
+
+/// Answers one call if it carries the token.
+pub(crate) async fn answer_rpc(
+    shell: &Arc<Shell>,
+    module: &RpcModule<Arc<Shell>>,
+    mut request: Request,
+) -> Response {
+    if !has_token(&request, &shell.settings.token) {
+        return raw(401, Vec::new(), "text/plain");
+    }
+    let Ok(body) = read_body(&mut request, MAX_CALL).await else {
+        return raw(413, Vec::new(), "text/plain");
+    };
+    let text = String::from_utf8_lossy(&body);
+    match module.raw_json_request(&text, 1).await {
+        Ok((answer, _)) => raw(200, answer.get().as_bytes().to_vec(), "application/json"),
+        Err(_) => raw(400, Vec::new(), "text/plain"),
+    }
+}
+
+fn has_token(request: &Request, token: &str) -> bool {
+    let given = request.header("authorization").map(|v| v.last().as_str());
+    let Some(given) = given.and_then(|v| v.strip_prefix("Bearer ")) else {
+        return false;
+    };
+    given.as_bytes().ct_eq(token.as_bytes()).into()
+}
+
+/// Calls `method` of the process at `addr`.
+///
+/// # Errors
+///
+/// Any [`RpcError`].
+pub async fn call_rpc<P: Serialize, R: DeserializeOwned>(
+    client: &Client,
+    addr: &str,
+    token: &str,
+    method: &str,
+    params: &P,
+    limit: Duration,
+) -> Result<R, RpcError> {
+    let unreachable = || RpcError::Unreachable(addr.to_owned());
+    let call =
+        serde_json::json!({ "jsonrpc": "2.0", "id": 1, "method": method, "params": [params] });
+    let body = serde_json::to_vec(&call).map_err(|_| RpcError::Garbled)?;
+    let mut request = post_json(addr, "/", body).map_err(|_| unreachable())?;
+    request.insert_header("authorization", format!("Bearer {token}"));
+    let sent = client.send(addr, request, Pooling::Reuse, limit).await;
+    let reply = sent.map_err(|_| unreachable())?;
+    if reply.status() == 401 {
+        return Err(RpcError::Token);
+    }
+    let bytes = reply.bytes(limit).await.map_err(|_| unreachable())?;
+    let mut answer: serde_json::Value =
+        serde_json::from_slice(&bytes).map_err(|_| RpcError::Garbled)?;
+    if let Some(error) = answer.get("error") {
+        let message = error.get("message").and_then(|m| m.as_str());
+        return Err(RpcError::Refused(message.unwrap_or_default().to_owned()));
+    }
+    let result = answer.get_mut("result").map(serde_json::Value::take);
+    serde_json::from_value(result.unwrap_or_default()).map_err(|_| RpcError::Garbled)
+}
--- /dev/null
+++ b/crates/rw-node/src/serve.rs
@@ -0,0 +1,150 @@
+//! Binds the listeners of a node and serves until it has left.
+
+use crate::{
+    Metrics, NodeSettings, Shell, operators::operator_module, peers::peer_module, rpc::answer_rpc,
+};
+use displaydoc::Display;
+use rw_core::{CoreSettings, Event};
+use rw_http::{Limits, Listener};
+use rw_types::BootId;
+use smol::future;
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+/// Time between turning not ready and closing the listeners, for the balancer to notice.
+const LEAVE_GRACE: Duration = Duration::from_secs(2);
+/// Pause between looks at whether the last request has ended.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+
+/// Why a node can't serve.
+#[derive(Debug, Display)]
+pub enum ServeError {
+    /// {setting} {addr} can't be bound: {error}; choose a free address of this VM
+    Bind {
+        /// Setting that names the address.
+        setting: &'static str,
+        /// Address.
+        addr: SocketAddr,
+        /// Error of the operating system.
+        error: io::Error,
+    },
+    /// the operating system gave no random numbers; check that the VM has a random source
+    Random,
+    /// a metric or method is registered twice: {0}; this is a fault of the program
+    Registered(String),
+}
+
+impl std::error::Error for ServeError {}
+
+/// A node whose listeners are bound.
+#[derive(Debug)]
+pub struct Bound {
+    shell: Arc<Shell>,
+    callers: Listener,
+    peers: Listener,
+    operators: Listener,
+}
+
+impl Bound {
+    /// Binds all listeners.
+    ///
+    /// # Errors
+    ///
+    /// Any [`ServeError`].
+    pub fn bind(settings: NodeSettings) -> Result<Self, ServeError> {
+        let callers = bind("--listen", settings.listen)?;
+        let peers = bind("--peer-listen", settings.peer_listen)?;
+        let operators = bind("--operator-listen", settings.operator_listen)?;
+        let boot = getrandom::u64().map_err(|_| ServeError::Random)?;
+        let core = CoreSettings {
+            vm: settings.vm.clone(),
+            boot: BootId(boot),
+            centre: settings.centre.clone(),
+            seed: boot,
+            ..CoreSettings::default()
+        };
+        let metrics = Metrics::new().map_err(|e| ServeError::Registered(e.to_string()))?;
+        let shell = Arc::new(Shell::new(settings, core, metrics));
+        Ok(Self {
+            shell,
+            callers,
+            peers,
+            operators,
+        })
+    }
+
+    /// Addresses of the callers', peers' and operators' listeners.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn addrs(&self) -> io::Result<[SocketAddr; 3]> {
+        Ok([
+            self.callers.addr()?,
+            self.peers.addr()?,
+            self.operators.addr()?,
+        ])
+    }
+
+    /// The node's shell.
+    #[must_use]
+    pub fn shell(&self) -> &Arc<Shell> {
+        &self.shell
+    }
+
+    /// Serves until `stop` is ready, then turns not ready, lets every request end and returns.
+    ///
+    /// # Errors
+    ///
+    /// [`ServeError::Registered`].
+    pub async fn run(self, stop: impl Future<Output = ()>) -> Result<(), ServeError> {
+        let registered =
+            |e: jsonrpsee_core::RegisterMethodError| ServeError::Registered(e.to_string());
+        let peer_calls = Arc::new(peer_module(self.shell.clone()).map_err(registered)?);
+        let operator_calls = Arc::new(operator_module(self.shell.clone()).map_err(registered)?);
+        let shell = self.shell.clone();
+        let callers = self
+            .callers
+            .run(move |request| shell.clone().answer_caller(request));
+        let shell = self.shell.clone();
+        let peers = self.peers.run(move |request| {
+            let (shell, calls) = (shell.clone(), peer_calls.clone());
+            async move { answer_rpc(&shell, &calls, request).await }
+        });
+        let shell = self.shell.clone();
+        let operators = self.operators.run(move |request| {
+            let (shell, calls) = (shell.clone(), operator_calls.clone());
+            async move { answer_rpc(&shell, &calls, request).await }
+        });
+        let loops = future::zip(
+            self.shell.clone().poll_platform(),
+            self.shell.clone().poll_loads(),
+        );
+        let serving = async {
+            future::zip(future::zip(callers, peers), future::zip(operators, loops)).await;
+        };
+        let leaving = async {
+            stop.await;
+            leave(&self.shell).await;
+        };
+        future::or(serving, leaving).await;
+        Ok(())
+    }
+}
+
+async fn leave(shell: &Shell) {
+    log::info!("leaving: no new requests");
+    shell.step(Event::Leave);
+    smol::Timer::after(LEAVE_GRACE).await;
+    while shell.lock().open_requests() > 0 {
+        smol::Timer::after(LEAVE_POLL).await;
+    }
+    log::info!("left: every request has its answer");
+}
+
+fn bind(setting: &'static str, addr: SocketAddr) -> Result<Listener, ServeError> {
+    Listener::bind(addr, Limits::default()).map_err(|error| ServeError::Bind {
+        setting,
+        addr,
+        error,
+    })
+}
--- /dev/null
+++ b/crates/rw-node/src/settings.rs
@@ -0,0 +1,74 @@
+//! Settings of a node process.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+/// Loopback with a port given by the kernel.
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Everything a node process is told at its start.
+#[derive(Clone)]
+pub struct NodeSettings {
+    /// Name of this VM in the platform's list.
+    pub vm: String,
+    /// Data centre of this VM.
+    pub centre: String,
+    /// Callers' listener.
+    pub listen: SocketAddr,
+    /// Peers' listener.
+    pub peer_listen: SocketAddr,
+    /// Operators' listener.
+    pub operator_listen: SocketAddr,
+    /// `ip:port` of the platform.
+    pub platform: String,
+    /// Time limit of a platform call.
+    pub platform_limit: Duration,
+    /// Token of peers and operators.
+    pub token: String,
+    /// Secret under which account keys are hashed.
+    pub secret: [u8; 32],
+    /// Largest request body taken, in bytes.
+    pub max_body: u64,
+    /// Longest silence of a target before its first byte and between bytes.
+    pub silence: Duration,
+    /// Pause between reads of the configuration's head and of the VM list.
+    pub poll: Duration,
+    /// Pause between reads of a target's load.
+    pub report_poll: Duration,
+}
+
+impl NodeSettings {
+    /// Settings of a node on loopback, with ports given by the kernel and short pauses.
+    #[must_use]
+    pub fn loopback(vm: &str, centre: &str, platform: SocketAddr) -> Self {
+        Self {
+            vm: vm.to_owned(),
+            centre: centre.to_owned(),
+            listen: ANY,
+            peer_listen: ANY,
+            operator_listen: ANY,
+            platform: platform.to_string(),
+            platform_limit: Duration::from_secs(1),
+            token: "dev-token-for-loopback-only".to_owned(),
+            secret: [7; 32],
+            max_body: 4 << 20,
+            silence: Duration::from_secs(5),
+            poll: Duration::from_millis(200),
+            report_poll: Duration::from_millis(200),
+        }
+    }
+}
+
+impl std::fmt::Debug for NodeSettings {
+    /// Leaves the token and the secret out.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("NodeSettings")
+            .field("vm", &self.vm)
+            .field("centre", &self.centre)
+            .field("listen", &self.listen)
+            .field("platform", &self.platform)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/rw-node/src/shell.rs
@@ -0,0 +1,103 @@
+//! One node process: the reducer behind a short lock, with what it needs to act.
+
+use crate::{Metrics, NodeSettings, accounts::Accounts};
+use rw_core::{CoreSettings, Effect, Event, Node};
+use rw_http::Client;
+use rw_platform::HttpPlatform;
+use rw_types::{Config, Millis, RequestId};
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+/// Shared by all tasks of a node.
+#[derive(Debug)]
+pub struct Shell {
+    pub(crate) settings: NodeSettings,
+    pub(crate) client: Client,
+    pub(crate) platform: HttpPlatform,
+    pub(crate) metrics: Metrics,
+    pub(crate) core: CoreSettings,
+    node: Mutex<Node>,
+    accounts: RwLock<Arc<Accounts>>,
+    started: Instant,
+    next_request: AtomicU64,
+}
+
+impl Shell {
+    /// A node that has not talked to anyone yet.
+    #[must_use]
+    pub fn new(settings: NodeSettings, core: CoreSettings, metrics: Metrics) -> Self {
+        let client = Client::default();
+        let platform = HttpPlatform::new(
+            client.clone(),
+            settings.platform.clone(),
+            settings.platform_limit,
+        );
+        Self {
+            node: Mutex::new(Node::new(core.clone())),
+            accounts: RwLock::default(),
+            started: Instant::now(),
+            next_request: AtomicU64::new(1),
+            settings,
+            client,
+            platform,
+            metrics,
+            core,
+        }
+    }
+
+    /// This process's monotonic clock.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        Millis(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// Feeds one event to the reducer.
+    pub(crate) fn step(&self, event: Event) -> Vec<Effect> {
+        // The clock is read under the lock, so that the reducer's time never goes back.
+        let mut node = self.lock();
+        let now = self.now();
+        node.step(now, event)
+    }
+
+    /// The reducer, for reading.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Node> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn new_request(&self) -> RequestId {
+        RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Arc<Config> {
+        self.lock().config().clone()
+    }
+
+    /// Applies a configuration read from anywhere, if it is higher.
+    pub(crate) fn apply_config(&self, config: Config) {
+        let config = Arc::new(config);
+        self.step(Event::ConfigRead(config.clone()));
+        // Only what the reducer took is indexed.
+        if Arc::ptr_eq(&self.config(), &config) {
+            log::info!("configuration {} in force", config.version);
+            let index = Arc::new(Accounts::index(&config));
+            *self
+                .accounts
+                .write()
+                .unwrap_or_else(PoisonError::into_inner) = index;
+        }
+    }
+
+    pub(crate) fn accounts(&self) -> Arc<Accounts> {
+        self.accounts
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
--- /dev/null
+++ b/crates/rw-platform/src/http.rs
@@ -0,0 +1,128 @@
+//! The platform over HTTP.
+
+use crate::{Get, PlatformError, Rows, Scan, Table, Txn, TxnReply, VmList};
+use rw_http::{Client, Method, Pooling, Request, SendError, Url, post_json};
+use rw_types::{Version, Vm};
+use serde::{Serialize, de::DeserializeOwned};
+use std::time::Duration;
+
+/// The platform at one address, with one time limit for every call.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    client: Client,
+    addr: String,
+    limit: Duration,
+}
+
+impl HttpPlatform {
+    /// A client of the platform at `addr` (`ip:port`) that gives up after `limit`.
+    #[must_use]
+    pub fn new(client: Client, addr: impl Into<String>, limit: Duration) -> Self {
+        Self {
+            client,
+            addr: addr.into(),
+            limit,
+        }
+    }
+
+    async fn call<T: Serialize, R: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &T,
+    ) -> Result<R, PlatformError> {
+        let body = serde_json::to_vec(body).map_err(|_| PlatformError::Garbled)?;
+        let request = post_json(&self.addr, path, body).map_err(settle)?;
+        self.send(request).await
+    }
+
+    async fn send<R: DeserializeOwned>(&self, request: Request) -> Result<R, PlatformError> {
+        let sent = self
+            .client
+            .send(&self.addr, request, Pooling::Reuse, self.limit);
+        let reply = sent.await.map_err(settle)?;
+        let status = reply.status();
+        let bytes = reply.bytes(self.limit).await.map_err(settle)?;
+        match status {
+            200 => serde_json::from_slice(&bytes).map_err(|_| PlatformError::Garbled),
+            // The platform refuses before it acts.
+            429 | 503 => Err(PlatformError::NotSent),
+            _ => Err(PlatformError::Lost),
+        }
+    }
+
+    /// Reads an object; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`].
+    pub async fn object(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let request = self.request(Method::Get, &format!("/objects/{key}"))?;
+        let sent = self
+            .client
+            .send(&self.addr, request, Pooling::Reuse, self.limit);
+        let reply = sent.await.map_err(settle)?;
+        let found = reply.status() == 200;
+        let bytes = reply.bytes(self.limit).await.map_err(settle)?;
+        Ok(found.then_some(bytes))
+    }
+
+    /// Writes an object; idempotent.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`].
+    pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
+        let mut request = self.request(Method::Put, &format!("/objects/{key}"))?;
+        request.set_body(bytes);
+        let sent = self
+            .client
+            .send(&self.addr, request, Pooling::Reuse, self.limit);
+        let reply = sent.await.map_err(settle)?;
+        match reply.status() {
+            200 => Ok(()),
+            429 | 503 => Err(PlatformError::NotSent),
+            _ => Err(PlatformError::Lost),
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> Result<Request, PlatformError> {
+        let url = Url::parse(&format!("http://{}{path}", self.addr));
+        Ok(Request::new(
+            method,
+            url.map_err(|_| PlatformError::Garbled)?,
+        ))
+    }
+}
+
+impl Table for HttpPlatform {
+    async fn txn(&self, txn: &Txn) -> Result<TxnReply, PlatformError> {
+        self.call("/table/txn", txn).await
+    }
+
+    async fn get(&self, keys: Vec<String>) -> Result<Rows, PlatformError> {
+        self.call("/table/get", &Get { keys }).await
+    }
+
+    async fn scan(&self, prefix: &str, since: Version) -> Result<Rows, PlatformError> {
+        let scan = Scan {
+            prefix: prefix.to_owned(),
+            since,
+        };
+        self.call("/table/scan", &scan).await
+    }
+}
+
+impl VmList for HttpPlatform {
+    async fn vms(&self) -> Result<Vec<Vm>, PlatformError> {
+        let request = self.request(Method::Get, "/vms")?;
+        self.send(request).await
+    }
+}
+
+fn settle(error: SendError) -> PlatformError {
+    if error.is_unsent() {
+        PlatformError::NotSent
+    } else {
+        PlatformError::Lost
+    }
+}
--- /dev/null
+++ b/crates/rw-platform/src/table.rs
@@ -0,0 +1,132 @@
+//! The table service: rows with versions, conditional transactions, reads and scans.
+
+use crate::PlatformError;
+use rw_types::{Version, Vm};
+use serde::{Deserialize, Serialize};
+use std::future::Future;
+
+/// A row as read. An absent row has version zero and an empty value.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Value, JSON by convention.
+    pub value: String,
+    /// Version of the transaction that wrote it.
+    pub version: Version,
+}
+
+/// A condition of a transaction: the row still has that version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Check {
+    /// Key.
+    pub key: String,
+    /// Version expected; zero for absent.
+    pub version: Version,
+}
+
+/// A write of a transaction; an empty value deletes the row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Put {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: String,
+}
+
+/// A transaction: all checks hold and all writes happen, or nothing does.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Txn {
+    /// Conditions.
+    pub checks: Vec<Check>,
+    /// Writes.
+    pub puts: Vec<Put>,
+}
+
+/// Result of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TxnReply {
+    /// Version of the writes, or zero if a condition failed.
+    pub version: Version,
+    /// Rows whose condition failed, as they are.
+    pub conflicts: Vec<Row>,
+}
+
+/// Keys to read.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Get {
+    /// Keys.
+    pub keys: Vec<String>,
+}
+
+/// A scan of rows under `prefix` written after `since`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Scan {
+    /// Key prefix.
+    pub prefix: String,
+    /// Version after which rows are wanted.
+    pub since: Version,
+}
+
+/// Rows in key order.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Rows {
+    /// Rows.
+    pub rows: Vec<Row>,
+}
+
+/// The transactional table service.
+pub trait Table {
+    /// Runs a transaction.
+    fn txn(&self, txn: &Txn) -> impl Future<Output = Result<TxnReply, PlatformError>> + Send;
+    /// Reads rows; an absent one has version zero.
+    fn get(&self, keys: Vec<String>) -> impl Future<Output = Result<Rows, PlatformError>> + Send;
+    /// Reads the rows under a prefix that were written after a version.
+    fn scan(
+        &self,
+        prefix: &str,
+        since: Version,
+    ) -> impl Future<Output = Result<Rows, PlatformError>> + Send;
+}
+
+/// The lagging list of VMs.
+pub trait VmList {
+    /// Live and leaving VMs.
+    fn vms(&self) -> impl Future<Output = Result<Vec<Vm>, PlatformError>> + Send;
+}
+
+impl Txn {
+    /// A transaction without conditions or writes.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a condition.
+    #[must_use]
+    pub fn check(mut self, key: impl Into<String>, version: Version) -> Self {
+        self.checks.push(Check {
+            key: key.into(),
+            version,
+        });
+        self
+    }
+
+    /// Adds a write.
+    #[must_use]
+    pub fn put(mut self, key: impl Into<String>, value: impl Into<String>) -> Self {
+        self.puts.push(Put {
+            key: key.into(),
+            value: value.into(),
+        });
+        self
+    }
+}
+
+impl TxnReply {
+    /// Whether the writes happened.
+    #[must_use]
+    pub fn applied(&self) -> bool {
+        self.version != Version(0)
+    }
+}
--- /dev/null
+++ b/crates/rw-types/src/lib.rs
@@ -0,0 +1,23 @@
+//! Plain data shared by every redwingweir crate: names, configuration, orders, outcomes.
+
+mod account;
+mod config;
+mod digest;
+mod ids;
+mod intent;
+mod load;
+mod order;
+mod outcome;
+mod target;
+mod vm;
+
+pub use account::{Account, hash_key};
+pub use config::{Config, Model, Role, Service, ServiceKind, WorkKind};
+pub use digest::fingerprint;
+pub use ids::{AttemptId, BootId, Fence, Millis, RequestId, Version};
+pub use intent::{ConfigError, check_config};
+pub use load::{CacheEvent, LoadReport};
+pub use order::{Order, OrderKind, OrderReply, OrderState};
+pub use outcome::{Outcome, Refusal, RefusalKind};
+pub use target::{Target, TargetKind};
+pub use vm::Vm;
--- /dev/null
+++ b/crates/rw-types/src/load.rs
@@ -0,0 +1,38 @@
+//! What engines say of themselves.
+
+use crate::Role;
+use serde::{Deserialize, Serialize};
+
+/// A load report; it lags behind the truth.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Prompt tokens waiting for prefill.
+    pub queued: u64,
+    /// Streams in decode.
+    pub running: u32,
+    /// Streams the engine takes at most.
+    pub slots: u32,
+    /// KV cache pieces in use, of about a thousand tokens each.
+    pub pieces: u32,
+    /// Role in force.
+    pub role: Role,
+    /// Models held, sorted.
+    pub models: Vec<String>,
+    /// Prefill speed, tokens a second.
+    pub prefill_rate: u64,
+    /// Decode speed, tokens a second for one stream.
+    pub decode_rate: u64,
+    /// Age of the report when it was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A change of an engine's prefix cache; events come late and with gaps.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Sequence number at the engine; a gap means that events were lost.
+    pub seq: u64,
+    /// Hash of the prefix up to and including the piece.
+    pub piece: u64,
+    /// Whether the piece was stored; otherwise it was evicted.
+    pub stored: bool,
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,120 @@
+//! The whole path through separate processes.
+
+use rw_http::Method;
+use rw_test::{Ask, Fleet, FleetPlan, KEY, ask};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+
+struct Case {
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+    body: &'static str,
+    key: &'static str,
+    status: u16,
+    outcome: &'static str,
+    wants: &'static str,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "models",
+        method: Method::Get,
+        path: "/v1/models",
+        body: "",
+        key: KEY,
+        status: 200,
+        outcome: "",
+        wants: "small",
+    },
+    Case {
+        name: "whole",
+        method: Method::Post,
+        path: "/v1/chat/completions",
+        body: r#"{"model":"small","max_tokens":20,"messages":[{"role":"user","content":"hello"}]}"#,
+        key: KEY,
+        status: 200,
+        outcome: "done",
+        wants: "\"completion_tokens\":20",
+    },
+    Case {
+        name: "streamed",
+        method: Method::Post,
+        path: "/v1/completions",
+        body: r#"{"model":"small","max_tokens":20,"prompt":"hello","stream":true}"#,
+        key: KEY,
+        status: 200,
+        outcome: "done",
+        wants: "data: [DONE]",
+    },
+    Case {
+        name: "service",
+        method: Method::Post,
+        path: "/services/reservations/reserve",
+        body: r#"{"score":7}"#,
+        key: KEY,
+        status: 200,
+        outcome: "done",
+        wants: "POST /reserve",
+    },
+    Case {
+        name: "unknown key",
+        method: Method::Get,
+        path: "/v1/models",
+        body: "",
+        key: "nobody",
+        status: 401,
+        outcome: "not-run",
+        wants: "unknown-key",
+    },
+    Case {
+        name: "unknown model",
+        method: Method::Post,
+        path: "/v1/completions",
+        body: r#"{"model":"large","prompt":"hello"}"#,
+        key: KEY,
+        status: 404,
+        outcome: "not-run",
+        wants: "unknown-model",
+    },
+    Case {
+        name: "broken JSON",
+        method: Method::Post,
+        path: "/v1/completions",
+        body: r#"{"model":7}"#,
+        key: KEY,
+        status: 400,
+        outcome: "not-run",
+        wants: "expected a string",
+    },
+];
+
+#[test]
+fn every_kind_of_request_reaches_its_end() {
+    smol::block_on(async {
+        let fleet = Fleet::start(BINARY, FleetPlan::default())
+            .await
+            .expect("the fleet starts");
+        for node in &fleet.nodes {
+            for case in CASES {
+                let bearer = format!("Bearer {}", case.key);
+                let headers = [("authorization", bearer.as_str())];
+                let sent = Ask {
+                    method: case.method,
+                    path: case.path,
+                    body: case.body,
+                    headers: &headers,
+                };
+                let answer = ask(&node.addr("callers"), sent).await.expect(case.name);
+                assert_eq!(answer.status, case.status, "{}: {}", case.name, answer.body);
+                assert_eq!(answer.outcome, case.outcome, "{}", case.name);
+                assert!(
+                    answer.body.contains(case.wants),
+                    "{}: {}",
+                    case.name,
+                    answer.body
+                );
+            }
+        }
+    });
+}
