Orders and wishes carry their reason

Cause: operators ask why the system did something to a target. Ruled out: reasons only in logs, which VMs lose with their memory. Change: a field beside the order's kind. Before: none; after: stored with the order. Conclusion: the history can be told from the table.

--- a/crates/rw-core/src/wish.rs
+++ b/crates/rw-core/src/wish.rs
@@ -9,4 +9,6 @@
     pub target: String,
     /// What is wanted.
     pub kind: OrderKind,
+    /// Reason, for the target's history.
+    pub why: String,
 }
--- a/crates/rw-types/src/order.rs
+++ b/crates/rw-types/src/order.rs
@@ -43,6 +43,9 @@
     pub kind: OrderKind,
     /// How far it is.
     pub state: OrderState,
+    /// Reason, for the target's history.
+    #[serde(default)]
+    pub why: String,
 }
 
 /// How far an order is.
