Leases with fencing tokens, and orders with resolution, run by serve

Cause: nothing gave orders to targets, so the configuration's models were never loaded and no planner could know whether it may act. Ruled out: a lease a target (10,000 renewals every few seconds against several hundred writes a second); renewing in the lease row itself (its version could then not be the fencing token). Change: one lease a group in two rows, taken over by transaction after the beat was unchanged for the lease and the drift; orders written to the target's row before they are sent, resolved by the target's word, one at a time; wishes from the configuration; Node::holds for other planners. The write of an order reads the clock directly before the bytes go out.

--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -123,6 +123,30 @@
         Some("500"),
         "Pause between reads of a target's load, ms",
     ),
+    plain(
+        "lease-ms",
+        "REDWINGWEIR_LEASE_MS",
+        Some("10000"),
+        "Time that a lease on a group of targets runs, ms",
+    ),
+    plain(
+        "drift-ms",
+        "REDWINGWEIR_DRIFT_MS",
+        Some("500"),
+        "Most that the clocks of two VMs drift apart within one lease, ms",
+    ),
+    plain(
+        "order-ms",
+        "REDWINGWEIR_ORDER_MS",
+        Some("2000"),
+        "Longest life of an order on its way to its target, ms",
+    ),
+    plain(
+        "stale-ms",
+        "REDWINGWEIR_STALE_MS",
+        Some("5000"),
+        "Age from which a target's report is no longer planned on, ms",
+    ),
     plain(
         "log",
         "REDWINGWEIR_LOG",
@@ -201,6 +225,10 @@
         silence: Duration::from_millis(ms("silence-ms")?),
         poll: Duration::from_millis(ms("poll-ms")?),
         report_poll: Duration::from_millis(ms("report-poll-ms")?),
+        lease: Duration::from_millis(ms("lease-ms")?),
+        drift: Duration::from_millis(ms("drift-ms")?),
+        order_life: Duration::from_millis(ms("order-ms")?),
+        stale: Duration::from_millis(ms("stale-ms")?),
     })
 }
 
--- /dev/null
+++ b/crates/rw-core/src/authority.rs
@@ -0,0 +1,134 @@
+//! The right to give orders: leases of this node and what they let it do.
+
+use crate::{
+    AuthorityEffect, AuthorityEvent, Effect, Lease, Node, OrderSlot, rendezvous::candidate_rank,
+};
+use rw_types::{Fence, Millis, TargetKind};
+
+/// All leases that this node holds or watches, sorted by group.
+#[derive(Debug, Clone, Default)]
+pub struct Authority {
+    pub(crate) leases: Vec<Lease>,
+    /// Whether the groups or the candidates may have changed.
+    pub(crate) outdated: bool,
+    /// When the wishes were last looked at.
+    pub(crate) planned: Millis,
+    calls: u64,
+}
+
+impl Authority {
+    /// A number for the next call.
+    pub(crate) fn number(&mut self) -> u64 {
+        self.calls += 1;
+        self.calls
+    }
+
+    /// Position of the one slot that fits.
+    pub(crate) fn find_slot(&self, fits: impl Fn(&OrderSlot) -> bool) -> Option<(usize, usize)> {
+        self.leases.iter().enumerate().find_map(|(i, lease)| {
+            let j = lease.slots.iter().position(&fits)?;
+            Some((i, j))
+        })
+    }
+}
+
+impl Node {
+    /// Whether this node may give orders to the targets of `group` at `now`.
+    #[must_use]
+    pub fn holds(&self, group: &str, now: Millis) -> bool {
+        let leases = &self.authority.leases;
+        let found = leases.binary_search_by(|l| l.group.as_str().cmp(group));
+        found.is_ok_and(|i| !self.leaving && leases[i].holds(now))
+    }
+
+    /// Groups whose lease this node holds at `now`, with their fencing tokens.
+    pub fn held_groups(&self, now: Millis) -> impl Iterator<Item = (&str, Fence)> {
+        let held = self.authority.leases.iter();
+        held.filter(move |l| !self.leaving && l.holds(now))
+            .map(|l| (l.group.as_str(), l.fence))
+    }
+
+    pub(crate) fn authority_event(
+        &mut self,
+        now: Millis,
+        event: AuthorityEvent,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut effects = Vec::new();
+        match event {
+            AuthorityEvent::Tick => self.tick_authority(now, &mut effects),
+            AuthorityEvent::LeasesRead { call, rows } => {
+                for lease in &mut self.authority.leases {
+                    lease.rows_read(now, call, rows.as_deref(), &self.settings);
+                }
+            }
+            AuthorityEvent::LeaseWritten { call, end } => {
+                for lease in &mut self.authority.leases {
+                    lease.written(now, call, end, &self.settings);
+                }
+                self.mark_ordered();
+            }
+            AuthorityEvent::OrdersRead { call, rows } => {
+                self.orders_read(now, call, rows.as_deref());
+            }
+            AuthorityEvent::OrderWritten { call, end } => {
+                self.order_written(now, call, end, &mut effects);
+            }
+            AuthorityEvent::TargetTold { call, reply } => {
+                self.target_told(now, call, reply.as_ref(), &mut effects);
+            }
+        }
+        out.extend(effects.into_iter().map(Effect::Authority));
+    }
+
+    fn tick_authority(&mut self, now: Millis, out: &mut Vec<AuthorityEffect>) {
+        if std::mem::take(&mut self.authority.outdated) {
+            self.match_leases();
+        }
+        for i in 0..self.authority.leases.len() {
+            let call = self.authority.number();
+            let lease = &mut self.authority.leases[i];
+            out.extend(lease.write(now, call, self.leaving, &self.settings));
+        }
+        if !self.leaving {
+            self.read_leases(now, out);
+        }
+        self.tick_orders(now, out);
+    }
+
+    /// Reads the rows of all leases that are due in one call.
+    fn read_leases(&mut self, now: Millis, out: &mut Vec<AuthorityEffect>) {
+        let call = self.authority.number();
+        let leases = self.authority.leases.iter_mut();
+        let groups: Vec<String> = leases
+            .filter_map(|l| {
+                let due = l.wants_read(now, call, &self.settings);
+                due.then(|| l.group.clone())
+            })
+            .collect();
+        if !groups.is_empty() {
+            out.push(AuthorityEffect::ReadLeases { call, groups });
+        }
+    }
+
+    /// Keeps a lease for each group for which this node is a candidate or the holder.
+    fn match_leases(&mut self) {
+        let engines = self.config.targets.iter();
+        let mut groups: Vec<&str> = engines
+            .filter(|t| t.kind == TargetKind::Engine)
+            .map(|t| t.lease_group())
+            .collect();
+        groups.sort_unstable();
+        groups.dedup();
+        let mut old = std::mem::take(&mut self.authority.leases);
+        let leases = groups.into_iter().map(|group| {
+            let known = old.binary_search_by(|l| l.group.as_str().cmp(group));
+            let mut lease = known.map_or_else(|_| Lease::new(group), |i| old.remove(i));
+            lease.rank = candidate_rank(self.members.all(), &self.settings.vm, group);
+            lease
+        });
+        self.authority.leases = leases
+            .filter(|l| l.rank.is_some() || l.fence != Fence(0))
+            .collect();
+    }
+}
--- a/crates/rw-core/src/member.rs
+++ b/crates/rw-core/src/member.rs
@@ -9,10 +9,12 @@
 }
 
 impl Members {
-    /// Takes over a newly read list.
-    pub fn replace(&mut self, mut vms: Vec<Vm>) {
+    /// Takes over a newly read list; whether it differs from the last.
+    pub fn replace(&mut self, mut vms: Vec<Vm>) -> bool {
         vms.sort_by(|a, b| a.name.cmp(&b.name));
+        let changed = vms != self.vms;
         self.vms = vms;
+        changed
     }
 
     /// All VMs, sorted by name.
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,6 @@
 //! The node's state and its one entry point.
 
-use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{Authority, CoreSettings, Effect, Event, Members, Request, Targets, Wish};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -15,6 +15,7 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    pub(crate) authority: Authority,
     pub(crate) leaving: bool,
     next_attempt: u64,
 }
@@ -30,6 +31,7 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            authority: Authority::default(),
             leaving: false,
             next_attempt: 1,
         }
@@ -47,7 +49,8 @@
             Event::CallerGone { id } => self.drop_caller(id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
-            Event::VmsRead(vms) => self.members.replace(vms),
+            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
         }
         effects
@@ -105,6 +108,7 @@
             return;
         }
         self.targets.apply(&config);
+        self.authority.outdated = true;
         self.config = config;
     }
 }
--- a/crates/rw-core/src/settings.rs
+++ b/crates/rw-core/src/settings.rs
@@ -19,6 +19,14 @@
     pub retry_ms: u64,
     /// How long a target that failed gets no new work.
     pub rest_ms: u64,
+    /// How long a lease runs from before its renewal was sent.
+    pub lease_ms: u64,
+    /// Most by which the clocks of two VMs drift apart within one lease.
+    pub drift_ms: u64,
+    /// Longest life of an order on its way to its target.
+    pub order_ms: u64,
+    /// Age from which a report is no longer planned on.
+    pub stale_ms: u64,
 }
 
 impl Default for CoreSettings {
@@ -31,6 +39,10 @@
             attempts: 3,
             retry_ms: 1_000,
             rest_ms: 1_000,
+            lease_ms: 10_000,
+            drift_ms: 500,
+            order_ms: 2_000,
+            stale_ms: 5_000,
         }
     }
 }
--- a/crates/rw-core/src/target_state.rs
+++ b/crates/rw-core/src/target_state.rs
@@ -96,6 +96,13 @@
         &mut self.list[index]
     }
 
+    /// Marks exactly the targets `away`, sorted by name, as taken away by an order.
+    pub fn mark_ordered(&mut self, away: &[&str]) {
+        for target in &mut self.list {
+            target.ordered = away.binary_search(&target.spec.name.as_str()).is_ok();
+        }
+    }
+
     /// Takes over a target's report.
     pub fn report(&mut self, now: Millis, name: &str, report: LoadReport) {
         let Some(target) = self.find_mut(name) else {
--- a/crates/rw-fakes/src/fault.rs
+++ b/crates/rw-fakes/src/fault.rs
@@ -15,6 +15,11 @@
         /// Milliseconds.
         ms: u64,
     },
+    /// Act, then wait before the answer.
+    LateAnswer {
+        /// Milliseconds.
+        ms: u64,
+    },
     /// Refuse every call before it acts.
     Outage,
     /// Refuse the call before it acts.
@@ -75,6 +80,15 @@
         struck
     }
 
+    /// Waits out the lateness of the answer among `faults`.
+    pub async fn wait_late(faults: &[Fault]) {
+        for fault in faults {
+            if let Fault::LateAnswer { ms } = fault {
+                smol::Timer::after(Duration::from_millis(*ms)).await;
+            }
+        }
+    }
+
     /// Waits out the latency among `faults`.
     pub async fn wait(faults: &[Fault]) {
         for fault in faults {
--- a/crates/rw-fakes/src/platform.rs
+++ b/crates/rw-fakes/src/platform.rs
@@ -123,6 +123,7 @@
             return raw(503, Vec::new(), "text/plain");
         }
         let answer = self.act(request.method(), &path, &body).await;
+        Faults::wait_late(&struck).await;
         if struck.contains(&Fault::LoseAnswer) {
             // A status that the client takes for a lost answer.
             return raw(500, Vec::new(), "text/plain");
--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,6 +1,6 @@
 //! A client with a pool of idle connections per address.
 
-use crate::{Reply, SendError};
+use crate::{Reply, SendError, guarded::Guarded};
 use http_types::{Body, Method, Request, Url};
 use smol::{Timer, future, net::TcpStream};
 use std::{
@@ -71,6 +71,29 @@
         Reply::check(response, conn, self.clone())
     }
 
+    /// Sends `request` on a new connection, unless `latest` has passed when its bytes go out.
+    ///
+    /// The clock is read directly before each write, on the thread that writes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`]; a request cut by `latest` is [`SendError::Broken`], and its target
+    /// never sees it whole.
+    pub async fn send_before(
+        &self,
+        addr: &str,
+        request: Request,
+        latest: Instant,
+        limit: Duration,
+    ) -> Result<Reply, SendError> {
+        let addr: SocketAddr = addr.parse().map_err(|_| SendError::BadAddr)?;
+        let conn = open(addr, limit.min(CONNECT_LIMIT)).await?;
+        let stream = Guarded::new(conn.stream.clone(), latest);
+        let answer = within(limit, async_h1::connect(stream, request)).await?;
+        let response = answer.map_err(|_| SendError::Broken)?;
+        Reply::check(response, conn, self.clone())
+    }
+
     fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<Conn> {
         if pooling == Pooling::Fresh {
             return None;
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod error;
+mod guarded;
 mod listen;
 mod reply;
 mod respond;
--- /dev/null
+++ b/crates/rw-node/src/authority.rs
@@ -0,0 +1,274 @@
+//! Runs the authority's effects: the table's transactions, the orders and the targets' answers.
+
+use crate::Shell;
+use rw_core::{
+    AuthorityEffect, AuthorityEvent, Beat, Effect, Event, Holder, LeaseRows, OrderRow, WriteEnd,
+    beat_key, lease_key, order_key,
+};
+use rw_http::{Method, Pooling, Request, Url, post_json};
+use rw_platform::{PlatformError, Row, Table as _, Txn, TxnReply};
+use rw_types::{Fence, Millis, Order, OrderReply, OrderState, Version};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{sync::Arc, time::Duration};
+
+/// Ticks within one lease time.
+const TICKS: u64 = 40;
+/// Bounds of the pause between ticks.
+const TICK_MIN: Duration = Duration::from_millis(5);
+const TICK_MAX: Duration = Duration::from_millis(250);
+
+impl Shell {
+    /// Lets the reducer look after leases and orders, forever.
+    pub(crate) async fn run_authority(self: Arc<Self>) {
+        let pause = Duration::from_millis(self.core.lease_ms / TICKS).clamp(TICK_MIN, TICK_MAX);
+        let mut held = Vec::new();
+        loop {
+            self.clone().feed_authority(AuthorityEvent::Tick);
+            self.note_leases(&mut held);
+            smol::Timer::after(pause).await;
+        }
+    }
+
+    /// Feeds one event and runs what follows from it, each effect in a task of its own.
+    fn feed_authority(self: Arc<Self>, event: AuthorityEvent) {
+        for effect in self.step(Event::Authority(event)) {
+            if let Effect::Authority(effect) = effect {
+                let shell = self.clone();
+                smol::spawn(async move {
+                    let event = shell.run_effect(effect).await;
+                    shell.feed_authority(event);
+                })
+                .detach();
+            }
+        }
+    }
+
+    fn note_leases(&self, held: &mut Vec<(String, Fence)>) {
+        let now: Vec<(String, Fence)> = {
+            let node = self.lock();
+            let groups = node.held_groups(self.now());
+            groups.map(|(g, f)| (g.to_owned(), f)).collect()
+        };
+        if now == *held {
+            return;
+        }
+        for (group, fence) in now.iter().filter(|g| !held.contains(g)) {
+            log::info!("lease of {group} held with fencing token {fence}");
+            self.count_authority("lease", "gained");
+        }
+        for (group, fence) in held.iter().filter(|g| !now.contains(g)) {
+            log::info!("lease of {group} with fencing token {fence} ended");
+            self.count_authority("lease", "ended");
+        }
+        *held = now;
+    }
+
+    async fn run_effect(&self, effect: AuthorityEffect) -> AuthorityEvent {
+        match effect {
+            AuthorityEffect::ReadLeases { call, groups } => AuthorityEvent::LeasesRead {
+                call,
+                rows: self.read_leases(groups).await,
+            },
+            AuthorityEffect::TakeLease {
+                call,
+                group,
+                lease,
+                beat,
+            } => AuthorityEvent::LeaseWritten {
+                call,
+                end: self.take_lease(&group, lease, beat).await,
+            },
+            AuthorityEffect::BeatLease {
+                call,
+                group,
+                fence,
+                count,
+                released,
+            } => AuthorityEvent::LeaseWritten {
+                call,
+                end: self
+                    .beat_lease(&group, fence, Beat { count, released })
+                    .await,
+            },
+            AuthorityEffect::ReadOrders { call, targets } => AuthorityEvent::OrdersRead {
+                call,
+                rows: self.read_orders(targets).await,
+            },
+            AuthorityEffect::WriteOrder {
+                call,
+                group,
+                fence,
+                version,
+                order,
+            } => AuthorityEvent::OrderWritten {
+                call,
+                end: self.write_order(&group, fence, version, &order).await,
+            },
+            AuthorityEffect::SendOrder {
+                call,
+                addr,
+                order,
+                latest,
+            } => AuthorityEvent::TargetTold {
+                call,
+                reply: self.send_order(&addr, &order, latest).await,
+            },
+            AuthorityEffect::ReadTarget { call, addr } => AuthorityEvent::TargetTold {
+                call,
+                reply: self.read_target(&addr).await,
+            },
+        }
+    }
+
+    async fn read_leases(&self, groups: Vec<String>) -> Option<Vec<LeaseRows>> {
+        let keys = groups.iter().flat_map(|g| [lease_key(g), beat_key(g)]);
+        let rows = self.platform.get(keys.collect()).await;
+        self.count_authority("read-leases", if rows.is_ok() { "ok" } else { "failed" });
+        let rows = rows.ok()?.rows;
+        let pairs = groups.into_iter().zip(rows.chunks_exact(2));
+        let parsed = pairs.map(|(group, pair)| {
+            let beat: Option<Beat> = parse(&pair[1]);
+            LeaseRows {
+                group,
+                holder: parse(&pair[0]),
+                lease: pair[0].version,
+                beat: pair[1].version,
+                released: beat.is_some_and(|b| b.released),
+            }
+        });
+        Some(parsed.collect())
+    }
+
+    async fn take_lease(&self, group: &str, lease: Version, beat: Version) -> WriteEnd {
+        let holder = Holder {
+            vm: self.core.vm.clone(),
+            boot: self.core.boot,
+        };
+        let first = Beat {
+            count: 0,
+            released: false,
+        };
+        let txn = Txn::new()
+            .check(lease_key(group), lease)
+            .check(beat_key(group), beat)
+            .put(lease_key(group), json(&holder))
+            .put(beat_key(group), json(&first));
+        self.write("take-lease", &txn).await
+    }
+
+    async fn beat_lease(&self, group: &str, fence: Fence, beat: Beat) -> WriteEnd {
+        let txn = Txn::new()
+            .check(lease_key(group), Version(fence.0))
+            .put(beat_key(group), json(&beat));
+        self.write("beat-lease", &txn).await
+    }
+
+    async fn read_orders(&self, targets: Vec<String>) -> Option<Vec<OrderRow>> {
+        let keys = targets.iter().map(|t| order_key(t)).collect();
+        let rows = self.platform.get(keys).await;
+        self.count_authority("read-orders", if rows.is_ok() { "ok" } else { "failed" });
+        let pairs = targets.into_iter().zip(rows.ok()?.rows);
+        // A row that can't be read is left out, and no order follows it.
+        let readable = pairs.filter_map(|(target, row)| {
+            let order: Option<Order> = parse(&row);
+            let known = order.is_some() || row.value.is_empty();
+            known.then_some(OrderRow {
+                target,
+                order,
+                version: row.version,
+            })
+        });
+        Some(readable.collect())
+    }
+
+    async fn write_order(
+        &self,
+        group: &str,
+        fence: Fence,
+        version: Version,
+        order: &Order,
+    ) -> WriteEnd {
+        let key = order_key(&order.target);
+        let txn = Txn::new()
+            .check(lease_key(group), Version(fence.0))
+            .check(key.as_str(), version)
+            .put(key.as_str(), json(order));
+        let end = self.write("write-order", &txn).await;
+        if let WriteEnd::Written(_) = end {
+            let Order { target, why, .. } = order;
+            let (kind, state) = (json(&order.kind), state_name(order.state));
+            log::info!(
+                "order {} of {target} is {state}: {kind} because {why}",
+                order.seq
+            );
+            self.count_authority("order", state);
+        }
+        end
+    }
+
+    async fn write(&self, what: &str, txn: &Txn) -> WriteEnd {
+        let end = self.platform.txn(txn).await;
+        let (end, name) = match end {
+            Ok(TxnReply { version, .. }) if version != Version(0) => {
+                (WriteEnd::Written(version), "ok")
+            }
+            Ok(_) => (WriteEnd::Conflict, "conflict"),
+            Err(PlatformError::NotSent) => (WriteEnd::Untaken, "untaken"),
+            Err(_) => (WriteEnd::Lost, "lost"),
+        };
+        self.count_authority(what, name);
+        end
+    }
+
+    async fn send_order(&self, addr: &str, order: &Order, latest: Millis) -> Option<OrderReply> {
+        let request = post_json(addr, "/order", json(order).into_bytes()).ok()?;
+        let (latest, limit) = (self.instant(latest), self.order_limit());
+        let sent = self.client.send_before(addr, request, latest, limit).await;
+        let told = match sent {
+            Ok(reply) => told(reply.status(), reply.bytes(limit).await.ok()),
+            Err(_) => None,
+        };
+        self.count_authority("send-order", if told.is_some() { "ok" } else { "failed" });
+        told
+    }
+
+    async fn read_target(&self, addr: &str) -> Option<OrderReply> {
+        let url = Url::parse(&format!("http://{addr}/order")).ok()?;
+        let request = Request::new(Method::Get, url);
+        let limit = self.order_limit();
+        let reply = self.client.send(addr, request, Pooling::Reuse, limit).await;
+        let reply = reply.ok()?;
+        told(reply.status(), reply.bytes(limit).await.ok())
+    }
+
+    /// A connection that carries an order is given up within the order's longest life.
+    fn order_limit(&self) -> Duration {
+        Duration::from_millis(self.core.order_ms / 2)
+    }
+
+    fn count_authority(&self, call: &str, end: &str) {
+        self.metrics.platform.with_label_values(&[call, end]).inc();
+    }
+}
+
+fn told(status: u16, body: Option<Vec<u8>>) -> Option<OrderReply> {
+    let body = body.filter(|_| status == 200)?;
+    serde_json::from_slice(&body).ok()
+}
+
+fn state_name(state: OrderState) -> &'static str {
+    match state {
+        OrderState::Open => "open",
+        OrderState::Done => "done",
+        OrderState::Failed => "failed",
+    }
+}
+
+fn parse<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    serde_json::from_str(&row.value).ok()
+}
+
+fn json<T: Serialize>(value: &T) -> String {
+    // Plain data with string keys always has a JSON form.
+    serde_json::to_string(value).unwrap_or_default()
+}
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod attempt;
+mod authority;
 mod callers;
 mod claims;
 mod completion;
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -60,6 +60,10 @@
             boot: BootId(boot),
             centre: settings.centre.clone(),
             seed: boot,
+            lease_ms: settings.lease.as_millis() as u64,
+            drift_ms: settings.drift.as_millis() as u64,
+            order_ms: settings.order_life.as_millis() as u64,
+            stale_ms: settings.stale.as_millis() as u64,
             ..CoreSettings::default()
         };
         let metrics = Metrics::new().map_err(|e| ServeError::Registered(e.to_string()))?;
@@ -119,6 +123,7 @@
             self.shell.clone().poll_platform(),
             self.shell.clone().poll_loads(),
         );
+        let loops = future::zip(loops, self.shell.clone().run_authority());
         let serving = async {
             future::zip(future::zip(callers, peers), future::zip(operators, loops)).await;
         };
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -37,6 +37,14 @@
     pub poll: Duration,
     /// Pause between reads of a target's load.
     pub report_poll: Duration,
+    /// Time that a lease runs from before its renewal was sent.
+    pub lease: Duration,
+    /// Most by which the clocks of two VMs drift apart within one lease.
+    pub drift: Duration,
+    /// Longest life of an order on its way to its target.
+    pub order_life: Duration,
+    /// Age from which a target's report is no longer planned on.
+    pub stale: Duration,
 }
 
 impl NodeSettings {
@@ -57,6 +65,10 @@
             silence: Duration::from_secs(5),
             poll: Duration::from_millis(200),
             report_poll: Duration::from_millis(200),
+            lease: Duration::from_secs(2),
+            drift: Duration::from_millis(100),
+            order_life: Duration::from_millis(500),
+            stale: Duration::from_secs(2),
         }
     }
 }
--- a/crates/rw-node/src/shell.rs
+++ b/crates/rw-node/src/shell.rs
@@ -10,7 +10,7 @@
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Shared by all tasks of a node.
@@ -56,6 +56,11 @@
         Millis(self.started.elapsed().as_millis() as u64)
     }
 
+    /// The instant of a time of this process's clock.
+    pub(crate) fn instant(&self, at: Millis) -> Instant {
+        self.started + Duration::from_millis(at.0)
+    }
+
     /// Feeds one event to the reducer.
     pub(crate) fn step(&self, event: Event) -> Vec<Effect> {
         // The clock is read under the lock, so that the reducer's time never goes back.
--- a/crates/rw-test/src/fleet.rs
+++ b/crates/rw-test/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::{Ask, Process, ask, get};
 use rw_http::{Client, Method};
-use rw_platform::{HttpPlatform, accept_config, read_head};
+use rw_platform::{HttpPlatform, Row, Table as _, accept_config, read_head};
 use rw_types::{
     Account, Config, Model, Role, Service, ServiceKind, Target, TargetKind, Version, Vm, WorkKind,
     hash_key,
@@ -205,6 +205,32 @@
         Ok(())
     }
 
+    /// Kills engine `i` and starts it anew at the same address, with nothing of its past.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn restart_engine(&mut self, i: usize) -> io::Result<()> {
+        let addr = self.engines[i].addr("");
+        self.engines[i].kill();
+        let mut flags = self.plan.engines[i].clone();
+        flags.extend(["--listen".to_owned(), addr]);
+        self.engines[i] = engine(&self.binary, &flags)?;
+        Ok(())
+    }
+
+    /// The rows of `keys` in the table.
+    ///
+    /// # Errors
+    ///
+    /// A failed call.
+    pub async fn rows(&self, keys: &[&str]) -> io::Result<Vec<Row>> {
+        let limit = Duration::from_secs(5);
+        let table = HttpPlatform::new(Client::default(), self.platform.addr(""), limit);
+        let keys = keys.iter().map(|k| (*k).to_owned()).collect();
+        Ok(table.get(keys).await.map_err(io::Error::other)?.rows)
+    }
+
     /// Sets the faults of a stand-in, a JSON list as `POST /fault` takes it.
     ///
     /// # Errors
--- a/crates/rw-test/src/process.rs
+++ b/crates/rw-test/src/process.rs
@@ -52,6 +52,11 @@
         self.child.id()
     }
 
+    /// Whether it still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
