A lost write is shut out before its order is sent again

A holder writes Done, the answer is lost, it reads the row back while that write is still on its way and sees the order open; the engine meanwhile restarted and forgot the order, so it is sent again; then the late write lands, the row says Done, and a second order may begin beside it. Ruled out: only checking the fencing token of the row, which is the holder's own. Change: a row that was read and not written in this tenure is written anew before its order is sent; one of the two writes then fails on the row's version.

--- a/crates/rw-core/src/order_flow.rs
+++ b/crates/rw-core/src/order_flow.rs
@@ -208,6 +208,7 @@
             let row = rows.and_then(|rows| rows.iter().find(|r| r.target == slot.target));
             if let Some(row) = row {
                 slot.row = Some((row.order.clone(), row.version));
+                slot.sure = false;
                 slot.resolved = now;
                 slot.next = now;
             }
@@ -310,7 +311,9 @@
                 let state = OrderState::Failed;
                 self.write_order(i, j, Order { state, ..order }, out);
             }
-        } else if order.fence != lease.fence {
+        } else if !slot.sure {
+            // A write whose answer was lost may still follow and end the order: writing it anew
+            // shuts that out, and puts it under this holder's fencing token.
             let fence = lease.fence;
             self.write_order(i, j, Order { fence, ..order }, out);
         } else if !sent {
--- a/crates/rw-core/src/order_slot.rs
+++ b/crates/rw-core/src/order_slot.rs
@@ -12,6 +12,8 @@
     /// The row as last known; `None` if it must be read.
     pub(crate) row: Option<(Option<Order>, Version)>,
     pub(crate) step: Step,
+    /// Whether the row is as this holder wrote it, so that no earlier write can still change it.
+    pub(crate) sure: bool,
     /// Whether the target was seen to have the open order.
     pub(crate) taken: bool,
     /// When an order was last sent.
@@ -47,6 +49,7 @@
             target: target.to_owned(),
             row: None,
             step: Step::Idle,
+            sure: false,
             taken: false,
             sent: None,
             asked: Millis(0),
@@ -95,5 +98,6 @@
             }
         }
         self.row = Some((Some(order), version));
+        self.sure = true;
     }
 }
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -216,6 +216,35 @@
     });
 }
 
+/// The holder dies while the engine carries out its order, and the engine goes on with it.
+#[test]
+fn a_change_outlives_its_holder() {
+    smol::block_on(async {
+        for engine in [
+            &["--change-ms", "2500"][..],
+            &["--change-ms", "2500", "--ignores-fence"],
+        ] {
+            let mut fleet = start(engine).await;
+            let (old, fence) = holder(&fleet, Fence(0)).await;
+            add_model(&mut fleet, "large").await;
+            eventually("the order at both engines", || async {
+                let both = (held(&fleet.engines[0]).await, held(&fleet.engines[1]).await);
+                (!both.0.is_empty() && !both.1.is_empty()).then_some(())
+            })
+            .await;
+            fleet.nodes[old].kill();
+            holder(&fleet, fence).await;
+            wait_model(&fleet, "large").await;
+            wait_state(&fleet, 0, OrderState::Done).await;
+            wait_state(&fleet, 1, OrderState::Done).await;
+            check_held(&fleet, "outlived").await;
+            for engine in &fleet.engines {
+                assert_eq!(held(engine).await.len(), 1);
+            }
+        }
+    });
+}
+
 #[test]
 fn an_outage_longer_than_a_lease_stops_orders_and_loses_none() {
     smol::block_on(async {
