--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -114,8 +114,8 @@
     plain(
         "poll-ms",
         "REDWINGWEIR_POLL_MS",
-        Some("2000"),
-        "Pause between reads of the platform, ms",
+        Some("1000"),
+        "Pause between reads of the platform and exchanges with peers, ms",
     ),
     plain(
         "report-poll-ms",
--- a/crates/rw-core/src/effect.rs
+++ b/crates/rw-core/src/effect.rs
@@ -1,6 +1,6 @@
 //! What the shell is to do.
 
-use crate::{Answer, Claim};
+use crate::{Answer, Claim, SyncEffect};
 use rw_types::{AttemptId, Refusal, RequestId, Version};
 
 /// An effect, as data.
@@ -72,6 +72,8 @@
         /// Attempt.
         attempt: AttemptId,
     },
+    /// Keep the configuration in force.
+    Sync(SyncEffect),
 }
 
 impl Effect {
@@ -86,7 +88,7 @@
             | Self::Replay { id, .. }
             | Self::Refuse { id, .. }
             | Self::Cancel { id, .. } => Some(*id),
-            Self::SettleClaim { .. } => None,
+            Self::SettleClaim { .. } | Self::Sync(_) => None,
         }
     }
 }
--- a/crates/rw-core/src/event.rs
+++ b/crates/rw-core/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a node.
 
-use crate::{Call, ClaimRead};
+use crate::{Call, ClaimRead, SyncEvent};
 use rw_types::{AttemptId, Config, LoadReport, RequestId, Vm};
 use std::sync::Arc;
 
@@ -46,6 +46,8 @@
     },
     /// The platform's list was read.
     VmsRead(Vec<Vm>),
+    /// Something about the configuration in force.
+    Sync(SyncEvent),
     /// The process was told to stop.
     Leave,
 }
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod claim;
+mod config_sync;
 mod effect;
 mod event;
 mod member;
@@ -18,6 +19,7 @@
 
 pub use call::{Call, Work};
 pub use claim::{Answer, Claim, ClaimRead, ClaimState, claim_key};
+pub use config_sync::{ConfigSync, FANOUT, IN_FORCE_MS, READERS, SyncEffect, SyncEvent, head_rank};
 pub use effect::Effect;
 pub use event::{AttemptEnd, Event};
 pub use member::Members;
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,6 @@
 //! The node's state and its one entry point.
 
-use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -15,6 +15,7 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    pub(crate) sync: ConfigSync,
     pub(crate) leaving: bool,
     next_attempt: u64,
 }
@@ -23,6 +24,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
+        let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
             config: Arc::default(),
@@ -30,6 +32,7 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            sync,
             leaving: false,
             next_attempt: 1,
         }
@@ -48,6 +51,7 @@
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
             Event::VmsRead(vms) => self.members.replace(vms),
+            Event::Sync(event) => self.sync_step(now, event, &mut effects),
             Event::Leave => self.leaving = true,
         }
         effects
--- a/crates/rw-node/src/callers.rs
+++ b/crates/rw-node/src/callers.rs
@@ -20,7 +20,7 @@
             _ => {}
         }
         let config = self.config();
-        let Some(account) = self.account(&request) else {
+        let Some(caller) = self.account(&request) else {
             let kind = RefusalKind::UnknownKey;
             return refuse(&Refusal {
                 kind,
@@ -28,13 +28,6 @@
                 retry_ms: 0,
             });
         };
-        let Some(caller) = config.accounts.get(account).map(|a| a.name.clone()) else {
-            return refuse(&Refusal {
-                kind: RefusalKind::Leaving,
-                outcome: Outcome::NotRun,
-                retry_ms: 0,
-            });
-        };
         if request.method() == Method::Get && path == "/v1/models" {
             return models(&config);
         }
@@ -68,16 +61,18 @@
     }
 
     fn ready(&self) -> Response {
-        if self.lock().is_ready() {
+        if self.lock().is_offered(self.now()) {
             raw(200, b"ready\n".to_vec(), "text/plain")
         } else {
             raw(503, b"not ready\n".to_vec(), "text/plain")
         }
     }
 
-    fn account(&self, request: &Request) -> Option<usize> {
+    /// Name of the caller's account.
+    fn account(&self, request: &Request) -> Option<String> {
         let key = header(request, "authorization")?.strip_prefix("Bearer ")?;
-        self.accounts().find(&self.settings.secret, key)
+        let accounts = self.accounts();
+        accounts.find(&self.settings.secret, key).map(str::to_owned)
     }
 }
 
--- /dev/null
+++ b/crates/rw-node/src/changes.rs
@@ -0,0 +1,69 @@
+//! Changes that a node keeps for peers that are late.
+
+use rw_types::{Change, Config, Version};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Most changes kept.
+const KEPT: usize = 256;
+/// Most items of one change that is kept; a larger one is cheaper sent as a whole configuration.
+const MAX_ITEMS: usize = 1_000;
+
+/// What a peer lacks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Changes {
+    /// Changes in the order of their versions.
+    Steps(Vec<Change>),
+    /// The whole configuration, because the changes are no longer kept.
+    Whole(Box<Config>),
+}
+
+/// The latest changes, without gaps, oldest first.
+#[derive(Debug, Default)]
+pub struct RecentChanges {
+    changes: VecDeque<Change>,
+}
+
+impl RecentChanges {
+    /// Adds changes that follow each other.
+    pub fn keep(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            let last = self.changes.back().map(|c| c.version.0 + 1);
+            if last.is_some_and(|next| next != change.version.0) || items(&change) > MAX_ITEMS {
+                self.changes.clear();
+            }
+            if items(&change) <= MAX_ITEMS {
+                self.changes.push_back(change);
+            }
+        }
+        let extra = self.changes.len().saturating_sub(KEPT);
+        self.changes.drain(..extra);
+    }
+
+    /// The changes after `since` up to `to`, if all of them are kept.
+    #[must_use]
+    pub fn between(&self, since: Version, to: Version) -> Option<Vec<Change>> {
+        if since >= to {
+            return Some(Vec::new());
+        }
+        let first = self.changes.front()?.version;
+        let last = self.changes.back()?.version;
+        if first.0 > since.0 + 1 || last < to {
+            return None;
+        }
+        let wanted = self.changes.iter().filter(|c| c.version > since);
+        Some(wanted.cloned().collect())
+    }
+}
+
+fn items(change: &Change) -> usize {
+    let counts = [
+        change.models.counts(),
+        change.services.counts(),
+        change.targets.counts(),
+        change.accounts.counts(),
+        change.kinds.counts(),
+    ];
+    counts.iter().map(|(set, gone)| set + gone).sum()
+}
--- /dev/null
+++ b/crates/rw-node/src/config_sync.rs
@@ -0,0 +1,164 @@
+//! Runs the reducer's effects that keep the configuration in force.
+
+use crate::{RpcError, Shell, call_rpc, changes::Changes};
+use rw_core::{Effect, Event, SyncEffect, SyncEvent};
+use rw_platform::{PlatformError, VmList as _, read_changes, read_config, read_head};
+use rw_types::{Change, Config, Digest, Version};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{sync::Arc, time::Duration};
+
+/// Time limit of an exchange of digests.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
+/// Time limit of a fetch of changes, or of the whole configuration.
+const FETCH_LIMIT: Duration = Duration::from_secs(10);
+/// Pause between reads of the VM list for each VM on it, so that its bytes stay flat.
+const LIST_PAUSE_PER_VM: Duration = Duration::from_millis(25);
+
+impl Shell {
+    /// Exchanges digests and reads the head, forever.
+    pub(crate) async fn sync_config(self: Arc<Self>) {
+        loop {
+            let effects = self.step(Event::Sync(SyncEvent::Tick));
+            self.run_sync(effects);
+            smol::Timer::after(self.settings.poll).await;
+        }
+    }
+
+    /// Reads the VM list, forever.
+    pub(crate) async fn poll_vms(self: Arc<Self>) {
+        loop {
+            let read = self.platform.vms().await;
+            self.count_platform("vms", read.is_ok());
+            if let Ok(vms) = read {
+                self.step(Event::VmsRead(vms));
+            }
+            let listed = self.lock().members().all().len() as u32;
+            let pause = self.settings.poll.max(LIST_PAUSE_PER_VM * listed);
+            smol::Timer::after(pause).await;
+        }
+    }
+
+    /// Feeds an event and runs what follows from it.
+    pub(crate) fn step_sync(self: &Arc<Self>, event: SyncEvent) {
+        let effects = self.step(Event::Sync(event));
+        self.run_sync(effects);
+    }
+
+    fn run_sync(self: &Arc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            if let Effect::Sync(effect) = effect {
+                smol::spawn(self.clone().run_one(effect)).detach();
+            }
+        }
+    }
+
+    async fn run_one(self: Arc<Self>, effect: SyncEffect) {
+        let asked = self.now();
+        let event = match effect {
+            SyncEffect::ReadHead => {
+                let read = read_head(&self.platform).await;
+                self.count_platform("head", read.is_ok());
+                let head = read.ok().map(|(version, _)| version);
+                SyncEvent::HeadRead { asked, head }
+            }
+            SyncEffect::Exchange { addr } => {
+                let own = self.digest();
+                let call = self.call_peer(&addr, "exchange", &own, EXCHANGE_LIMIT);
+                let digest = call.await.ok();
+                SyncEvent::Answered {
+                    asked,
+                    addr,
+                    digest,
+                }
+            }
+            SyncEffect::Fetch { peer } => {
+                match peer {
+                    Some(addr) => self.fetch_from_peer(&addr).await,
+                    None => self.count_platform("changes", self.fetch_from_table().await.is_ok()),
+                }
+                SyncEvent::Fetched
+            }
+        };
+        self.step_sync(event);
+    }
+
+    /// Calls a peer's method.
+    pub(crate) async fn call_peer<P: Serialize, R: DeserializeOwned>(
+        &self,
+        addr: &str,
+        method: &str,
+        params: &P,
+        limit: Duration,
+    ) -> Result<R, RpcError> {
+        let token = &self.settings.token;
+        call_rpc(&self.client, addr, token, method, params, limit).await
+    }
+
+    async fn fetch_from_peer(&self, addr: &str) {
+        let since = self.config().version;
+        let call = self.call_peer::<_, Changes>(addr, "changes", &since, FETCH_LIMIT);
+        match call.await {
+            Ok(Changes::Steps(changes)) => self.apply_changes(changes),
+            Ok(Changes::Whole(config)) => self.apply_config(*config),
+            Err(_) => {}
+        }
+    }
+
+    async fn fetch_from_table(&self) -> Result<(), PlatformError> {
+        let since = self.config().version;
+        let (head, _) = read_head(&self.platform).await?;
+        // Version zero means that the snapshot holds more than the changes left.
+        let steps = match since {
+            Version(0) => None,
+            _ => read_changes(&self.platform, since, head).await?,
+        };
+        match steps {
+            Some(changes) => self.apply_changes(changes),
+            None => {
+                if let Some(config) = read_config(&self.platform, head).await? {
+                    self.apply_config(config);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Applies changes in one go, from the first that continues the version in force.
+    pub(crate) fn apply_changes(&self, changes: Vec<Change>) {
+        let mut config = Config::clone(&self.config());
+        let taken: Vec<_> = changes.into_iter().filter(|c| config.apply(c)).collect();
+        if !taken.is_empty() {
+            self.apply_config(config);
+            self.recent_changes().keep(taken);
+        }
+    }
+
+    /// What a peer at version `since` lacks.
+    pub(crate) fn changes_since(&self, since: Version) -> Changes {
+        let config = self.config();
+        let steps = self.recent_changes().between(since, config.version);
+        match steps {
+            Some(steps) => Changes::Steps(steps),
+            None => Changes::Whole(Box::new(Config::clone(&config))),
+        }
+    }
+
+    /// This node's digest.
+    pub(crate) fn digest(&self) -> Digest {
+        let node = self.lock();
+        let now = self.now();
+        Digest {
+            vm: self.settings.vm.clone(),
+            boot: self.core.boot,
+            version: node.config().version,
+            age_ms: node.sync().age(now),
+            ready: node.is_offered(now),
+            suspects: Vec::new(),
+        }
+    }
+
+    pub(crate) fn count_platform(&self, call: &str, ok: bool) {
+        let end = if ok { "ok" } else { "failed" };
+        self.metrics.platform.with_label_values(&[call, end]).inc();
+    }
+}
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -140,7 +140,7 @@
                     caller.cut(&refusal).await;
                     caller.answer(refuse(&refusal)).await;
                 }
-                Effect::Cancel { .. } => {}
+                Effect::Cancel { .. } | Effect::Sync(_) => {}
             }
         }
         next
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -3,8 +3,10 @@
 mod accounts;
 mod attempt;
 mod callers;
+mod changes;
 mod claims;
 mod completion;
+mod config_sync;
 mod drive;
 mod loops;
 mod metrics;
@@ -18,9 +20,9 @@
 mod settings;
 mod shell;
 
+pub use changes::{Changes, RecentChanges};
 pub use metrics::Metrics;
 pub use operators::{Status, VmStatus};
-pub use peers::Digest;
 pub use rpc::{RpcError, call_rpc};
 pub use serve::{Bound, ServeError};
 pub use settings::NodeSettings;
--- a/crates/rw-node/src/loops.rs
+++ b/crates/rw-node/src/loops.rs
@@ -3,36 +3,10 @@
 use crate::Shell;
 use rw_core::Event;
 use rw_http::{Method, Pooling, Request, SendError, Url};
-use rw_platform::{PlatformError, VmList as _, read_config, read_head};
 use rw_types::{LoadReport, TargetKind};
 use std::sync::Arc;
 
 impl Shell {
-    /// Reads the configuration's head and the VM list, forever.
-    pub(crate) async fn poll_platform(self: Arc<Self>) {
-        loop {
-            let read = self.read_platform().await;
-            let end = if read.is_ok() { "ok" } else { "failed" };
-            self.metrics
-                .platform
-                .with_label_values(&["poll", end])
-                .inc();
-            smol::Timer::after(self.settings.poll).await;
-        }
-    }
-
-    async fn read_platform(&self) -> Result<(), PlatformError> {
-        let (head, _) = read_head(&self.platform).await?;
-        if head > self.config().version
-            && let Some(config) = read_config(&self.platform, head).await?
-        {
-            self.apply_config(config);
-        }
-        let vms = self.platform.vms().await?;
-        self.step(Event::VmsRead(vms));
-        Ok(())
-    }
-
     /// Reads every engine's load, forever.
     pub(crate) async fn poll_loads(self: Arc<Self>) {
         loop {
--- a/crates/rw-node/src/operators.rs
+++ b/crates/rw-node/src/operators.rs
@@ -37,7 +37,7 @@
             vm: VmStatus {
                 name: self.settings.vm.clone(),
                 version: node.config().version,
-                ready: node.is_ready(),
+                ready: node.is_offered(now),
             },
             requests: node.open_requests(),
             targets: targets
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -115,10 +115,11 @@
             let (shell, calls) = (shell.clone(), operator_calls.clone());
             async move { answer_rpc(&shell, &calls, request).await }
         });
-        let loops = future::zip(
-            self.shell.clone().poll_platform(),
-            self.shell.clone().poll_loads(),
+        let platform = future::zip(
+            self.shell.clone().poll_vms(),
+            self.shell.clone().sync_config(),
         );
+        let loops = future::zip(platform, self.shell.clone().poll_loads());
         let serving = async {
             future::zip(future::zip(callers, peers), future::zip(operators, loops)).await;
         };
--- a/crates/rw-node/src/shell.rs
+++ b/crates/rw-node/src/shell.rs
@@ -1,6 +1,6 @@
 //! One node process: the reducer behind a short lock, with what it needs to act.
 
-use crate::{Metrics, NodeSettings, accounts::Accounts};
+use crate::{Metrics, NodeSettings, RecentChanges, accounts::Accounts};
 use rw_core::{CoreSettings, Effect, Event, Node};
 use rw_http::Client;
 use rw_platform::HttpPlatform;
@@ -23,6 +23,7 @@
     pub(crate) core: CoreSettings,
     node: Mutex<Node>,
     accounts: RwLock<Arc<Accounts>>,
+    changes: Mutex<RecentChanges>,
     started: Instant,
     next_request: AtomicU64,
 }
@@ -40,6 +41,7 @@
         Self {
             node: Mutex::new(Node::new(core.clone())),
             accounts: RwLock::default(),
+            changes: Mutex::default(),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             settings,
@@ -87,13 +89,22 @@
         if Arc::ptr_eq(&self.config(), &config) {
             log::info!("configuration {} in force", config.version);
             let index = Arc::new(Accounts::index(&config));
-            *self
+            let mut held = self
                 .accounts
                 .write()
-                .unwrap_or_else(PoisonError::into_inner) = index;
+                .unwrap_or_else(PoisonError::into_inner);
+            // Another thread may have indexed a higher version meanwhile.
+            if held.version < index.version {
+                *held = index;
+            }
         }
     }
 
+    /// The changes kept for peers.
+    pub(crate) fn recent_changes(&self) -> MutexGuard<'_, RecentChanges> {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn accounts(&self) -> Arc<Accounts> {
         self.accounts
             .read()
--- a/crates/rw-platform/src/config_rows.rs
+++ b/crates/rw-platform/src/config_rows.rs
@@ -1,45 +1,114 @@
-//! The configuration's rows in the table.
+//! The configuration's rows: a head, one change a version, and snapshots in the object store.
 
-use crate::{PlatformError, Row, Table, Txn, TxnReply};
-use rw_types::{Config, Version};
+use crate::{Objects, PlatformError, Row, Table, Txn, TxnReply, spill, unspill};
+use rw_types::{Change, Config, Version};
 
 /// Row that names the version in force.
 pub const HEAD_KEY: &str = "config/head";
+/// Row that names the latest snapshot.
+const SNAPSHOT_KEY: &str = "config/snapshot";
+/// Versions from one snapshot to the next.
+pub const SNAPSHOT_EVERY: u64 = 64;
+/// Changes kept in the table below the latest snapshot, for nodes that are late.
+const KEPT: u64 = 256;
+/// Rows read by one call.
+const BATCH: u64 = 64;
 
-/// Row of one version.
+/// Row of one version's change.
 #[must_use]
 pub fn version_key(version: Version) -> String {
     format!("config/v/{version}")
 }
 
+fn snapshot_object(version: Version) -> String {
+    format!("config/snapshot/{version}")
+}
+
 /// The accepted version, zero if none, and the row that names it.
 ///
 /// # Errors
 ///
 /// Any [`PlatformError`].
 pub async fn read_head<T: Table>(table: &T) -> Result<(Version, Row), PlatformError> {
-    let mut rows = table.get(vec![HEAD_KEY.to_owned()]).await?.rows;
-    let row = rows.pop().ok_or(PlatformError::Garbled)?;
-    let version = Version(row.value.parse().unwrap_or(0));
-    Ok((version, row))
+    let row = read_row(table, HEAD_KEY).await?;
+    Ok((Version(row.value.parse().unwrap_or(0)), row))
+}
+
+async fn read_row<T: Table>(table: &T, key: &str) -> Result<Row, PlatformError> {
+    let mut rows = table.get(vec![key.to_owned()]).await?.rows;
+    rows.pop().ok_or(PlatformError::Garbled)
+}
+
+/// The changes that lead from `since` to `to`; `None` if the table no longer has them all.
+///
+/// # Errors
+///
+/// Any [`PlatformError`].
+pub async fn read_changes<P: Table + Objects>(
+    store: &P,
+    since: Version,
+    to: Version,
+) -> Result<Option<Vec<Change>>, PlatformError> {
+    let mut changes = Vec::new();
+    let mut from = since.0 + 1;
+    while from <= to.0 {
+        let last = to.0.min(from + BATCH - 1);
+        let keys = (from..=last).map(|v| version_key(Version(v))).collect();
+        for row in store.get(keys).await?.rows {
+            if row.value.is_empty() {
+                return Ok(None);
+            }
+            changes.push(unspill(store, &row.value).await?);
+        }
+        from = last + 1;
+    }
+    Ok(Some(changes))
 }
 
-/// The configuration of a version; `None` if the table has none.
+/// The configuration of a version, from the latest snapshot below it and the changes since;
+/// `None` if the table has no such version.
 ///
 /// # Errors
 ///
 /// Any [`PlatformError`].
-pub async fn read_config<T: Table>(
-    table: &T,
+pub async fn read_config<P: Table + Objects>(
+    store: &P,
     version: Version,
 ) -> Result<Option<Config>, PlatformError> {
-    let mut rows = table.get(vec![version_key(version)]).await?.rows;
-    let row = rows.pop().ok_or(PlatformError::Garbled)?;
-    if row.value.is_empty() {
+    let row = read_row(store, SNAPSHOT_KEY).await?;
+    let mut config = read_snapshot(store, &row).await?;
+    let Some(changes) = read_changes(store, config.version, version).await? else {
         return Ok(None);
-    }
-    let config = serde_json::from_str(&row.value).map_err(|_| PlatformError::Garbled)?;
-    Ok(Some(config))
+    };
+    let whole = changes.iter().all(|change| config.apply(change));
+    Ok((whole && config.version == version).then_some(config))
+}
+
+async fn read_snapshot<P: Objects>(store: &P, row: &Row) -> Result<Config, PlatformError> {
+    let Ok(version) = row.value.parse() else {
+        return Ok(Config::default());
+    };
+    let object = store.read(&snapshot_object(Version(version))).await?;
+    let bytes = object.ok_or(PlatformError::Garbled)?;
+    serde_json::from_slice(&bytes).map_err(|_| PlatformError::Garbled)
+}
+
+/// Adds to `txn` the acceptance of `change`, whose predecessor `head` must still be as read.
+///
+/// # Errors
+///
+/// Any [`PlatformError`] of writing a long change to the object store.
+pub async fn add_change<P: Objects>(
+    objects: &P,
+    txn: Txn,
+    change: &Change,
+    head: &Row,
+) -> Result<Txn, PlatformError> {
+    let value = spill(objects, change).await?;
+    Ok(txn
+        .check(HEAD_KEY, head.version)
+        .put(HEAD_KEY, change.version.to_string())
+        .put(version_key(change.version), value))
 }
 
 /// Accepts `config` as the successor of `head`, which must still be as read.
@@ -47,15 +116,44 @@
 /// # Errors
 ///
 /// Any [`PlatformError`]; after [`PlatformError::Lost`] read the head back.
-pub async fn accept_config<T: Table>(
-    table: &T,
+pub async fn accept_config<P: Table + Objects>(
+    store: &P,
     config: &Config,
     head: &Row,
 ) -> Result<TxnReply, PlatformError> {
-    let body = serde_json::to_string(config).map_err(|_| PlatformError::Garbled)?;
-    let txn = Txn::new()
-        .check(HEAD_KEY, head.version)
-        .put(HEAD_KEY, config.version.to_string())
-        .put(version_key(config.version), body);
-    table.txn(&txn).await
+    let version = Version(head.value.parse().unwrap_or(0));
+    let old = read_config(store, version).await?;
+    let change = Change::between(&old.ok_or(PlatformError::Garbled)?, config);
+    let txn = add_change(store, Txn::new(), &change, head).await?;
+    store.txn(&txn).await
+}
+
+/// Writes a snapshot of `config` if one is due, and drops changes that it makes superfluous.
+///
+/// Whoever comes second finds the row moved and leaves it.
+///
+/// # Errors
+///
+/// Any [`PlatformError`]; a later call makes up for it.
+pub async fn write_snapshot<P: Table + Objects>(
+    store: &P,
+    config: &Config,
+) -> Result<(), PlatformError> {
+    let row = read_row(store, SNAPSHOT_KEY).await?;
+    let latest: u64 = row.value.parse().unwrap_or(0);
+    if config.version.0 < latest + SNAPSHOT_EVERY {
+        return Ok(());
+    }
+    let body = serde_json::to_vec(config).map_err(|_| PlatformError::Garbled)?;
+    store.write(&snapshot_object(config.version), body).await?;
+    let mut txn = Txn::new()
+        .check(SNAPSHOT_KEY, row.version)
+        .put(SNAPSHOT_KEY, config.version.to_string());
+    // Everything below the previous bound is gone already.
+    let first = latest.saturating_sub(KEPT).max(1);
+    for version in first..config.version.0.saturating_sub(KEPT) {
+        txn = txn.put(version_key(Version(version)), "");
+    }
+    store.txn(&txn).await?;
+    Ok(())
 }
--- a/crates/rw-platform/src/lib.rs
+++ b/crates/rw-platform/src/lib.rs
@@ -3,9 +3,16 @@
 mod config_rows;
 mod error;
 mod http;
+mod objects;
+mod spill;
 mod table;
 
-pub use config_rows::{HEAD_KEY, accept_config, read_config, read_head, version_key};
+pub use config_rows::{
+    HEAD_KEY, SNAPSHOT_EVERY, accept_config, add_change, read_changes, read_config, read_head,
+    version_key, write_snapshot,
+};
 pub use error::PlatformError;
 pub use http::HttpPlatform;
+pub use objects::Objects;
+pub use spill::{spill, unspill};
 pub use table::{Check, Get, Put, Row, Rows, Scan, Table, Txn, TxnReply, VmList};
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -1,23 +1,31 @@
 //! Plain data shared by every redwingweir crate: names, configuration, orders, outcomes.
 
 mod account;
+mod change;
 mod config;
 mod digest;
 mod ids;
 mod intent;
+mod list_change;
 mod load;
+mod named;
 mod order;
 mod outcome;
+mod peer_digest;
 mod target;
 mod vm;
 
 pub use account::{Account, hash_key};
+pub use change::Change;
 pub use config::{Config, Model, Role, Service, ServiceKind, WorkKind};
 pub use digest::fingerprint;
 pub use ids::{AttemptId, BootId, Fence, Millis, RequestId, Version};
 pub use intent::{ConfigError, check_config};
+pub use list_change::ListChange;
 pub use load::{CacheEvent, LoadReport};
+pub use named::Named;
 pub use order::{Order, OrderKind, OrderReply, OrderState};
 pub use outcome::{Outcome, Refusal, RefusalKind};
+pub use peer_digest::Digest;
 pub use target::{Target, TargetKind};
 pub use vm::Vm;
--- /dev/null
+++ b/crates/rw-types/src/list_change.rs
@@ -0,0 +1,88 @@
+//! What changes of one sorted list.
+
+use crate::Named;
+use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
+
+/// Items to insert or replace, and names to remove.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListChange<T> {
+    /// Items that are new or differ, sorted by name.
+    #[serde(default = "Vec::new")]
+    pub set: Vec<T>,
+    /// Names that are gone, sorted.
+    #[serde(default)]
+    pub gone: Vec<String>,
+}
+
+impl<T> Default for ListChange<T> {
+    fn default() -> Self {
+        Self {
+            set: Vec::new(),
+            gone: Vec::new(),
+        }
+    }
+}
+
+impl<T> ListChange<T> {
+    /// Whether it changes nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.set.is_empty() && self.gone.is_empty()
+    }
+
+    /// Items set and items gone.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.set.len(), self.gone.len())
+    }
+}
+
+impl<T: Named + Clone + PartialEq> ListChange<T> {
+    /// The step from `old` to `new`, both sorted by name.
+    #[must_use]
+    pub fn between(old: &[T], new: &[T]) -> Self {
+        let mut change = Self::default();
+        let mut left = old.iter().peekable();
+        for item in new {
+            while let Some(gone) = left.next_if(|o| o.name() < item.name()) {
+                change.gone.push(gone.name().to_owned());
+            }
+            let same = left.next_if(|o| o.name() == item.name());
+            if same != Some(item) {
+                change.set.push(item.clone());
+            }
+        }
+        change.gone.extend(left.map(|o| o.name().to_owned()));
+        change
+    }
+
+    /// Applies it to a list sorted by name.
+    pub fn apply(&self, list: &mut Vec<T>) {
+        if !self.gone.is_empty() {
+            let is_gone = |item: &T| {
+                let found = self.gone.binary_search_by(|g| g.as_str().cmp(item.name()));
+                found.is_ok()
+            };
+            list.retain(|item| !is_gone(item));
+        }
+        if self.set.is_empty() {
+            return;
+        }
+        // One merge, because inserting one by one would move a long list once an item.
+        let old = std::mem::take(list);
+        list.reserve(old.len() + self.set.len());
+        let mut set = self.set.iter().peekable();
+        for item in old {
+            while let Some(new) = set.next_if(|s| s.name() < item.name()) {
+                list.push(new.clone());
+            }
+            match set.peek().map(|s| s.name().cmp(item.name())) {
+                Some(Ordering::Equal) => list.extend(set.next().cloned()),
+                _ => list.push(item),
+            }
+        }
+        list.extend(set.cloned());
+    }
+}
--- /dev/null
+++ b/crates/rw-types/src/peer_digest.rs
@@ -0,0 +1,24 @@
+//! What nodes tell each other of themselves.
+
+use crate::{BootId, Version};
+use serde::{Deserialize, Serialize};
+
+/// A node's word on itself, exchanged between peers.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// VM.
+    pub vm: String,
+    /// Boot.
+    pub boot: BootId,
+    /// Version of the configuration in force.
+    pub version: Version,
+    /// Milliseconds since the table's head was at most this version; absent if never known.
+    #[serde(default)]
+    pub age_ms: Option<u64>,
+    /// Whether the node takes new requests.
+    #[serde(default)]
+    pub ready: bool,
+    /// Fingerprints of requests suspected to end their targets, each with those targets' names.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<(u64, Vec<String>)>,
+}
--- /dev/null
+++ b/crates/rw-types/tests/change.rs
@@ -0,0 +1,84 @@
+//! A change leads from one configuration to the next and to no other.
+
+use proptest::prelude::*;
+use rw_types::{Account, Change, Config, Version, WorkKind};
+
+fn config(accounts: &[(u8, u32)], kinds: &[u8], weight: u8) -> Config {
+    let account = |&(name, share): &(u8, u32)| Account {
+        name: format!("account-{name:03}"),
+        keys: Vec::new(),
+        share,
+    };
+    let kind = |name: &u8| WorkKind {
+        name: format!("kind-{name}"),
+        priority: 1,
+        deadline_ms: 1,
+        objective: 0.9,
+    };
+    let mut config = Config {
+        version: Version(7),
+        accounts: accounts.iter().map(account).collect(),
+        kinds: kinds.iter().map(kind).collect(),
+        change_weight: f64::from(weight),
+        ..Config::default()
+    };
+    config.sort();
+    config.accounts.dedup_by(|a, b| a.name == b.name);
+    config.kinds.dedup_by(|a, b| a.name == b.name);
+    config
+}
+
+fn lists() -> impl Strategy<Value = Config> {
+    let accounts = prop::collection::vec((0u8..40, 1u32..3), 0..30);
+    let kinds = prop::collection::vec(0u8..6, 0..6);
+    (accounts, kinds, 0u8..3).prop_map(|(a, k, w)| config(&a, &k, w))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_change_applied_gives_the_new_configuration(old in lists(), new in lists()) {
+        let change = Change::between(&old, &new);
+        let mut applied = old.clone();
+        prop_assert!(applied.apply(&change));
+        let wanted = Config { version: Version(8), ..new };
+        prop_assert_eq!(&applied, &wanted);
+        let same = Change::between(&applied, &wanted);
+        prop_assert!(same.is_empty());
+    }
+}
+
+#[test]
+fn a_change_of_another_version_is_refused() {
+    struct Case {
+        name: &'static str,
+        version: u64,
+        taken: bool,
+    }
+    let cases = [
+        Case {
+            name: "the same",
+            version: 7,
+            taken: false,
+        },
+        Case {
+            name: "the next",
+            version: 8,
+            taken: true,
+        },
+        Case {
+            name: "one left out",
+            version: 9,
+            taken: false,
+        },
+    ];
+    for case in cases {
+        let mut old = config(&[(1, 1)], &[], 0);
+        let before = old.clone();
+        let mut change = Change::between(&old, &config(&[(2, 1)], &[], 0));
+        change.version = Version(case.version);
+        assert_eq!(old.apply(&change), case.taken, "{}", case.name);
+        assert_eq!(old == before, !case.taken, "{}", case.name);
+    }
+}
