--- a/crates/rw-types/src/intent.rs
+++ b/crates/rw-types/src/intent.rs
@@ -45,6 +45,20 @@
 
 impl std::error::Error for ConfigError {}
 
+impl ConfigError {
+    /// List and name of the item that is wrong.
+    #[must_use]
+    pub fn place(&self) -> (&'static str, &str) {
+        match self {
+            Self::Twice { list, name } => (list, name),
+            Self::NoService { target, .. }
+            | Self::NoModel { target, .. }
+            | Self::BadAddr { target, .. } => ("target", target),
+            Self::BadObjective { kind, .. } => ("kind", kind),
+        }
+    }
+}
+
 /// All mistakes of `config`, whose lists must be sorted.
 #[must_use]
 pub fn check_config(config: &Config) -> Vec<ConfigError> {
@@ -87,7 +101,7 @@
     let bad = config
         .kinds
         .iter()
-        .filter(|k| k.objective <= 0.0 || k.objective >= 1.0);
+        .filter(|k| !(k.objective > 0.0 && k.objective < 1.0));
     found.extend(bad.map(|k| ConfigError::BadObjective {
         kind: k.name.clone(),
         objective: k.objective.to_string(),
