Plan, confirm, explain, key mint and two valid tokens

Change: a plan is kept under an id in the table (the latest 256); a confirmation checks the plan's row and the head in one transaction, so of two operators one wins and the other is told who changed what; a lost answer is read back and the same id always gives the same result. What a plan does to a target is written to its history row in the same transaction. Nodes take two tokens during a rotation, each compared in constant time.

--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -1,8 +1,11 @@
 //! All commands.
 
 mod check;
+mod confirm;
 mod dev;
 mod fake;
+mod key;
+mod plan;
 mod serve;
 mod status;
 
@@ -25,8 +28,11 @@
 pub fn all() -> Vec<CommandSpec> {
     vec![
         check::spec(),
+        confirm::spec(),
         dev::spec(),
         fake::spec(),
+        key::spec(),
+        plan::spec(),
         serve::spec(),
         status::spec(),
     ]
--- /dev/null
+++ b/crates/rw-cli/src/commands/plan.rs
@@ -0,0 +1,120 @@
+//! `plan`: what would be done for an intent file.
+
+use super::CommandSpec;
+use crate::{
+    CliError,
+    operator::{ask, by_arg, operator_arg, token_arg},
+    settings::text,
+};
+use clap::{Arg, ArgMatches, Command};
+use rw_intent::{Plan, parse_intent};
+use rw_node::{PlanAsk, step_words};
+use rw_types::{Config, ListChange, Named};
+
+/// Lines printed of one list before the rest is only counted.
+const MAX_LINES: usize = 40;
+
+/// The command.
+pub fn spec() -> CommandSpec {
+    CommandSpec {
+        name: "plan",
+        build,
+        run,
+    }
+}
+
+fn build() -> Command {
+    Command::new("plan")
+        .about("Shows what would be done for an intent file; nothing happens")
+        .arg(Arg::new("file").required(true).help("Intent file, TOML"))
+        .arg(by_arg())
+        .arg(operator_arg())
+        .arg(token_arg())
+        .after_help("Example:\n  redwingweir plan nilebell.toml --by amina")
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let config = read_intent(text(matches, "file")?)?;
+    let by = text(matches, "by")?.to_owned();
+    let plan: Plan = ask(matches, "plan", &PlanAsk { by, config })?;
+    lines(&plan).iter().for_each(|line| println!("{line}"));
+    Ok(())
+}
+
+fn read_intent(path: &str) -> Result<Config, CliError> {
+    let bad = |text: String| CliError::Intent(path.to_owned(), text);
+    let text =
+        std::fs::read_to_string(path).map_err(|e| bad(format!("\n  {e}; check the path")))?;
+    parse_intent(&text).map_err(|found| {
+        let lines: Vec<_> = found.iter().map(|m| format!("\n  line {m}")).collect();
+        bad(lines.concat())
+    })
+}
+
+fn lines(plan: &Plan) -> Vec<String> {
+    let mut lines = vec![format!("plan {} on configuration {}", plan.id, plan.base)];
+    lines.extend(diff(plan));
+    lines.push(format!("steps on targets: {}", plan.steps.len()));
+    let steps = plan.steps.iter().enumerate();
+    let shown = steps
+        .take(MAX_LINES)
+        .map(|(i, s)| format!("  {}. {} {}", i + 1, s.target, step_words(s)));
+    lines.extend(shown);
+    lines.extend(rest(plan.steps.len()));
+    lines.extend(costs(plan));
+    lines.extend(plan.cannot.iter().map(|c| format!("can't be done: {c}")));
+    lines.push(format!(
+        "nothing has happened; to accept it: redwingweir confirm {}",
+        plan.id
+    ));
+    lines
+}
+
+fn diff(plan: &Plan) -> Vec<String> {
+    let change = &plan.change;
+    let mut lines = vec![format!("change: {}", change.summary())];
+    lines.extend(list("model", &change.models));
+    lines.extend(list("service", &change.services));
+    lines.extend(list("target", &change.targets));
+    lines.extend(list("account", &change.accounts));
+    lines.extend(list("kind", &change.kinds));
+    lines
+}
+
+fn list<T: Named>(word: &str, change: &ListChange<T>) -> Vec<String> {
+    let set = change
+        .set
+        .iter()
+        .map(|item| format!("  + {word} {}", item.name()));
+    let gone = change.gone.iter().map(|name| format!("  - {word} {name}"));
+    let all = change.set.len() + change.gone.len();
+    let shown = set.chain(gone).take(MAX_LINES);
+    shown.chain(rest(all)).collect()
+}
+
+fn rest(all: usize) -> Option<String> {
+    (all > MAX_LINES).then(|| format!("  and {} more", all - MAX_LINES))
+}
+
+fn costs(plan: &Plan) -> Vec<String> {
+    let e = &plan.estimate;
+    vec![
+        format!(
+            "weight store: {:.1} GB, {:.1} s at its rate limit",
+            e.bytes as f64 / 1e9,
+            e.weight_seconds
+        ),
+        format!(
+            "role changes: {}, {:.0} s of one engine's goodput",
+            e.role_changes, e.lost_seconds
+        ),
+        format!(
+            "goodput: {} engines now, at least {} meanwhile, {} after",
+            e.engines_before, e.engines_during, e.engines_after
+        ),
+        format!(
+            "objectives: hold while the load is below {:.0}% of what the fleet takes now",
+            e.capacity() * 100.0
+        ),
+    ]
+}
--- a/crates/rw-cli/src/error.rs
+++ b/crates/rw-cli/src/error.rs
@@ -28,6 +28,10 @@
     Logs(String),
     /// signals can't be watched: {0}; check the limit of open files
     Signals(io::Error),
+    /// {0} has mistakes, and nothing of it was taken:{1}
+    Intent(String, String),
+    /// the operating system gave no random numbers; check that it has a random source
+    NoRandom,
     /// {0}
     Failed(String),
 }
@@ -39,7 +43,7 @@
     #[must_use]
     pub fn code(&self) -> u8 {
         match self {
-            Self::Failed(_) | Self::Rpc(_) | Self::Signals(_) => 1,
+            Self::Failed(_) | Self::Rpc(_) | Self::Signals(_) | Self::NoRandom => 1,
             _ => 2,
         }
     }
--- a/crates/rw-cli/src/lib.rs
+++ b/crates/rw-cli/src/lib.rs
@@ -4,6 +4,7 @@
 mod dev_fleet;
 mod error;
 mod logs;
+mod operator;
 mod run;
 mod settings;
 mod stop;
--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -92,7 +92,7 @@
     secret(
         "token",
         "REDWINGWEIR_TOKEN",
-        "Token of peers and operators; prefer the variable",
+        "Token of peers and operators, or two with a comma during a rotation, the one to send first; prefer the variable",
     ),
     secret(
         "secret",
@@ -123,6 +123,12 @@
         Some("500"),
         "Pause between reads of a target's load, ms",
     ),
+    plain(
+        "weight-rate",
+        "REDWINGWEIR_WEIGHT_RATE",
+        Some("1000000000"),
+        "Rate limit of the weight store, bytes a second, for plans",
+    ),
     plain(
         "log",
         "REDWINGWEIR_LOG",
@@ -201,6 +207,7 @@
         silence: Duration::from_millis(ms("silence-ms")?),
         poll: Duration::from_millis(ms("poll-ms")?),
         report_poll: Duration::from_millis(ms("report-poll-ms")?),
+        weight_rate: parse(matches, "weight-rate", "a whole number of bytes")?,
     })
 }
 
@@ -209,8 +216,12 @@
 
 fn token(matches: &ArgMatches) -> Result<String, CliError> {
     let token = text(matches, "token")?;
-    if token.len() < MIN_TOKEN {
-        return Err(bad("token", "(hidden)", "at least 16 bytes long"));
+    if token.split(',').any(|one| one.len() < MIN_TOKEN) {
+        return Err(bad(
+            "token",
+            "(hidden)",
+            "at least 16 bytes long, or two such with a comma between",
+        ));
     }
     Ok(token.to_owned())
 }
@@ -239,7 +250,12 @@
     value.parse().map_err(|_| bad(name, value, wanted))
 }
 
-fn parse_secret(hex: &str) -> Result<[u8; 32], CliError> {
+/// The secret under which keys are hashed.
+///
+/// # Errors
+///
+/// [`CliError::BadSetting`] if it isn't 64 hex digits.
+pub fn parse_secret(hex: &str) -> Result<[u8; 32], CliError> {
     let wrong = || bad("secret", "(hidden)", "64 hex digits");
     if hex.len() != 64 || !hex.is_ascii() {
         return Err(wrong());
--- a/crates/rw-node/src/config_sync.rs
+++ b/crates/rw-node/src/config_sync.rs
@@ -104,7 +104,7 @@
         }
     }
 
-    async fn fetch_from_table(&self) -> Result<(), PlatformError> {
+    pub(crate) async fn fetch_from_table(&self) -> Result<(), PlatformError> {
         let since = self.config().version;
         let (head, _) = read_head(&self.platform).await?;
         // Version zero means that the snapshot holds more than the changes left.
--- /dev/null
+++ b/crates/rw-node/src/operator_error.rs
@@ -0,0 +1,53 @@
+//! Why an operator's call was refused.
+
+use displaydoc::Display;
+use jsonrpsee_types::ErrorObjectOwned;
+use rw_platform::PlatformError;
+
+/// JSON-RPC code of a refusal.
+const CODE: i32 = -32_000;
+
+/// Why an operator's call was refused. The text names the remedy.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum OperatorError {
+    /// the table does not answer, so nothing was changed; try again when it does
+    TableDown,
+    /// the table took the confirmation or not, and its answer was lost; run 'redwingweir confirm {0}' again, which gives the result without doing it twice
+    AnswerLost(String),
+    /// the table holds something that can't be read; check that all VMs run the same version
+    Garbled,
+    /// plan '{0}' is not kept; run 'redwingweir plan FILE' and confirm its id
+    NoPlan(String),
+    /// the plan starts from configuration {base}, but {since}; run 'redwingweir plan FILE' again and look at the new plan
+    BaseChanged {
+        /// Version that the plan starts from.
+        base: u64,
+        /// Who changed what since.
+        since: String,
+    },
+    /// the file is what is in force; there is nothing to confirm
+    NothingToDo,
+    /// the configuration has mistakes: {0}
+    Faulty(String),
+    /// target '{0}' has no history; check the name with 'redwingweir status'
+    NoHistory(String),
+    /// operators keep changing the configuration; try again
+    Busy,
+}
+
+impl std::error::Error for OperatorError {}
+
+impl From<PlatformError> for OperatorError {
+    fn from(error: PlatformError) -> Self {
+        match error {
+            PlatformError::Garbled => Self::Garbled,
+            PlatformError::NotSent | PlatformError::Lost => Self::TableDown,
+        }
+    }
+}
+
+impl From<OperatorError> for ErrorObjectOwned {
+    fn from(error: OperatorError) -> Self {
+        Self::owned(CODE, error.to_string(), None::<()>)
+    }
+}
--- a/crates/rw-node/src/operators.rs
+++ b/crates/rw-node/src/operators.rs
@@ -1,10 +1,16 @@
 //! Calls of operators.
 
-use crate::{Shell, rpc::RpcResult};
+use crate::{ConfirmAsk, PlanAsk, Shell, rpc::RpcResult};
+use futures_util::{StreamExt as _, stream};
 use jsonrpsee_core::{RegisterMethodError, server::RpcModule};
-use rw_types::Version;
+use rw_types::{Digest, Version, Vm};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+/// Time limit of a call of a peer on an operator's behalf.
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+/// Peers asked at the same time.
+const PARALLEL: usize = 32;
 
 /// What a node reports to operators.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -22,7 +28,7 @@
 pub struct VmStatus {
     /// VM name.
     pub name: String,
-    /// Version of the configuration in force.
+    /// Version of the configuration in force; zero if the VM was not reached.
     pub version: Version,
     /// Whether it takes new requests.
     pub ready: bool,
@@ -45,6 +51,35 @@
                 .collect(),
         }
     }
+
+    /// Every listed VM's configuration, this one's first.
+    async fn fleet(&self) -> Vec<VmStatus> {
+        let mut all = vec![self.status().vm];
+        let peers = self.listed_peers();
+        let asked = stream::iter(peers).map(|vm| self.ask_vm(vm));
+        let mut told: Vec<_> = asked.buffer_unordered(PARALLEL).collect().await;
+        told.sort_by(|a, b| a.name.cmp(&b.name));
+        all.extend(told);
+        all
+    }
+
+    /// The other VMs of the list.
+    pub(crate) fn listed_peers(&self) -> Vec<Vm> {
+        let node = self.lock();
+        let listed = node.members().all().iter();
+        let others = listed.filter(|vm| vm.name != self.settings.vm);
+        others.cloned().collect()
+    }
+
+    async fn ask_vm(&self, vm: Vm) -> VmStatus {
+        let call = self.call_peer::<_, Digest>(&vm.peer, "digest", &(), PEER_LIMIT);
+        let digest = call.await.unwrap_or_default();
+        VmStatus {
+            name: vm.name,
+            version: digest.version,
+            ready: digest.ready,
+        }
+    }
 }
 
 /// The methods that operators may call.
@@ -53,5 +88,20 @@
 ) -> Result<RpcModule<Arc<Shell>>, RegisterMethodError> {
     let mut module = RpcModule::new(shell);
     module.register_method("status", |_, shell, _| RpcResult::Ok(shell.status()))?;
+    module.register_async_method("fleet", |_, shell, _| async move {
+        RpcResult::Ok(shell.fleet().await)
+    })?;
+    module.register_async_method("plan", |params, shell, _| async move {
+        let ask: PlanAsk = params.one()?;
+        RpcResult::Ok(shell.plan(ask).await?)
+    })?;
+    module.register_async_method("confirm", |params, shell, _| async move {
+        let ask: ConfirmAsk = params.one()?;
+        RpcResult::Ok(shell.confirm(ask).await?)
+    })?;
+    module.register_async_method("explain", |params, shell, _| async move {
+        let target: String = params.one()?;
+        RpcResult::Ok(shell.explain(&target).await?)
+    })?;
     Ok(module)
 }
--- /dev/null
+++ b/crates/rw-node/src/plan_rows.rs
@@ -0,0 +1,70 @@
+//! The rows of plans: one a plan, and an index that bounds them.
+
+use crate::OperatorError;
+use rw_intent::Plan;
+use rw_platform::{PlatformError, Row, Table, Txn};
+use rw_types::Version;
+use serde::{Deserialize, Serialize};
+
+/// Row that lists the plans kept, oldest first.
+const INDEX_KEY: &str = "plans";
+/// Plans kept.
+const KEPT: usize = 256;
+/// Tries against operators who keep a plan at the same time.
+const TRIES: usize = 16;
+
+/// A plan's row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PlanRow {
+    /// Version under which it was accepted; zero before.
+    pub(crate) accepted: Version,
+    /// Operator who confirmed it.
+    pub(crate) by: String,
+    /// The plan, or the name of its object.
+    pub(crate) plan: String,
+}
+
+/// Row of a plan.
+pub(crate) fn plan_key(id: &str) -> String {
+    format!("plan/{id}")
+}
+
+/// Keeps a plan and drops the oldest beyond the bound.
+pub(crate) async fn keep_plan<T: Table>(
+    table: &T,
+    plan: &Plan,
+    row: &PlanRow,
+) -> Result<(), OperatorError> {
+    let value = serde_json::to_string(row).map_err(|_| PlatformError::Garbled)?;
+    for _ in 0..TRIES {
+        let index = read_row(table, INDEX_KEY).await?;
+        let mut ids: Vec<String> = serde_json::from_str(&index.value).unwrap_or_default();
+        // An earlier try whose answer was lost may have kept it.
+        if ids.contains(&plan.id) {
+            return Ok(());
+        }
+        ids.push(plan.id.clone());
+        let extra = ids.len().saturating_sub(KEPT);
+        let dropped: Vec<_> = ids.drain(..extra).collect();
+        let list = serde_json::to_string(&ids).map_err(|_| PlatformError::Garbled)?;
+        let mut txn = Txn::new()
+            .check(INDEX_KEY, index.version)
+            .put(INDEX_KEY, list)
+            .put(plan_key(&plan.id), value.clone());
+        for id in dropped {
+            txn = txn.put(plan_key(&id), "");
+        }
+        match table.txn(&txn).await {
+            Ok(reply) if reply.applied() => return Ok(()),
+            Ok(_) | Err(PlatformError::Lost) => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Err(OperatorError::Busy)
+}
+
+/// A row; version zero if absent.
+pub(crate) async fn read_row<T: Table>(table: &T, key: &str) -> Result<Row, PlatformError> {
+    let mut rows = table.get(vec![key.to_owned()]).await?.rows;
+    rows.pop().ok_or(PlatformError::Garbled)
+}
--- a/crates/rw-node/src/rpc.rs
+++ b/crates/rw-node/src/rpc.rs
@@ -7,7 +7,7 @@
 use rw_http::{Client, Pooling, Request, Response, post_json, raw, read_body};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{sync::Arc, time::Duration};
-use subtle::ConstantTimeEq as _;
+use subtle::{Choice, ConstantTimeEq as _};
 
 /// Largest call taken, in bytes.
 const MAX_CALL: u64 = 16 << 20;
@@ -30,7 +30,10 @@
 
 impl std::error::Error for RpcError {}
 
-/// Answers one call if it carries the token.
+/// Separates the tokens that are valid at the same time during a rotation.
+const TOKEN_SEPARATOR: char = ',';
+
+/// Answers one call if it carries a valid token.
 pub(crate) async fn answer_rpc(
     shell: &Arc<Shell>,
     module: &RpcModule<Arc<Shell>>,
@@ -49,15 +52,20 @@
     }
 }
 
-fn has_token(request: &Request, token: &str) -> bool {
+/// Whether a call carries one of `tokens`, each compared in constant time.
+fn has_token(request: &Request, tokens: &str) -> bool {
     let given = request.header("authorization").map(|v| v.last().as_str());
     let Some(given) = given.and_then(|v| v.strip_prefix("Bearer ")) else {
         return false;
     };
-    given.as_bytes().ct_eq(token.as_bytes()).into()
+    // No early end: the time must not tell which token matched.
+    let equal = tokens
+        .split(TOKEN_SEPARATOR)
+        .map(|token| given.as_bytes().ct_eq(token.as_bytes()));
+    equal.fold(Choice::from(0), |any, one| any | one).into()
 }
 
-/// Calls `method` of the process at `addr`.
+/// Calls `method` of the process at `addr` with the first of the tokens given.
 ///
 /// # Errors
 ///
@@ -75,6 +83,7 @@
         serde_json::json!({ "jsonrpc": "2.0", "id": 1, "method": method, "params": [params] });
     let body = serde_json::to_vec(&call).map_err(|_| RpcError::Garbled)?;
     let mut request = post_json(addr, "/", body).map_err(|_| unreachable())?;
+    let token = token.split(TOKEN_SEPARATOR).next().unwrap_or_default();
     request.insert_header("authorization", format!("Bearer {token}"));
     let sent = client.send(addr, request, Pooling::Reuse, limit).await;
     let reply = sent.map_err(|_| unreachable())?;
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -37,6 +37,8 @@
     pub poll: Duration,
     /// Pause between reads of a target's load.
     pub report_poll: Duration,
+    /// Bytes a second that the platform's weight store gives out, for plans.
+    pub weight_rate: u64,
 }
 
 impl NodeSettings {
@@ -57,6 +59,7 @@
             silence: Duration::from_secs(5),
             poll: Duration::from_millis(200),
             report_poll: Duration::from_millis(200),
+            weight_rate: 1 << 30,
         }
     }
 }
--- /dev/null
+++ b/crates/rw-test/src/command.rs
@@ -0,0 +1,31 @@
+//! One run of the binary to its end.
+
+use std::{io, process::Command};
+
+/// What a run left.
+#[derive(Debug, Clone)]
+pub struct Output {
+    /// Exit code.
+    pub code: i32,
+    /// Standard output.
+    pub out: String,
+    /// Standard error.
+    pub err: String,
+}
+
+/// Runs `binary` to its end.
+///
+/// # Errors
+///
+/// The error of the operating system.
+pub fn run(binary: &str, args: &[&str], env: &[(&str, &str)]) -> io::Result<Output> {
+    let ran = Command::new(binary)
+        .args(args)
+        .envs(env.iter().copied())
+        .output()?;
+    Ok(Output {
+        code: ran.status.code().unwrap_or(-1),
+        out: String::from_utf8_lossy(&ran.stdout).into_owned(),
+        err: String::from_utf8_lossy(&ran.stderr).into_owned(),
+    })
+}
--- a/crates/rw-test/src/fleet.rs
+++ b/crates/rw-test/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A small fleet of separate processes.
 
-use crate::{Ask, Process, ask, get};
+use crate::{Ask, Output, Process, ask, get, run};
 use rw_http::{Client, Method};
 use rw_platform::{HttpPlatform, accept_config, read_head};
 use rw_types::{
@@ -105,6 +105,17 @@
     ///
     /// The error of the operating system.
     pub fn start_node(&self, n: usize) -> io::Result<Process> {
+        let args = self.node_args(n);
+        let env = [
+            ("REDWINGWEIR_TOKEN", TOKEN),
+            ("REDWINGWEIR_SECRET", SECRET_HEX),
+        ];
+        Process::start(&self.binary, &args, &env)
+    }
+
+    /// Arguments of the node `vm-n`.
+    #[must_use]
+    pub fn node_args(&self, n: usize) -> Vec<String> {
         let centre = if n.is_multiple_of(3) {
             "centre-b"
         } else {
@@ -131,11 +142,22 @@
         args.extend(["--vm".to_owned(), format!("vm-{n}")]);
         args.extend(["--platform".to_owned(), self.platform.addr("")]);
         args.extend(self.plan.flags.iter().cloned());
+        args
+    }
+
+    /// Runs a command of the binary as an operator at node `i`.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn command(&self, i: usize, args: &[&str]) -> io::Result<Output> {
+        let operator = self.nodes[i].addr("operators");
         let env = [
+            ("REDWINGWEIR_OPERATOR", operator.as_str()),
             ("REDWINGWEIR_TOKEN", TOKEN),
             ("REDWINGWEIR_SECRET", SECRET_HEX),
         ];
-        Process::start(&self.binary, &args, &env)
+        run(&self.binary, args, &env)
     }
 
     /// Puts the running nodes into the platform's list.
--- a/crates/rw-test/src/process.rs
+++ b/crates/rw-test/src/process.rs
@@ -21,8 +21,22 @@
     ///
     /// The error of the operating system.
     pub fn start(binary: &str, args: &[String], env: &[(&str, &str)]) -> io::Result<Self> {
+        Self::start_with(binary, args, env, Stdio::inherit())
+    }
+
+    /// Starts `binary` with its logs, on standard error, going to `logs`.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn start_with(
+        binary: &str,
+        args: &[String],
+        env: &[(&str, &str)],
+        logs: Stdio,
+    ) -> io::Result<Self> {
         let mut command = Command::new(binary);
-        command.args(args).envs(env.iter().copied());
+        command.args(args).envs(env.iter().copied()).stderr(logs);
         let mut child = command.stdout(Stdio::piped()).spawn()?;
         let mut line = String::new();
         if let Some(out) = child.stdout.take() {
