--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,246 @@
+//! The configuration in force, on separate processes that boot, pause and lose the table.
+
+use rw_http::Client;
+use rw_node::{Status, call_rpc};
+use rw_platform::{HttpPlatform, SNAPSHOT_EVERY, Table as _, read_config, version_key};
+use rw_test::{Fleet, FleetPlan, Process, TOKEN, get};
+use rw_types::{Config, Version};
+use std::time::{Duration, Instant};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+/// The users' bound on the time until an accepted configuration is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(18);
+const PAUSE: Duration = Duration::from_millis(20);
+
+async fn start(nodes: usize) -> Fleet {
+    let plan = FleetPlan {
+        nodes,
+        ..FleetPlan::default()
+    };
+    Fleet::start(BINARY, plan).await.expect("the fleet starts")
+}
+
+async fn status(process: &Process) -> Option<Status> {
+    let addr = process.addr("operators");
+    let limit = Duration::from_secs(2);
+    let client = Client::default();
+    call_rpc(&client, &addr, TOKEN, "status", &(), limit)
+        .await
+        .ok()
+}
+
+/// The version in force at a node; zero if it doesn't answer.
+async fn version(process: &Process) -> Version {
+    status(process)
+        .await
+        .map(|s| s.vm.version)
+        .unwrap_or_default()
+}
+
+async fn ready(process: &Process) -> bool {
+    let answer = get(&process.addr("callers"), "/readyz").await;
+    answer.is_ok_and(|a| a.status == 200)
+}
+
+/// Waits until every process has `wanted` in force and returns how long it took.
+async fn wait_version(processes: &[&Process], wanted: Version) -> Duration {
+    let start = Instant::now();
+    loop {
+        let mut late = 0;
+        for process in processes {
+            late += usize::from(version(process).await < wanted);
+        }
+        if late == 0 {
+            return start.elapsed();
+        }
+        assert!(start.elapsed() < IN_FORCE, "{late} nodes are late");
+        smol::Timer::after(PAUSE).await;
+    }
+}
+
+async fn bump(fleet: &mut Fleet) -> Version {
+    let mut config = fleet.config.clone();
+    config.accounts[0].share += 1;
+    fleet.accept(config).await.expect("accepted");
+    fleet.config.version
+}
+
+async fn outage(fleet: &Fleet, paths: &[&str]) {
+    let faults: Vec<_> = paths
+        .iter()
+        .map(|path| format!(r#"{{"fault":"outage","path":"{path}"}}"#))
+        .collect();
+    let text = format!("[{}]", faults.join(","));
+    fleet
+        .fault(&fleet.platform, &text)
+        .await
+        .expect("the fault is set");
+}
+
+#[test]
+fn an_accepted_configuration_is_in_force_everywhere_in_time() {
+    smol::block_on(async {
+        for nodes in [3, 6, 8] {
+            let mut fleet = start(nodes).await;
+            let mut longest = Duration::ZERO;
+            for _ in 0..5 {
+                let wanted = bump(&mut fleet).await;
+                let all: Vec<_> = fleet.nodes.iter().collect();
+                longest = longest.max(wait_version(&all, wanted).await);
+            }
+            println!("{nodes} nodes, longest {longest:?}");
+        }
+    });
+}
+
+#[test]
+fn a_node_that_boots_in_an_outage_takes_the_highest_of_its_peers() {
+    smol::block_on(async {
+        let mut fleet = start(3).await;
+        let wanted = bump(&mut fleet).await;
+        let all: Vec<_> = fleet.nodes.iter().collect();
+        wait_version(&all, wanted).await;
+        outage(&fleet, &["/table", "/objects"]).await;
+        let node = fleet.start_node(4).expect("the node starts");
+        fleet.nodes.push(node);
+        fleet.wait_ready(3).await.expect("ready without the table");
+        assert_eq!(version(&fleet.nodes[3]).await, wanted);
+    });
+}
+
+#[test]
+fn a_node_with_no_source_is_not_ready() {
+    smol::block_on(async {
+        let mut fleet = start(1).await;
+        outage(&fleet, &["/table", "/objects"]).await;
+        fleet.nodes[0].kill();
+        let node = fleet.start_node(2).expect("the node starts");
+        for _ in 0..100 {
+            assert!(!ready(&node).await);
+            smol::Timer::after(PAUSE).await;
+        }
+        outage(&fleet, &[]).await;
+        fleet.nodes[0] = node;
+        fleet.wait_ready(0).await.expect("ready with the table");
+    });
+}
+
+#[test]
+fn a_paused_node_never_serves_a_lower_version_than_it_has_served() {
+    smol::block_on(async {
+        let mut fleet = start(3).await;
+        for round in 0..4 {
+            let seen = version(&fleet.nodes[1]).await;
+            fleet.nodes[1].signal("STOP");
+            let mut wanted = seen;
+            for _ in 0..3 {
+                wanted = bump(&mut fleet).await;
+            }
+            // Every second time it wakes up to peers alone.
+            let gone: &[&str] = if round % 2 == 1 {
+                &["/table", "/objects"]
+            } else {
+                &[]
+            };
+            let others = [&fleet.nodes[0], &fleet.nodes[2]];
+            wait_version(&others, wanted).await;
+            outage(&fleet, gone).await;
+            fleet.nodes[1].signal("CONT");
+            let start = Instant::now();
+            let mut last = seen;
+            while last < wanted {
+                let now = version(&fleet.nodes[1]).await;
+                assert!(now >= last || now == Version(0), "{now} after {last}");
+                last = last.max(now);
+                assert!(start.elapsed() < IN_FORCE, "late after a pause");
+            }
+            outage(&fleet, &[]).await;
+        }
+    });
+}
+
+#[test]
+fn a_node_that_reaches_neither_table_nor_peers_is_not_offered_but_answers() {
+    smol::block_on(async {
+        let mut fleet = start(4).await;
+        outage(&fleet, &["/table", "/objects"]).await;
+        // With its peers a node stays ready through an outage of the table.
+        smol::Timer::after(IN_FORCE + Duration::from_secs(3)).await;
+        assert!(ready(&fleet.nodes[0]).await, "ready with its peers");
+        for node in &mut fleet.nodes[1..] {
+            node.kill();
+        }
+        let start = Instant::now();
+        while ready(&fleet.nodes[0]).await {
+            assert!(start.elapsed() < 2 * IN_FORCE, "still ready, cut off");
+            smol::Timer::after(PAUSE).await;
+        }
+        let answer = get(&fleet.nodes[0].addr("callers"), "/v1/models").await;
+        assert_eq!(
+            answer.expect("an answer").status,
+            401,
+            "it answers what arrives"
+        );
+        assert_eq!(version(&fleet.nodes[0]).await, Version(1));
+        outage(&fleet, &[]).await;
+        fleet.wait_ready(0).await.expect("ready with the table");
+    });
+}
+
+#[test]
+fn snapshots_bound_the_changes_that_a_boot_reads() {
+    smol::block_on(async {
+        let mut fleet = start(1).await;
+        let store = HttpPlatform::new(
+            Client::default(),
+            fleet.platform.addr(""),
+            Duration::from_secs(5),
+        );
+        let mut wanted = Version(0);
+        for _ in 0..=SNAPSHOT_EVERY {
+            wanted = bump(&mut fleet).await;
+        }
+        let whole = read_config(&store, wanted).await.expect("read");
+        rw_platform::write_snapshot(&store, whole.as_ref().expect("a configuration"))
+            .await
+            .expect("written");
+        // A boot needs no change below the snapshot.
+        let mut txn = rw_platform::Txn::new();
+        for n in 1..=SNAPSHOT_EVERY {
+            txn = txn.put(version_key(Version(n)), "");
+        }
+        store.txn(&txn).await.expect("dropped");
+        assert_eq!(read_config(&store, wanted).await.expect("read"), whole);
+        let node = fleet.start_node(2).expect("the node starts");
+        wait_version(&[&node], wanted).await;
+    });
+}
+
+#[test]
+fn a_large_configuration_lies_in_the_object_store() {
+    smol::block_on(async {
+        let mut fleet = start(2).await;
+        let mut config: Config = fleet.config.clone();
+        for n in 0..5_000 {
+            let mut account = config.accounts[0].clone();
+            account.name = format!("account-{n}");
+            account.keys = vec![format!("{n:064x}")];
+            config.accounts.push(account);
+        }
+        config.sort();
+        fleet.accept(config).await.expect("accepted");
+        let all: Vec<_> = fleet.nodes.iter().collect();
+        wait_version(&all, Version(2)).await;
+        let store = HttpPlatform::new(
+            Client::default(),
+            fleet.platform.addr(""),
+            Duration::from_secs(5),
+        );
+        let row = store
+            .get(vec![version_key(Version(2))])
+            .await
+            .expect("read");
+        assert!(row.rows[0].value.starts_with("object "), "not in the row");
+        assert!(row.rows[0].value.len() < 200);
+    });
+}
