--- a/crates/rw-core/src/effect.rs
+++ b/crates/rw-core/src/effect.rs
@@ -1,6 +1,6 @@
 //! What the shell is to do.
 
-use crate::{Answer, Claim, SyncEffect};
+use crate::{Answer, AuthorityEffect, Claim, SyncEffect};
 use rw_types::{AttemptId, Refusal, RequestId, Version};
 
 /// An effect, as data.
@@ -74,6 +74,8 @@
     },
     /// Keep the configuration in force.
     Sync(SyncEffect),
+    /// Something about leases and orders.
+    Authority(AuthorityEffect),
 }
 
 impl Effect {
@@ -88,7 +90,7 @@
             | Self::Replay { id, .. }
             | Self::Refuse { id, .. }
             | Self::Cancel { id, .. } => Some(*id),
-            Self::SettleClaim { .. } | Self::Sync(_) => None,
+            Self::SettleClaim { .. } | Self::Sync(_) | Self::Authority(_) => None,
         }
     }
 }
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,6 @@
 //! The node's state and its one entry point.
 
-use crate::{ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -16,6 +16,7 @@
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
     pub(crate) sync: ConfigSync,
+    pub(crate) authority: Authority,
     pub(crate) leaving: bool,
     next_attempt: u64,
 }
@@ -33,6 +34,7 @@
             requests: Vec::new(),
             wishes: Vec::new(),
             sync,
+            authority: Authority::default(),
             leaving: false,
             next_attempt: 1,
         }
@@ -50,8 +52,9 @@
             Event::CallerGone { id } => self.drop_caller(id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
-            Event::VmsRead(vms) => self.members.replace(vms),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
+            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
         }
         effects
@@ -109,6 +112,7 @@
             return;
         }
         self.targets.apply(&config);
+        self.authority.outdated = true;
         self.config = config;
     }
 }
