Bound what a slow, silent or oversized caller can hold

Cause: async-h1's server has one limit, 60 s for a header, which can't be set from outside, and closes an over-long header without a word. A body, an idle connection and a slow reader had no limit; a full listener refused the new connection. Ruled out: ServerOptions (its field is private); a timer for each request (async-h1's runs on a second reactor of its own). Change: a guarded stream counts bytes and notes when each phase is due; a sweeper of each listener ends what is over time. async-h1 still decodes and encodes. 431 and 400 are answered before closing. A full listener closes the connection that has been idle longest, by its reading side only, so that a request that came meanwhile still gets its answer. An idle connection holds no buffer. Broken JSON names its field; an unknown model lists those served. Each limit is a flag and a variable.

--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::CliError;
 use clap::{Arg, ArgMatches, Command, parser::ValueSource};
+use rw_http::Limits;
 use rw_node::NodeSettings;
 use std::{str::FromStr, time::Duration};
 
@@ -123,6 +124,48 @@
         Some("500"),
         "Pause between reads of a target's load, ms",
     ),
+    plain(
+        "threads",
+        "REDWINGWEIR_THREADS",
+        Some("1"),
+        "Threads that serve callers, 1 to 64",
+    ),
+    plain(
+        "connections",
+        "REDWINGWEIR_CONNECTIONS",
+        Some("16000"),
+        "Most open connections of callers; above it the longest idle one is closed",
+    ),
+    plain(
+        "header-bytes",
+        "REDWINGWEIR_HEADER_BYTES",
+        Some("8000"),
+        "Largest request header, at most 8000 bytes",
+    ),
+    plain(
+        "header-ms",
+        "REDWINGWEIR_HEADER_MS",
+        Some("10000"),
+        "Longest time for a request header, ms",
+    ),
+    plain(
+        "body-ms",
+        "REDWINGWEIR_BODY_MS",
+        Some("30000"),
+        "Longest time for a request body, ms",
+    ),
+    plain(
+        "idle-ms",
+        "REDWINGWEIR_IDLE_MS",
+        Some("60000"),
+        "Longest time that a caller's connection waits for a request, ms",
+    ),
+    plain(
+        "write-ms",
+        "REDWINGWEIR_WRITE_MS",
+        Some("20000"),
+        "Longest time in which a caller takes nothing of its answer, ms",
+    ),
     plain(
         "log",
         "REDWINGWEIR_LOG",
@@ -201,9 +244,40 @@
         silence: Duration::from_millis(ms("silence-ms")?),
         poll: Duration::from_millis(ms("poll-ms")?),
         report_poll: Duration::from_millis(ms("report-poll-ms")?),
+        limits: limits(matches)?,
+        threads: within(matches, "threads", 1, 64, "1 to 64")?,
+    })
+}
+
+fn limits(matches: &ArgMatches) -> Result<Limits, CliError> {
+    let ms = |name| {
+        let ms = within(matches, name, 1, 86_400_000, "1 to 86400000 ms")?;
+        Ok::<_, CliError>(Duration::from_millis(ms as u64))
+    };
+    Ok(Limits {
+        header_time: ms("header-ms")?,
+        header_bytes: within(matches, "header-bytes", 256, 8_000, "256 to 8000 bytes")?,
+        body_time: ms("body-ms")?,
+        idle_time: ms("idle-ms")?,
+        write_time: ms("write-ms")?,
+        connections: within(matches, "connections", 1, 1_000_000, "1 to 1000000")?,
     })
 }
 
+fn within(
+    matches: &ArgMatches,
+    name: &str,
+    least: usize,
+    most: usize,
+    wanted: &'static str,
+) -> Result<usize, CliError> {
+    let value = parse(matches, name, wanted)?;
+    if (least..=most).contains(&value) {
+        return Ok(value);
+    }
+    Err(bad(name, &value.to_string(), wanted))
+}
+
 /// Shortest token taken, in bytes.
 const MIN_TOKEN: usize = 16;
 
--- a/crates/rw-http/src/listen.rs
+++ b/crates/rw-http/src/listen.rs
@@ -1,47 +1,28 @@
 //! A listener that bounds what a slow or silent peer can hold.
 
-use async_h1::server::Server;
+use crate::{Limits, Workers, conn::Conn, exchange::serve_conn, registry::Registry};
 use http_types::{Request, Response, StatusCode};
-use smol::{
-    Async,
-    io::AsyncReadExt as _,
-    net::{TcpListener, TcpStream},
-};
+use smol::{Async, Timer, future, io::AsyncReadExt as _, net::TcpListener};
 use std::{
     future::Future,
     io,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
-/// Limits of one listener.
-#[derive(Debug, Clone, Copy)]
-pub struct Limits {
-    /// Longest wait for a request's header, which also bounds idle connections.
-    pub header_time: Duration,
-    /// Most open connections; more are closed at once.
-    pub connections: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            header_time: Duration::from_secs(10),
-            connections: 20_000,
-        }
-    }
-}
+/// Pause between looks at whether a limit has run out.
+const SWEEP: Duration = Duration::from_millis(200);
+/// Pause after an accept that failed for want of descriptors.
+const RETRY: Duration = Duration::from_millis(5);
 
 /// A bound TCP listener that serves HTTP.
 #[derive(Debug)]
 pub struct Listener {
     tcp: TcpListener,
     limits: Limits,
-    open: Arc<AtomicUsize>,
+    workers: Workers,
+    open: Arc<Registry>,
 }
 
 impl Listener {
@@ -55,10 +36,18 @@
         Ok(Self {
             tcp,
             limits,
+            workers: Workers::default(),
             open: Arc::default(),
         })
     }
 
+    /// Spreads connections over `workers` instead of the global executor.
+    #[must_use]
+    pub fn on(mut self, workers: Workers) -> Self {
+        self.workers = workers;
+        self
+    }
+
     /// The address bound.
     ///
     /// # Errors
@@ -69,45 +58,55 @@
     }
 
     /// Serves every connection with `handler` until the future is dropped; connections then end
-    /// with their tasks on the global executor.
+    /// with their tasks.
     pub async fn run<H, F>(&self, handler: H)
     where
         H: Fn(Request) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
     {
-        loop {
-            let Ok((stream, _)) = self.tcp.accept().await else {
-                // Out of descriptors: wait for some to be freed.
-                smol::Timer::after(Duration::from_millis(20)).await;
-                continue;
+        future::or(self.accept(handler), self.sweep()).await;
+    }
+
+    async fn accept<H, F>(&self, handler: H)
+    where
+        H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let start = Instant::now();
+        for id in 0.. {
+            let stream = loop {
+                match self.tcp.accept().await {
+                    Ok((stream, _)) => break stream,
+                    // Out of descriptors: an idle connection gives way to a new one.
+                    Err(_) => {
+                        self.open.close_idle();
+                        Timer::after(RETRY).await;
+                    }
+                }
             };
-            if self.open.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
-                self.open.fetch_sub(1, Ordering::Relaxed);
+            let _ = stream.set_nodelay(true);
+            let conn = Arc::new(Conn::new(id, stream, self.limits, start));
+            let full = self.open.add(conn.clone()) > self.limits.connections;
+            if full && !self.open.close_idle() {
+                self.open.remove(id);
                 continue;
             }
-            let open = self.open.clone();
-            let handler = handler.clone();
-            smol::spawn(async move {
-                serve(stream, handler).await;
-                open.fetch_sub(1, Ordering::Relaxed);
-            })
-            .detach();
+            conn.begin();
+            let (open, handler) = (self.open.clone(), handler.clone());
+            let serving = async move {
+                serve_conn(conn, handler).await;
+                open.remove(id);
+            };
+            self.workers.spawn(serving).detach();
         }
     }
-}
 
-async fn serve<H, F>(stream: TcpStream, handler: H)
-where
-    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let endpoint = |request: Request| {
-        let answer = handler(request);
-        async move { Ok(answer.await) }
-    };
-    // A connection that breaks is the peer's matter; the handler has counted what it ran.
-    let _ = Server::new(stream, endpoint).accept().await;
+    async fn sweep(&self) {
+        loop {
+            Timer::after(SWEEP).await;
+            self.open.sweep();
+        }
+    }
 }
 
 /// Reads a request's body of at most `limit` bytes.
--- /dev/null
+++ b/crates/rw-http/src/workers.rs
@@ -0,0 +1,84 @@
+//! Threads with an executor each.
+
+use smol::{Executor, Task, block_on};
+use std::{
+    cell::OnceCell,
+    fmt,
+    future::{Future, pending},
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+};
+
+thread_local! {
+    static LOCAL: OnceCell<Arc<Executor<'static>>> = const { OnceCell::new() };
+}
+
+/// Spawns a task on this thread's executor, or on the global one if the thread has none.
+pub fn spawn<T: Send + 'static>(work: impl Future<Output = T> + Send + 'static) -> Task<T> {
+    LOCAL.with(|local| match local.get() {
+        Some(executor) => executor.spawn(work),
+        None => smol::spawn(work),
+    })
+}
+
+/// Threads that share no tasks: a small request costs less on one thread than the hand-over.
+#[derive(Clone, Default)]
+pub struct Workers {
+    executors: Arc<Vec<Arc<Executor<'static>>>>,
+    next: Arc<AtomicUsize>,
+}
+
+impl Workers {
+    /// Starts `threads` threads, which last as long as the process; with none, tasks run on the
+    /// global executor.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn start(threads: usize) -> io::Result<Self> {
+        let executors: io::Result<Vec<_>> = (0..threads).map(start_one).collect();
+        Ok(Self {
+            executors: Arc::new(executors?),
+            next: Arc::default(),
+        })
+    }
+
+    /// Spawns a task on the next thread in turn.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        work: impl Future<Output = T> + Send + 'static,
+    ) -> Task<T> {
+        if self.executors.is_empty() {
+            return spawn(work);
+        }
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        self.executors[turn % self.executors.len()].spawn(work)
+    }
+}
+
+impl fmt::Debug for Workers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Workers")
+            .field("threads", &self.executors.len())
+            .finish()
+    }
+}
+
+fn start_one(n: usize) -> io::Result<Arc<Executor<'static>>> {
+    let executor = Arc::new(Executor::new());
+    let local = executor.clone();
+    thread::Builder::new()
+        .name(format!("worker-{n}"))
+        .spawn(move || {
+            LOCAL.with(|cell| {
+                // The thread is new, so the cell is empty.
+                let _ = cell.set(local.clone());
+            });
+            block_on(local.run(pending::<()>()));
+        })?;
+    Ok(executor)
+}
--- a/crates/rw-node/src/callers.rs
+++ b/crates/rw-node/src/callers.rs
@@ -2,13 +2,17 @@
 
 use crate::{
     Shell,
-    completion::{bad_request, refuse},
+    completion::{bad_request, error, refuse, with_outcome},
     parse::{header, parse_generate, parse_plain},
 };
+use rw_core::{Call, Work};
 use rw_http::{Method, Request, Response, json, raw, read_body};
-use rw_types::{Outcome, Refusal, RefusalKind};
+use rw_types::{Config, Outcome, Refusal, RefusalKind};
 use std::sync::Arc;
 
+/// Most model names that a refusal lists.
+const MAX_LISTED: usize = 50;
+
 impl Shell {
     /// Answers one request of a caller.
     pub(crate) async fn answer_caller(self: Arc<Self>, mut request: Request) -> Response {
@@ -62,6 +66,7 @@
             _ => return bad_request(404, "no such path; use /v1/… or /services/<name>/…"),
         };
         match parsed {
+            Ok((call, _)) if !is_served(&call, &config) => unknown_model(&config),
             Ok((call, payload)) => self.answer_call(call, payload).await,
             Err(error) => bad_request(400, &error.to_string()),
         }
@@ -81,12 +86,31 @@
     }
 }
 
-fn models(config: &rw_types::Config) -> Response {
+fn models(config: &Config) -> Response {
     let entry = |name: &str| serde_json::json!({ "id": name, "object": "model" });
     let data: Vec<_> = config.models.iter().map(|m| entry(&m.name)).collect();
     json(200, &serde_json::json!({ "object": "list", "data": data }))
 }
 
+/// Whether a model that the call names is declared.
+fn is_served(call: &Call, config: &Config) -> bool {
+    match &call.work {
+        Work::Generate { model, .. } => config.model(model).is_some(),
+        Work::Service { .. } => true,
+    }
+}
+
+/// A refusal that lists what is served.
+fn unknown_model(config: &Config) -> Response {
+    let names = config.models.iter().map(|m| m.name.as_str());
+    let names: Vec<_> = names.take(MAX_LISTED).collect();
+    let message = format!(
+        "the model is not served; choose one of: {}",
+        names.join(", ")
+    );
+    with_outcome(error(404, "unknown-model", &message), Outcome::NotRun)
+}
+
 /// Service name and the path below it.
 fn split_service(path: &str) -> (&str, &str) {
     let rest = path.trim_start_matches("/services/");
--- a/crates/rw-node/src/completion.rs
+++ b/crates/rw-node/src/completion.rs
@@ -83,13 +83,18 @@
 /// A refusal of a request that could not be read.
 #[must_use]
 pub fn bad_request(status: u16, message: &str) -> Response {
+    with_outcome(error(status, "bad-request", message), Outcome::NotRun)
+}
+
+/// An error body for a request that did not run and never will as it is.
+pub(crate) fn error(status: u16, kind: &str, message: &str) -> Response {
     let error = ErrorText {
-        kind: "bad-request",
+        kind,
         message,
         outcome: Outcome::NotRun,
         retry_after_ms: 0,
     };
-    with_outcome(json(status, &ErrorBody { error }), Outcome::NotRun)
+    json(status, &ErrorBody { error })
 }
 
 /// Names the outcome in the answer's header.
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -7,7 +7,7 @@
     payload::Payload,
 };
 use rw_core::{Call, Effect, Event, Work};
-use rw_http::{Response, events, raw};
+use rw_http::{Response, events, raw, spawn};
 use rw_types::{AttemptId, Outcome, Refusal, RequestId};
 use std::{io, sync::Arc};
 
@@ -61,7 +61,7 @@
         };
         let shell = self.clone();
         // A task of its own: a non-idempotent run must reach its record without its caller.
-        smol::spawn(async move { shell.drive(call, payload, caller).await }).detach();
+        spawn(async move { shell.drive(call, payload, caller).await }).detach();
         match rx.recv().await {
             Ok(response) => response,
             Err(_) => raw(500, Vec::new(), "text/plain"),
--- a/crates/rw-node/src/parse.rs
+++ b/crates/rw-node/src/parse.rs
@@ -23,8 +23,13 @@
 /// Why a request can't be read. The text names the field and the remedy.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum ParseError {
-    /// the body is not the JSON wanted: {0}; correct that field
-    Json(String),
+    /// field '{path}' of the body is not the JSON wanted: {error}; correct that field
+    Json {
+        /// Path of the field, a dot for the whole body.
+        path: String,
+        /// Error of the JSON reader, with line and column.
+        error: String,
+    },
     /// header '{0}' is not a whole number of milliseconds; correct it
     Deadline(String),
     /// field 'prompt' or 'messages' is missing or empty; send the text to complete
@@ -66,8 +71,7 @@
     config: &Config,
     now: Millis,
 ) -> Result<(Call, Payload), ParseError> {
-    let parsed: GenerateBody =
-        serde_json::from_slice(body).map_err(|e| ParseError::Json(e.to_string()))?;
+    let parsed: GenerateBody = serde_json::from_slice(body).map_err(|_| json_error(body))?;
     let text = if chat {
         join(&parsed.messages)
     } else {
@@ -95,6 +99,21 @@
     Ok((call, payload))
 }
 
+/// Reads a faulty body again, to name the field.
+fn json_error(body: &[u8]) -> ParseError {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    match serde_path_to_error::deserialize::<_, GenerateBody>(&mut reader) {
+        Ok(_) => ParseError::Json {
+            path: ".".to_owned(),
+            error: "bytes follow the object".to_owned(),
+        },
+        Err(error) => ParseError::Json {
+            path: error.path().to_string(),
+            error: error.inner().to_string(),
+        },
+    }
+}
+
 /// A call of a plain service under `/services/<name>/…`.
 pub fn parse_plain(
     request: &Request,
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -5,7 +5,7 @@
 };
 use displaydoc::Display;
 use rw_core::{CoreSettings, Event};
-use rw_http::{Limits, Listener};
+use rw_http::{Limits, Listener, Workers};
 use rw_types::BootId;
 use smol::future;
 use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
@@ -27,6 +27,8 @@
         /// Error of the operating system.
         error: io::Error,
     },
+    /// --threads can't be started: {0}; give fewer
+    Threads(io::Error),
     /// the operating system gave no random numbers; check that the VM has a random source
     Random,
     /// a metric or method is registered twice: {0}; this is a fault of the program
@@ -51,9 +53,11 @@
     ///
     /// Any [`ServeError`].
     pub fn bind(settings: NodeSettings) -> Result<Self, ServeError> {
-        let callers = bind("--listen", settings.listen)?;
-        let peers = bind("--peer-listen", settings.peer_listen)?;
-        let operators = bind("--operator-listen", settings.operator_listen)?;
+        let workers = Workers::start(settings.threads).map_err(ServeError::Threads)?;
+        let limits = Limits::default();
+        let callers = bind("--listen", settings.listen, settings.limits)?.on(workers);
+        let peers = bind("--peer-listen", settings.peer_listen, limits)?;
+        let operators = bind("--operator-listen", settings.operator_listen, limits)?;
         let boot = getrandom::u64().map_err(|_| ServeError::Random)?;
         let core = CoreSettings {
             vm: settings.vm.clone(),
@@ -141,8 +145,8 @@
     log::info!("left: every request has its answer");
 }
 
-fn bind(setting: &'static str, addr: SocketAddr) -> Result<Listener, ServeError> {
-    Listener::bind(addr, Limits::default()).map_err(|error| ServeError::Bind {
+fn bind(setting: &'static str, addr: SocketAddr, limits: Limits) -> Result<Listener, ServeError> {
+    Listener::bind(addr, limits).map_err(|error| ServeError::Bind {
         setting,
         addr,
         error,
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node process.
 
+use rw_http::Limits;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
@@ -37,6 +38,10 @@
     pub poll: Duration,
     /// Pause between reads of a target's load.
     pub report_poll: Duration,
+    /// Limits of the callers' listener.
+    pub limits: Limits,
+    /// Threads that serve callers, each with an executor of its own; none for the global executor.
+    pub threads: usize,
 }
 
 impl NodeSettings {
@@ -57,6 +62,8 @@
             silence: Duration::from_secs(5),
             poll: Duration::from_millis(200),
             report_poll: Duration::from_millis(200),
+            limits: Limits::default(),
+            threads: 0,
         }
     }
 }
