--- /dev/null
+++ b/benches/hop.rs
@@ -0,0 +1,232 @@
+//! What one node adds between callers and engines.
+//!
+//! Run with `cargo bench --bench hop`, or with the number of threads to give the node, for example
+//! `cargo bench --bench hop -- 1 3`. Rates depend on the machine; compare figures of one run.
+
+use hdrhistogram::Histogram;
+use rw_http::{Client, Pooling, Workers, post_json};
+use rw_test::{Fleet, FleetPlan, KEY};
+use smol::{Timer, future};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+/// Time of one measurement.
+const SPAN: Duration = Duration::from_secs(3);
+/// Alternations of the paced measurement.
+const ROUNDS: usize = 3;
+/// Callers at once for the peak, for each thread of the node.
+const CALLERS: usize = 32;
+/// Engines, enough that they aren't the limit.
+const ENGINES: usize = 4;
+/// Longest wait for an answer.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Ticks a second in the process statistics.
+const TICKS: f64 = 100.0;
+
+/// Where requests go.
+#[derive(Clone)]
+struct Path {
+    addr: String,
+    path: &'static str,
+    body: Arc<String>,
+    bearer: Arc<String>,
+    client: Client,
+    streamed: bool,
+}
+
+/// What a measurement gave.
+struct Measured {
+    rate: f64,
+    first: Histogram<u64>,
+    failed: u64,
+}
+
+impl Path {
+    /// Sends one request and returns the microseconds to its first event or to its whole answer.
+    async fn send(&self, begun: Instant) -> Option<u64> {
+        let body = self.body.as_bytes().to_vec();
+        let mut request = post_json(&self.addr, self.path, body).ok()?;
+        request.insert_header("authorization", self.bearer.as_str());
+        let sent = self.client.send(&self.addr, request, Pooling::Reuse, LIMIT);
+        let reply = sent.await.ok()?;
+        if reply.status() != 200 {
+            return None;
+        }
+        if !self.streamed {
+            reply.bytes(LIMIT).await.ok()?;
+            return Some(begun.elapsed().as_micros() as u64);
+        }
+        let mut lines = reply.lines();
+        lines.next(LIMIT).await.ok()??;
+        let first = begun.elapsed().as_micros() as u64;
+        while lines.next(LIMIT).await.ok()?.is_some() {}
+        Some(first)
+    }
+}
+
+/// Sends for `SPAN` from `callers` at once, each pausing so that all together reach `pace` a
+/// second, or without pause if there is none.
+async fn measure(workers: &Workers, paths: &[Path], callers: usize, pace: Option<f64>) -> Measured {
+    let begun = Instant::now();
+    let tasks: Vec<_> = (0..callers)
+        .map(|n| {
+            let path = paths[n % paths.len()].clone();
+            let gap = pace.map(|p| Duration::from_secs_f64(callers as f64 / p));
+            workers.spawn(call_until(path, begun, gap, n as f64 / callers as f64))
+        })
+        .collect();
+    let mut sum = Measured {
+        rate: 0.0,
+        first: histogram(),
+        failed: 0,
+    };
+    for task in tasks {
+        let (first, failed) = task.await;
+        sum.first.add(first).expect("equal bounds");
+        sum.failed += failed;
+    }
+    sum.rate = sum.first.len() as f64 / begun.elapsed().as_secs_f64();
+    sum
+}
+
+async fn call_until(
+    path: Path,
+    begun: Instant,
+    gap: Option<Duration>,
+    offset: f64,
+) -> (Histogram<u64>, u64) {
+    let (mut first, mut failed) = (histogram(), 0);
+    let mut due = begun + gap.unwrap_or_default().mul_f64(offset);
+    while begun.elapsed() < SPAN {
+        if let Some(gap) = gap {
+            Timer::at(due).await;
+            due += gap;
+        }
+        match path.send(Instant::now()).await {
+            Some(micros) => first.record(micros).expect("in bounds"),
+            None => failed += 1,
+        }
+    }
+    (first, failed)
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds")
+}
+
+/// Processor seconds that a process has used.
+fn cpu(id: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    ticks.filter_map(|t| t.parse::<f64>().ok()).sum::<f64>() / TICKS
+}
+
+fn paths(fleet: &Fleet, output: u64, streamed: bool) -> (Vec<Path>, Vec<Path>) {
+    let client = Client::default();
+    let path = |addr: String, path, body: String, streamed| Path {
+        addr,
+        path,
+        body: Arc::new(body),
+        bearer: Arc::new(format!("Bearer {KEY}")),
+        client: client.clone(),
+        streamed,
+    };
+    let engine = |output| {
+        format!(
+            "{{\"attempt\":1,\"model\":\"small\",\"prompt\":2,\"text\":\"hello\",\"output\":{output},\"resume\":0,\"priority\":0}}"
+        )
+    };
+    let whole = format!(
+        "{{\"model\":\"small\",\"prompt\":\"hello\",\"max_tokens\":{output},\"stream\":{streamed}}}"
+    );
+    let engines = fleet.engines.iter();
+    let direct = engines.map(|e| path(e.addr(""), "/generate", engine(output), true));
+    let node = fleet.nodes[0].addr("callers");
+    let through = vec![path(node, "/v1/completions", whole, streamed)];
+    (direct.collect(), through)
+}
+
+async fn start(threads: usize) -> io::Result<Fleet> {
+    let flags = |pairs: &[&str]| pairs.iter().map(|f| (*f).to_owned()).collect::<Vec<_>>();
+    let engine = flags(&[
+        "--decode-rate",
+        "1000000000",
+        "--prefill-rate",
+        "1000000000",
+        "--slots",
+        "100000",
+    ]);
+    let plan = FleetPlan {
+        nodes: 1,
+        engines: vec![engine; ENGINES],
+        flags: flags(&["--threads", &threads.to_string()]),
+        ..FleetPlan::default()
+    };
+    Fleet::start(BINARY, plan).await
+}
+
+async fn bench(threads: usize, workers: &Workers) -> io::Result<()> {
+    let fleet = start(threads).await?;
+    let node = fleet.nodes[0].id();
+    let (direct, through) = paths(&fleet, 1, false);
+    let callers = CALLERS * threads;
+    let alone = measure(workers, &direct, callers, None).await;
+    let before = cpu(node);
+    let peak = measure(workers, &through, callers, None).await;
+    let used = (cpu(node) - before) / SPAN.as_secs_f64();
+    println!("threads {threads}: whole small requests, {callers} callers at once");
+    println!("  direct  {:>7.0}/s  failed {}", alone.rate, alone.failed);
+    println!(
+        "  node    {:>7.0}/s  failed {}  {:.2} cores  {:.0}/s a core used  {:.0}/s a thread given",
+        peak.rate,
+        peak.failed,
+        used,
+        peak.rate / used,
+        peak.rate / threads as f64
+    );
+    let pace = peak.rate / 2.0;
+    let (direct, through) = paths(&fleet, 4, true);
+    let (mut a, mut b) = (histogram(), histogram());
+    let before = cpu(node);
+    for _ in 0..ROUNDS {
+        let alone = measure(workers, &direct, callers, Some(pace)).await;
+        let node = measure(workers, &through, callers, Some(pace)).await;
+        a.add(alone.first).expect("equal bounds");
+        b.add(node.first).expect("equal bounds");
+    }
+    let used = (cpu(node) - before) / (SPAN.as_secs_f64() * ROUNDS as f64);
+    println!("threads {threads}: time to first token at half of that peak, ms, {used:.2} cores");
+    for (name, q) in [("median", 0.5), ("99th", 0.99)] {
+        let ms = |h: &Histogram<u64>| h.value_at_quantile(q) as f64 / 1_000.0;
+        println!(
+            "  {name:<7} direct {:.3}  node {:.3}  added {:.3}",
+            ms(&a),
+            ms(&b),
+            ms(&b) - ms(&a)
+        );
+    }
+    Ok(())
+}
+
+fn main() -> io::Result<()> {
+    let given = std::env::args().filter_map(|a| a.parse().ok());
+    let threads: Vec<usize> = given.collect();
+    let threads = if threads.is_empty() {
+        vec![1, 3]
+    } else {
+        threads
+    };
+    let workers = Workers::start(3)?;
+    smol::block_on(async {
+        for n in threads {
+            future::yield_now().await;
+            bench(n, &workers).await?;
+        }
+        Ok(())
+    })
+}
