--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,8 +1,13 @@
 //! A client with a pool of idle connections per address.
 
 use crate::{Reply, SendError};
-use http_types::{Body, Method, Request, Url};
-use smol::{Timer, future, net::TcpStream};
+use async_h1::client::{Encoder, decode};
+use http_types::{Body, Method, Request, Response, Url};
+use smol::{
+    Timer, future,
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 use std::{
     future::Future,
     net::SocketAddr,
@@ -36,6 +41,20 @@
     idle_since: Instant,
 }
 
+impl Conn {
+    fn is_fresh(&self) -> bool {
+        self.born.elapsed() < MAX_AGE && self.idle_since.elapsed() < MAX_IDLE
+    }
+
+    /// Whether the other side has neither closed nor sent anything that nobody asked for.
+    async fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        future::poll_once(self.stream.peek(&mut byte))
+            .await
+            .is_none()
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     addr: SocketAddr,
@@ -62,29 +81,33 @@
         limit: Duration,
     ) -> Result<Reply, SendError> {
         let addr: SocketAddr = addr.parse().map_err(|_| SendError::BadAddr)?;
-        let conn = match self.pooled(addr, pooling) {
+        let conn = match self.pooled(addr, pooling).await {
             Some(conn) => conn,
             None => open(addr, limit.min(CONNECT_LIMIT)).await?,
         };
-        let answer = within(limit, async_h1::connect(conn.stream.clone(), request)).await?;
+        let answer = within(limit, exchange(conn.stream.clone(), request)).await?;
         let response = answer.map_err(|_| SendError::Broken)?;
         Reply::check(response, conn, self.clone())
     }
 
-    fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<Conn> {
+    async fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<Conn> {
         if pooling == Pooling::Fresh {
             return None;
         }
-        let mut idle = self.lock();
-        let i = idle.binary_search_by_key(&addr, |e| e.addr).ok()?;
-        while let Some(conn) = idle[i].conns.pop() {
-            if conn.born.elapsed() < MAX_AGE && conn.idle_since.elapsed() < MAX_IDLE {
+        while let Some(conn) = self.pop(addr) {
+            if conn.is_fresh() && conn.is_quiet().await {
                 return Some(conn);
             }
         }
         None
     }
 
+    fn pop(&self, addr: SocketAddr) -> Option<Conn> {
+        let mut idle = self.lock();
+        let i = idle.binary_search_by_key(&addr, |e| e.addr).ok()?;
+        idle[i].conns.pop()
+    }
+
     pub(crate) fn put_back(&self, mut conn: Conn) {
         conn.idle_since = Instant::now();
         let mut idle = self.lock();
@@ -114,6 +137,15 @@
     }
 }
 
+/// Sends a request in one piece and reads the head of its answer.
+async fn exchange(mut stream: TcpStream, request: Request) -> http_types::Result<Response> {
+    let mut encoder = Encoder::new(request);
+    let mut bytes = Vec::with_capacity(512);
+    encoder.read_to_end(&mut bytes).await?;
+    stream.write_all(&bytes).await?;
+    decode(stream).await
+}
+
 async fn open(addr: SocketAddr, limit: Duration) -> Result<Conn, SendError> {
     let opened = within(limit, TcpStream::connect(addr)).await;
     let stream = match opened {
--- a/crates/rw-http/src/reply.rs
+++ b/crates/rw-http/src/reply.rs
@@ -61,19 +61,22 @@
         if declared.is_some_and(|n| n != body.len() as u64) {
             return Err(SendError::Short);
         }
-        let close = self
-            .header("connection")
-            .is_some_and(|v| v.eq_ignore_ascii_case("close"));
-        if !close {
+        if !self.closes() {
             self.client.put_back(self.conn);
         }
         Ok(body)
     }
 
-    /// Reads the body as server-sent events; the connection is not reused.
+    /// Reads the body as server-sent events.
     #[must_use]
     pub fn lines(mut self) -> SseLines {
-        SseLines::new(self.response.take_body(), self.conn)
+        let close = self.closes();
+        SseLines::new(self.response.take_body(), self.conn, self.client, close)
+    }
+
+    fn closes(&self) -> bool {
+        let connection = self.header("connection");
+        connection.is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
 
     fn declared(&self) -> Option<u64> {
--- a/crates/rw-http/src/sse.rs
+++ b/crates/rw-http/src/sse.rs
@@ -1,8 +1,9 @@
 //! Server-sent events, one `data:` line at a time.
 
 use crate::{
-    SendError,
+    Client, SendError,
     client::{Conn, within},
+    spawn,
 };
 use http_types::Body;
 use smol::io::AsyncBufReadExt as _;
@@ -11,21 +12,48 @@
 /// Longest line taken, in bytes.
 const MAX_LINE: usize = 1 << 20;
 
-/// The `data:` lines of an answer. Dropping it closes the connection, so that a late answer to an
-/// abandoned attempt can reach nobody.
+/// Longest wait for the last chunk behind the last event.
+const END_LIMIT: Duration = Duration::from_millis(100);
+
+/// The `data:` lines of an answer. Dropping it before the end closes the connection, so that a
+/// late answer to an abandoned attempt can reach nobody.
 #[derive(Debug)]
 pub struct SseLines {
     body: Body,
     line: String,
-    _conn: Conn,
+    /// Taken when the stream has ended.
+    conn: Option<Conn>,
+    client: Client,
+    /// Whether the other side closes the connection after the answer.
+    close: bool,
 }
 
 impl SseLines {
-    pub(crate) fn new(body: Body, conn: Conn) -> Self {
+    pub(crate) fn new(body: Body, conn: Conn, client: Client, close: bool) -> Self {
         Self {
             body,
             line: String::new(),
-            _conn: conn,
+            conn: Some(conn),
+            client,
+            close,
+        }
+    }
+
+    /// Gives the connection back once nothing but the last chunk follows. Does not wait: the last
+    /// event has come and its reader goes on.
+    pub fn finish(mut self) {
+        spawn(async move {
+            // Anything else than the end leaves the connection to be closed.
+            let _ = self.next(END_LIMIT).await;
+        })
+        .detach();
+    }
+
+    fn give_back(&mut self) {
+        if let Some(conn) = self.conn.take()
+            && !self.close
+        {
+            self.client.put_back(conn);
         }
     }
 
@@ -41,6 +69,11 @@
             let read = within(silence, self.body.read_line(&mut self.line)).await?;
             let n = read.map_err(|_| SendError::Broken)?;
             if n == 0 {
+                // The last chunk was seen, so the next answer can't be crossed with this one.
+                self.conn
+                    .take()
+                    .into_iter()
+                    .for_each(|c| self.client.put_back(c));
                 return Ok(None);
             }
             if n > MAX_LINE || !self.line.ends_with('\n') {
--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -174,6 +174,7 @@
                 return Ran::Ended(ended(SendError::Broken, attempt.tokens));
             }
             if token.end {
+                lines.finish();
                 return Ran::Ended(AttemptEnd::Whole {
                     status: 200,
                     body: String::new(),
