One reactor's thread: the node runs on its workers alone

Cause: perf and strace show 6 futex calls a request: the main thread and the global executor wait for I/O too, take the events and hand them to the worker.

--- a/crates/rw-cli/src/commands/serve.rs
+++ b/crates/rw-cli/src/commands/serve.rs
@@ -35,6 +35,6 @@
     let [callers, peers, operators] = bound.addrs().map_err(CliError::Bind)?;
     println!("listening callers={callers} peers={peers} operators={operators}");
     let stop = stop_signal()?;
-    smol::block_on(bound.run(stop))?;
+    bound.run_blocking(stop)?;
     Ok(())
 }
--- a/crates/rw-http/src/workers.rs
+++ b/crates/rw-http/src/workers.rs
@@ -1,6 +1,6 @@
 //! Threads with an executor each.
 
-use smol::{Executor, Task, block_on};
+use smol::{Executor, Task, block_on, future};
 use std::{
     cell::OnceCell,
     fmt,
@@ -58,6 +58,17 @@
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
         self.executors[turn % self.executors.len()].spawn(work)
     }
+
+    /// Runs `work` on the first thread and waits for it without taking part in its I/O.
+    ///
+    /// A second thread that waits for I/O would take events away from the workers and hand them
+    /// over, at two switches of thread for each.
+    pub fn block_on<T: Send + 'static>(&self, work: impl Future<Output = T> + Send + 'static) -> T {
+        match self.executors.first() {
+            Some(executor) => future::block_on(executor.spawn(work)),
+            None => block_on(work),
+        }
+    }
 }
 
 impl fmt::Debug for Workers {
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -106,7 +106,7 @@
                     version,
                     claim,
                 } => {
-                    smol::spawn(self.clone().settle_claim(key, version, claim)).detach();
+                    spawn(self.clone().settle_claim(key, version, claim)).detach();
                 }
                 Effect::WriteClaim {
                     key,
--- a/crates/rw-node/src/loops.rs
+++ b/crates/rw-node/src/loops.rs
@@ -2,7 +2,7 @@
 
 use crate::Shell;
 use rw_core::Event;
-use rw_http::{Method, Pooling, Request, SendError, Url};
+use rw_http::{Method, Pooling, Request, SendError, Url, spawn};
 use rw_platform::{PlatformError, VmList as _, read_config, read_head};
 use rw_types::{LoadReport, TargetKind};
 use std::sync::Arc;
@@ -44,7 +44,7 @@
             for target in engines {
                 let shell = self.clone();
                 let (name, addr) = (target.name.clone(), target.addr.clone());
-                smol::spawn(async move {
+                spawn(async move {
                     if let Ok(report) = shell.read_load(&addr).await {
                         shell.step(Event::Reported {
                             target: name,
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -44,6 +44,7 @@
     callers: Listener,
     peers: Listener,
     operators: Listener,
+    workers: Workers,
 }
 
 impl Bound {
@@ -55,7 +56,7 @@
     pub fn bind(settings: NodeSettings) -> Result<Self, ServeError> {
         let workers = Workers::start(settings.threads).map_err(ServeError::Threads)?;
         let limits = Limits::default();
-        let callers = bind("--listen", settings.listen, settings.limits)?.on(workers);
+        let callers = bind("--listen", settings.listen, settings.limits)?.on(workers.clone());
         let peers = bind("--peer-listen", settings.peer_listen, limits)?;
         let operators = bind("--operator-listen", settings.operator_listen, limits)?;
         let boot = getrandom::u64().map_err(|_| ServeError::Random)?;
@@ -73,6 +74,7 @@
             callers,
             peers,
             operators,
+            workers,
         })
     }
 
@@ -89,6 +91,19 @@
         ])
     }
 
+    /// Runs the node on its own threads, as [`Bound::run`] says.
+    ///
+    /// # Errors
+    ///
+    /// [`ServeError::Registered`].
+    pub fn run_blocking(
+        self,
+        stop: impl Future<Output = ()> + Send + 'static,
+    ) -> Result<(), ServeError> {
+        let workers = self.workers.clone();
+        workers.block_on(self.run(stop))
+    }
+
     /// The node's shell.
     #[must_use]
     pub fn shell(&self) -> &Arc<Shell> {
