--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,6 +1,6 @@
 //! A client with a pool of idle connections per address.
 
-use crate::{Reply, SendError};
+use crate::{Reply, SendError, watch::Watch};
 use async_h1::client::{Encoder, decode};
 use http_types::{Body, Method, Request, Response, Url};
 use smol::{
@@ -37,6 +37,7 @@
 pub(crate) struct Conn {
     pub(crate) stream: TcpStream,
     pub(crate) addr: SocketAddr,
+    pub(crate) watch: Watch,
     born: Instant,
     idle_since: Instant,
 }
@@ -81,11 +82,12 @@
         limit: Duration,
     ) -> Result<Reply, SendError> {
         let addr: SocketAddr = addr.parse().map_err(|_| SendError::BadAddr)?;
-        let conn = match self.pooled(addr, pooling).await {
+        let mut conn = match self.pooled(addr, pooling).await {
             Some(conn) => conn,
             None => open(addr, limit.min(CONNECT_LIMIT)).await?,
         };
-        let answer = within(limit, exchange(conn.stream.clone(), request)).await?;
+        let answer = exchange(conn.stream.clone(), request);
+        let answer = conn.watch.within(limit, answer).await?;
         let response = answer.map_err(|_| SendError::Broken)?;
         Reply::check(response, conn, self.clone())
     }
@@ -158,16 +160,14 @@
     Ok(Conn {
         stream,
         addr,
+        watch: Watch::new(),
         born: now,
         idle_since: now,
     })
 }
 
 /// Runs `work` for at most `limit`.
-pub(crate) async fn within<T>(
-    limit: Duration,
-    work: impl Future<Output = T>,
-) -> Result<T, SendError> {
+async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Result<T, SendError> {
     let timer = async {
         Timer::after(limit).await;
         Err(SendError::TimedOut)
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -14,6 +14,7 @@
 mod reply;
 mod respond;
 mod sse;
+mod watch;
 mod workers;
 
 pub use client::{Client, Pooling, post_json};
--- a/crates/rw-http/src/reply.rs
+++ b/crates/rw-http/src/reply.rs
@@ -1,9 +1,6 @@
 //! An answer whose end can be told.
 
-use crate::{
-    Client, SendError, SseLines,
-    client::{Conn, within},
-};
+use crate::{Client, SendError, SseLines, client::Conn};
 use http_types::Response;
 use smol::io::AsyncReadExt as _;
 use std::time::Duration;
@@ -56,7 +53,8 @@
         let mut body = Vec::with_capacity(declared.unwrap_or(0).min(MAX_BODY) as usize);
         let reader = self.response.take_body();
         let mut bounded = reader.take(MAX_BODY);
-        let read = within(limit, bounded.read_to_end(&mut body)).await?;
+        let read = bounded.read_to_end(&mut body);
+        let read = self.conn.watch.within(limit, read).await?;
         read.map_err(|_| SendError::Broken)?;
         if declared.is_some_and(|n| n != body.len() as u64) {
             return Err(SendError::Short);
--- a/crates/rw-http/src/sse.rs
+++ b/crates/rw-http/src/sse.rs
@@ -1,10 +1,6 @@
 //! Server-sent events, one `data:` line at a time.
 
-use crate::{
-    Client, SendError,
-    client::{Conn, within},
-    spawn,
-};
+use crate::{Client, SendError, client::Conn, spawn};
 use http_types::Body;
 use smol::io::AsyncBufReadExt as _;
 use std::time::Duration;
@@ -66,7 +62,11 @@
     pub async fn next(&mut self, silence: Duration) -> Result<Option<&str>, SendError> {
         loop {
             self.line.clear();
-            let read = within(silence, self.body.read_line(&mut self.line)).await?;
+            let Some(conn) = &mut self.conn else {
+                return Ok(None);
+            };
+            let read = self.body.read_line(&mut self.line);
+            let read = conn.watch.within(silence, read).await?;
             let n = read.map_err(|_| SendError::Broken)?;
             if n == 0 {
                 // The last chunk was seen, so the next answer can't be crossed with this one.
