--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node process.
 
+use rw_http::Limits;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
@@ -47,6 +48,10 @@
     pub order_life: Duration,
     /// Age from which a target's report is no longer planned on.
     pub stale: Duration,
+    /// Limits of the callers' listener.
+    pub limits: Limits,
+    /// Threads that serve callers, each with an executor of its own; none for the global executor.
+    pub threads: usize,
 }
 
 impl NodeSettings {
@@ -72,6 +77,8 @@
             drift: Duration::from_millis(100),
             order_life: Duration::from_millis(500),
             stale: Duration::from_secs(2),
+            limits: Limits::default(),
+            threads: 0,
         }
     }
 }
