--- a/crates/rw-node/src/callers.rs
+++ b/crates/rw-node/src/callers.rs
@@ -2,13 +2,17 @@
 
 use crate::{
     Shell,
-    completion::{bad_request, refuse},
+    completion::{bad_request, error, refuse, with_outcome},
     parse::{header, parse_generate, parse_plain},
 };
+use rw_core::{Call, Work};
 use rw_http::{Method, Request, Response, json, raw, read_body};
-use rw_types::{Outcome, Refusal, RefusalKind};
+use rw_types::{Config, Outcome, Refusal, RefusalKind};
 use std::sync::Arc;
 
+/// Most model names that a refusal lists.
+const MAX_LISTED: usize = 50;
+
 impl Shell {
     /// Answers one request of a caller.
     pub(crate) async fn answer_caller(self: Arc<Self>, mut request: Request) -> Response {
@@ -20,7 +24,7 @@
             _ => {}
         }
         let config = self.config();
-        let Some(account) = self.account(&request) else {
+        let Some(caller) = self.account(&request) else {
             let kind = RefusalKind::UnknownKey;
             return refuse(&Refusal {
                 kind,
@@ -28,13 +32,6 @@
                 retry_ms: 0,
             });
         };
-        let Some(caller) = config.accounts.get(account).map(|a| a.name.clone()) else {
-            return refuse(&Refusal {
-                kind: RefusalKind::Leaving,
-                outcome: Outcome::NotRun,
-                retry_ms: 0,
-            });
-        };
         if request.method() == Method::Get && path == "/v1/models" {
             return models(&config);
         }
@@ -62,31 +59,53 @@
             _ => return bad_request(404, "no such path; use /v1/… or /services/<name>/…"),
         };
         match parsed {
+            Ok((call, _)) if !is_served(&call, &config) => unknown_model(&config),
             Ok((call, payload)) => self.answer_call(call, payload).await,
             Err(error) => bad_request(400, &error.to_string()),
         }
     }
 
     fn ready(&self) -> Response {
-        if self.lock().is_ready() {
+        if self.lock().is_offered(self.now()) {
             raw(200, b"ready\n".to_vec(), "text/plain")
         } else {
             raw(503, b"not ready\n".to_vec(), "text/plain")
         }
     }
 
-    fn account(&self, request: &Request) -> Option<usize> {
+    /// Name of the caller's account.
+    fn account(&self, request: &Request) -> Option<String> {
         let key = header(request, "authorization")?.strip_prefix("Bearer ")?;
-        self.accounts().find(&self.settings.secret, key)
+        let accounts = self.accounts();
+        accounts.find(&self.settings.secret, key).map(str::to_owned)
     }
 }
 
-fn models(config: &rw_types::Config) -> Response {
+fn models(config: &Config) -> Response {
     let entry = |name: &str| serde_json::json!({ "id": name, "object": "model" });
     let data: Vec<_> = config.models.iter().map(|m| entry(&m.name)).collect();
     json(200, &serde_json::json!({ "object": "list", "data": data }))
 }
 
+/// Whether a model that the call names is declared.
+fn is_served(call: &Call, config: &Config) -> bool {
+    match &call.work {
+        Work::Generate { model, .. } => config.model(model).is_some(),
+        Work::Service { .. } => true,
+    }
+}
+
+/// A refusal that lists what is served.
+fn unknown_model(config: &Config) -> Response {
+    let names = config.models.iter().map(|m| m.name.as_str());
+    let names: Vec<_> = names.take(MAX_LISTED).collect();
+    let message = format!(
+        "the model is not served; choose one of: {}",
+        names.join(", ")
+    );
+    with_outcome(error(404, "unknown-model", &message), Outcome::NotRun)
+}
+
 /// Service name and the path below it.
 fn split_service(path: &str) -> (&str, &str) {
     let rest = path.trim_start_matches("/services/");
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -7,7 +7,7 @@
     payload::Payload,
 };
 use rw_core::{Call, Effect, Event, Work};
-use rw_http::{Response, events, raw};
+use rw_http::{Response, events, raw, spawn};
 use rw_types::{AttemptId, Outcome, Refusal, RequestId};
 use std::{io, sync::Arc};
 
@@ -61,7 +61,7 @@
         };
         let shell = self.clone();
         // A task of its own: a non-idempotent run must reach its record without its caller.
-        smol::spawn(async move { shell.drive(call, payload, caller).await }).detach();
+        spawn(async move { shell.drive(call, payload, caller).await }).detach();
         match rx.recv().await {
             Ok(response) => response,
             Err(_) => raw(500, Vec::new(), "text/plain"),
@@ -106,7 +106,7 @@
                     version,
                     claim,
                 } => {
-                    smol::spawn(self.clone().settle_claim(key, version, claim)).detach();
+                    spawn(self.clone().settle_claim(key, version, claim)).detach();
                 }
                 Effect::WriteClaim {
                     key,
@@ -140,7 +140,7 @@
                     caller.cut(&refusal).await;
                     caller.answer(refuse(&refusal)).await;
                 }
-                Effect::Cancel { .. } | Effect::Authority(_) => {}
+                Effect::Cancel { .. } | Effect::Sync(_) | Effect::Authority(_) => {}
             }
         }
         next
