--- a/crates/rw-core/src/authority.rs
+++ b/crates/rw-core/src/authority.rs
@@ -41,6 +41,12 @@
         found.is_ok_and(|i| !self.leaving && leases[i].holds(now))
     }
 
+    /// Leases that this node holds or watches, with the orders it gives under them.
+    #[must_use]
+    pub fn authority(&self) -> &Authority {
+        &self.authority
+    }
+
     /// Groups whose lease this node holds at `now`, with their fencing tokens.
     pub fn held_groups(&self, now: Millis) -> impl Iterator<Item = (&str, Fence)> {
         let held = self.authority.leases.iter();
--- a/crates/rw-core/src/config_sync.rs
+++ b/crates/rw-core/src/config_sync.rs
@@ -66,7 +66,7 @@
 }
 
 /// What a node knows of how current its configuration is.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ConfigSync {
     /// When the table's head was last known to be no higher than the version in force.
     fresh: Option<Millis>,
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 /// Everything a node decides by.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     pub(crate) settings: CoreSettings,
     pub(crate) config: Arc<Config>,
