--- a/crates/rw-fakes/src/order_state.rs
+++ b/crates/rw-fakes/src/order_state.rs
@@ -18,7 +18,7 @@
 }
 
 /// What an engine knows of its orders; lost with its process.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct OrderBook {
     checks_fence: bool,
     latest: OrderReply,
