Service-level burn: causes, two windows, rates, changes of state

Change: each final answer is counted by service, kind of work and cause in minute buckets; burn merges all nodes that answer, as a table and as JSON; the same figures are metrics. A caller's own mistake burns nothing. Seen to fail: late counted as good, peers not merged, a window one bucket too long, a cut stream counted as unknown.

--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! All commands.
 
+mod burn;
 mod check;
 mod confirm;
 mod dev;
@@ -27,6 +28,7 @@
 #[must_use]
 pub fn all() -> Vec<CommandSpec> {
     vec![
+        burn::spec(),
         check::spec(),
         confirm::spec(),
         dev::spec(),
--- a/crates/rw-cli/src/lib.rs
+++ b/crates/rw-cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod run;
 mod settings;
 mod stop;
+mod time;
 
 pub use error::CliError;
 pub use run::run;
--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One dispatch of a generation request, read token by token.
 
-use crate::{Shell, completion::chunk, drive::Caller, payload::Payload};
+use crate::{Cause, Shell, completion::chunk, drive::Caller, payload::Payload};
 use rw_core::{AttemptEnd, Call, Work};
 use rw_http::{Pooling, Response, SendError, SseLines, post_json};
 use rw_types::{AttemptId, RequestId};
@@ -20,6 +20,8 @@
     pub(crate) tokens: u64,
     /// Answer of a plain service.
     pub(crate) plain: Option<Response>,
+    /// How the final answer counts; none if the objective has nothing to do with it.
+    pub(crate) cause: Option<Cause>,
 }
 
 /// How running an attempt ended.
@@ -63,6 +65,7 @@
             text: String::new(),
             tokens: 0,
             plain: None,
+            cause: None,
         }
     }
 }
--- /dev/null
+++ b/crates/rw-node/src/burn_calls.rs
@@ -0,0 +1,90 @@
+//! The burn report: counting answers, merging over peers, and the same figures as metrics.
+
+use crate::{
+    Shell,
+    burn::{Burn, BurnReport, Cause, WINDOWS, burn_rate},
+    history::unix_now,
+};
+use futures_util::{StreamExt as _, stream};
+use rw_core::{Call, Work};
+use std::{
+    sync::{MutexGuard, PoisonError},
+    time::Duration,
+};
+
+/// Time limit of a peer's report.
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+/// Peers asked at the same time.
+const PARALLEL: usize = 32;
+
+impl Shell {
+    /// The counters.
+    pub(crate) fn burn(&self) -> MutexGuard<'_, Burn> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Seconds of this process's monotonic clock.
+    fn seconds(&self) -> u64 {
+        self.now().0 / 1_000
+    }
+
+    /// Counts the final answer of a call; a good one after its deadline is late.
+    pub(crate) fn count_burn(&self, call: &Call, cause: Cause) {
+        let late = cause == Cause::Good && self.now() > call.deadline;
+        let cause = if late { Cause::Late } else { cause };
+        let seconds = self.seconds();
+        let mut burn = self.burn();
+        let service = match &call.work {
+            Work::Generate { model, .. } => burn.service_of(model).to_owned(),
+            Work::Service { name, .. } => name.clone(),
+        };
+        burn.count(seconds, &service, &call.kind, cause);
+        drop(burn);
+        let labels = [service.as_str(), &call.kind, cause.as_str()];
+        self.metrics.burned.with_label_values(&labels).inc();
+    }
+
+    /// Keeps a change of state beside the counters.
+    pub(crate) fn note_state(&self, what: String) {
+        let vm = &self.settings.vm;
+        self.burn().note(unix_now(), vm, what);
+    }
+
+    /// What this VM counted.
+    pub(crate) fn burn_report(&self) -> BurnReport {
+        let seconds = self.seconds();
+        let burn = self.burn();
+        BurnReport {
+            counts: burn.counts(seconds),
+            states: burn.states(),
+        }
+    }
+
+    /// What all listed VMs that answer counted.
+    pub(crate) async fn fleet_burn(&self) -> BurnReport {
+        let peers = self.listed_peers();
+        let asked = stream::iter(peers).map(|vm| async move {
+            let call = self.call_peer::<_, BurnReport>(&vm.peer, "burn", &(), PEER_LIMIT);
+            call.await.unwrap_or_default()
+        });
+        let mut all = self.burn_report();
+        let told: Vec<_> = asked.buffer_unordered(PARALLEL).collect().await;
+        told.into_iter().for_each(|report| all.merge(report));
+        all
+    }
+
+    /// Sets the gauges of burn rates to this VM's counts.
+    pub(crate) fn refresh_burn(&self) {
+        let config = self.config();
+        for counts in self.burn_report().counts {
+            let Some(kind) = config.kind(&counts.kind) else {
+                continue;
+            };
+            for (window, sums) in WINDOWS.iter().zip(&counts.windows) {
+                let labels = [counts.service.as_str(), &counts.kind, window];
+                let rate = burn_rate(sums, kind.objective);
+                self.metrics.burn_rate.with_label_values(&labels).set(rate);
+            }
+        }
+    }
+}
--- a/crates/rw-node/src/callers.rs
+++ b/crates/rw-node/src/callers.rs
@@ -16,7 +16,10 @@
         match path.as_str() {
             "/healthz" => return raw(200, b"ok\n".to_vec(), "text/plain"),
             "/readyz" => return self.ready(),
-            "/metrics" => return raw(200, self.metrics.text(), "text/plain; version=0.0.4"),
+            "/metrics" => {
+                self.refresh_burn();
+                return raw(200, self.metrics.text(), "text/plain; version=0.0.4");
+            }
             _ => {}
         }
         let config = self.config();
--- a/crates/rw-node/src/config_sync.rs
+++ b/crates/rw-node/src/config_sync.rs
@@ -1,6 +1,6 @@
 //! Runs the reducer's effects that keep the configuration in force.
 
-use crate::{RpcError, Shell, call_rpc, changes::Changes};
+use crate::{RpcError, Shell, call_rpc, changes::Changes, history::unix_now};
 use rw_core::{Effect, Event, SyncEffect, SyncEvent};
 use rw_platform::{PlatformError, VmList as _, read_changes, read_config, read_head};
 use rw_types::{Change, Config, Digest, Version};
@@ -20,6 +20,9 @@
         loop {
             let effects = self.step(Event::Sync(SyncEvent::Tick));
             self.run_sync(effects);
+            let offered = self.lock().is_offered(self.now());
+            self.burn()
+                .note_offered(unix_now(), &self.settings.vm, offered);
             smol::Timer::after(self.settings.poll).await;
         }
     }
@@ -58,6 +61,8 @@
             SyncEffect::ReadHead => {
                 let read = read_head(&self.platform).await;
                 self.count_platform("head", read.is_ok());
+                self.burn()
+                    .note_table(unix_now(), &self.settings.vm, read.is_ok());
                 let head = read.ok().map(|(version, _)| version);
                 SyncEvent::HeadRead { asked, head }
             }
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -1,7 +1,7 @@
 //! Drives one request: runs its effects until it has its final answer.
 
 use crate::{
-    Shell,
+    Cause, Shell,
     attempt::{Attempt, Ran},
     completion::{refusal_body, refuse, whole, with_outcome},
     payload::Payload,
@@ -83,6 +83,9 @@
         {
             effects = self.step(event);
         }
+        if let Some(cause) = attempt.cause {
+            self.count_burn(&call, cause);
+        }
         let seconds = self.now().since(arrived) as f64 / 1_000.0;
         self.metrics
             .whole
@@ -131,11 +134,13 @@
                 }
                 Effect::Deliver { .. } => self.deliver(id, attempt, caller).await,
                 Effect::Replay { answer, .. } => {
+                    attempt.cause = Some(Cause::Good);
                     self.count(&attempt.kind, Outcome::Done);
                     let response = raw(answer.status, answer.body.into_bytes(), "application/json");
                     caller.answer(with_outcome(response, Outcome::Done)).await;
                 }
                 Effect::Refuse { refusal, .. } => {
+                    attempt.cause = burned(&refusal, caller.stream.is_some());
                     self.count(&attempt.kind, refusal.outcome);
                     caller.cut(&refusal).await;
                     caller.answer(refuse(&refusal)).await;
@@ -166,6 +171,7 @@
     }
 
     async fn deliver(&self, id: RequestId, attempt: &mut Attempt, caller: &mut Caller) {
+        attempt.cause = Some(Cause::Good);
         self.count(&attempt.kind, Outcome::Done);
         if let Some(stream) = caller.stream.take() {
             let _ = stream.send(Ok(b"data: [DONE]\n\n".to_vec())).await;
@@ -190,3 +196,17 @@
             .inc();
     }
 }
+
+/// How a refusal counts against the objective; not at all if it is the caller's own matter.
+fn burned(refusal: &Refusal, streaming: bool) -> Option<Cause> {
+    if streaming {
+        return Some(Cause::Cut);
+    }
+    if Cause::is_callers(refusal.kind) {
+        return None;
+    }
+    Some(match refusal.outcome {
+        Outcome::Unknown => Cause::Unknown,
+        _ => Cause::Refused,
+    })
+}
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod accounts;
 mod attempt;
+mod burn;
+mod burn_calls;
 mod callers;
 mod changes;
 mod claims;
@@ -24,6 +26,9 @@
 mod settings;
 mod shell;
 
+pub use burn::{
+    Burn, BurnCounts, BurnReport, Cause, Counts, StateChange, WINDOW_SHARES, WINDOWS, burn_rate,
+};
 pub use changes::{Changes, RecentChanges};
 pub use history::{History, HistoryEntry, step_words};
 pub use metrics::Metrics;
--- a/crates/rw-node/src/metrics.rs
+++ b/crates/rw-node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms, by kind of work.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder as _, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
 /// Bounds of the time histograms, in seconds.
@@ -19,6 +19,10 @@
     pub attempts: IntCounterVec,
     /// Platform calls by how they ended.
     pub platform: IntCounterVec,
+    /// Final answers by service, kind of work and how they count against the objective.
+    pub burned: IntCounterVec,
+    /// Rate at which the budget burns, by service, kind of work and window.
+    pub burn_rate: GaugeVec,
     /// Seconds from arrival to the first byte of the answer, by kind of work.
     pub first_byte: HistogramVec,
     /// Seconds from arrival to the whole answer, by kind of work.
@@ -47,6 +51,16 @@
         let answers = counter("rw_answers_total", "Final answers.", &["kind", "outcome"])?;
         let attempts = counter("rw_attempts_total", "Dispatches to targets.", &["end"])?;
         let platform = counter("rw_platform_total", "Platform calls.", &["call", "end"])?;
+        let burned = counter(
+            "rw_burn_answers_total",
+            "Final answers by what they do to the objective.",
+            &["service", "kind", "cause"],
+        )?;
+        let burn_rate = GaugeVec::new(
+            Opts::new("rw_burn_rate", "Rate at which the budget burns."),
+            &["service", "kind", "window"],
+        )?;
+        registry.register(Box::new(burn_rate.clone()))?;
         let first_byte = histogram("rw_first_byte_seconds", "Arrival to first byte.")?;
         let whole = histogram("rw_whole_seconds", "Arrival to whole answer.")?;
         Ok(Self {
@@ -54,6 +68,8 @@
             answers,
             attempts,
             platform,
+            burned,
+            burn_rate,
             first_byte,
             whole,
         })
--- a/crates/rw-node/src/operators.rs
+++ b/crates/rw-node/src/operators.rs
@@ -91,6 +91,10 @@
     module.register_async_method("fleet", |_, shell, _| async move {
         RpcResult::Ok(shell.fleet().await)
     })?;
+    module.register_async_method("burn", |_, shell, _| async move {
+        let kinds = shell.config().kinds.clone();
+        RpcResult::Ok((kinds, shell.fleet_burn().await))
+    })?;
     module.register_async_method("plan", |params, shell, _| async move {
         let ask: PlanAsk = params.one()?;
         RpcResult::Ok(shell.plan(ask).await?)
--- a/crates/rw-node/src/peers.rs
+++ b/crates/rw-node/src/peers.rs
@@ -19,6 +19,7 @@
         let since: Version = params.one()?;
         RpcResult::Ok(shell.changes_since(since))
     })?;
+    module.register_method("burn", |_, shell, _| RpcResult::Ok(shell.burn_report()))?;
     module.register_method("config", |_, shell, _| {
         RpcResult::Ok(Config::clone(&shell.config()))
     })?;
--- a/crates/rw-node/src/shell.rs
+++ b/crates/rw-node/src/shell.rs
@@ -1,6 +1,6 @@
 //! One node process: the reducer behind a short lock, with what it needs to act.
 
-use crate::{Metrics, NodeSettings, RecentChanges, accounts::Accounts};
+use crate::{Burn, Metrics, NodeSettings, RecentChanges, accounts::Accounts};
 use rw_core::{CoreSettings, Effect, Event, Node};
 use rw_http::Client;
 use rw_platform::HttpPlatform;
@@ -24,6 +24,7 @@
     node: Mutex<Node>,
     accounts: RwLock<Arc<Accounts>>,
     changes: Mutex<RecentChanges>,
+    pub(crate) burn: Mutex<Burn>,
     started: Instant,
     next_request: AtomicU64,
 }
@@ -42,6 +43,7 @@
             node: Mutex::new(Node::new(core.clone())),
             accounts: RwLock::default(),
             changes: Mutex::default(),
+            burn: Mutex::default(),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             settings,
@@ -88,6 +90,8 @@
         // Only what the reducer took is indexed.
         if Arc::ptr_eq(&self.config(), &config) {
             log::info!("configuration {} in force", config.version);
+            self.burn().index(&config);
+            self.note_state(format!("configuration {} in force", config.version));
             let index = Arc::new(Accounts::index(&config));
             let mut held = self
                 .accounts
--- /dev/null
+++ b/tests/burn.rs
@@ -0,0 +1,135 @@
+//! The burn report over separate processes.
+
+use rw_http::Method;
+use rw_test::{Ask, Fleet, FleetPlan, KEY, ask, get};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+
+struct Case {
+    name: &'static str,
+    /// Faults of the engine and of the service.
+    faults: &'static str,
+    path: &'static str,
+    body: &'static str,
+    service: &'static str,
+    cause: &'static str,
+}
+
+const GENERATE: &str = r#"{"model":"small","max_tokens":8,"prompt":"hello"}"#;
+const STREAM: &str = r#"{"model":"small","max_tokens":8,"prompt":"hello","stream":true}"#;
+
+const CASES: &[Case] = &[
+    Case {
+        name: "whole and on time",
+        faults: "[]",
+        path: "/v1/completions",
+        body: GENERATE,
+        service: "chat",
+        cause: "good",
+    },
+    Case {
+        name: "after its deadline",
+        faults: r#"[{"fault":"latency","ms":3500}]"#,
+        path: "/services/reservations/lookup/1",
+        body: "",
+        service: "reservations",
+        cause: "late",
+    },
+    Case {
+        name: "no engine takes it",
+        faults: r#"[{"fault":"refuse","path":"/generate"}]"#,
+        path: "/v1/completions",
+        body: GENERATE,
+        service: "chat",
+        cause: "refused",
+    },
+    Case {
+        name: "an answer without a length",
+        faults: r#"[{"fault":"wrong-length"}]"#,
+        path: "/services/reservations/reserve",
+        body: "{}",
+        service: "reservations",
+        cause: "unknown",
+    },
+    Case {
+        name: "a stream cut on every engine",
+        faults: r#"[{"fault":"cut-answer","path":"/generate"}]"#,
+        path: "/v1/completions",
+        body: STREAM,
+        service: "chat",
+        cause: "cut",
+    },
+];
+
+#[test]
+fn each_cause_is_counted_once_and_merged_over_the_nodes() {
+    smol::block_on(async {
+        let plan = FleetPlan {
+            engines: vec![Vec::new()],
+            ..FleetPlan::default()
+        };
+        let fleet = Fleet::start(BINARY, plan).await.expect("the fleet starts");
+        let bearer = format!("Bearer {KEY}");
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("x-work-kind", "quick"),
+            ("x-deadline-ms", "3000"),
+        ];
+        for (i, case) in CASES.iter().enumerate() {
+            let targets = [&fleet.engines[0], &fleet.services[0]];
+            for target in targets {
+                fleet
+                    .fault(target, case.faults)
+                    .await
+                    .expect("the fault is set");
+            }
+            let node = &fleet.nodes[i % 3];
+            let call = Ask {
+                method: Method::Post,
+                path: case.path,
+                body: case.body,
+                headers: &headers,
+            };
+            // A cut stream has no whole answer to look at.
+            let _ = ask(&node.addr("callers"), call).await;
+            let text = get(&node.addr("callers"), "/metrics")
+                .await
+                .expect("metrics")
+                .body;
+            let line = format!(
+                r#"rw_burn_answers_total{{cause="{}",kind="quick",service="{}"}} 1"#,
+                case.cause, case.service
+            );
+            assert!(text.contains(&line), "{}: {text}", case.name);
+            for target in targets {
+                fleet.fault(target, "[]").await.expect("the fault is gone");
+            }
+        }
+        let burn = fleet.command(1, &["burn", "--json"]).expect("burn runs");
+        assert_eq!(burn.code, 0, "{}", burn.err);
+        let report: serde_json::Value = serde_json::from_str(&burn.out).expect("JSON");
+        let lines = report["lines"].as_array().expect("lines");
+        for (service, cause, answers, rate) in [
+            ("chat", "refused", 3, 66.67),
+            ("reservations", "late", 2, 100.0),
+        ] {
+            let line = lines
+                .iter()
+                .find(|l| l["service"] == service)
+                .expect(service);
+            assert_eq!(line["objective"], 0.99);
+            let window = &line["windows"][1];
+            assert_eq!(window["answers"], answers, "{line}");
+            assert_eq!(window[cause], 1, "{line}");
+            let shown = window["rate"].as_f64().expect("a rate");
+            assert!((shown - rate).abs() < 0.01, "{line}");
+        }
+        let states = report["states"].as_array().expect("states");
+        let in_force = states
+            .iter()
+            .filter(|s| s["what"] == "configuration 1 in force");
+        assert_eq!(in_force.count(), 3, "{states:?}");
+        let table = fleet.command(0, &["burn"]).expect("burn runs");
+        assert!(table.out.contains("burns most"), "{}", table.out);
+    });
+}
