--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod attempt;
+mod authority;
 mod burn;
 mod burn_calls;
 mod callers;
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -39,6 +39,14 @@
     pub report_poll: Duration,
     /// Bytes a second that the platform's weight store gives out, for plans.
     pub weight_rate: u64,
+    /// Time that a lease runs from before its renewal was sent.
+    pub lease: Duration,
+    /// Most by which the clocks of two VMs drift apart within one lease.
+    pub drift: Duration,
+    /// Longest life of an order on its way to its target.
+    pub order_life: Duration,
+    /// Age from which a target's report is no longer planned on.
+    pub stale: Duration,
 }
 
 impl NodeSettings {
@@ -60,6 +68,10 @@
             poll: Duration::from_millis(200),
             report_poll: Duration::from_millis(200),
             weight_rate: 1 << 30,
+            lease: Duration::from_secs(2),
+            drift: Duration::from_millis(100),
+            order_life: Duration::from_millis(500),
+            stale: Duration::from_secs(2),
         }
     }
 }
