--- a/crates/rw-cli/src/commands/status.rs
+++ b/crates/rw-cli/src/commands/status.rs
@@ -8,6 +8,7 @@
 };
 use clap::{Arg, ArgMatches, Command};
 use rw_node::{History, HistoryEntry, Status, VmStatus};
+use rw_types::Order;
 
 /// The command.
 pub fn spec() -> CommandSpec {
@@ -78,10 +79,22 @@
     if history.entries.is_empty() {
         lines.push("  no confirmed plan has touched it".to_owned());
     }
-    let order = match history.order.as_str() {
-        "" => "none",
-        order => order,
-    };
-    lines.push(format!("  latest order: {order}"));
+    lines.push(format!("  latest order: {}", order_words(&history.order)));
     lines
 }
+
+/// The row of a target's latest order in words.
+fn order_words(row: &str) -> String {
+    let Ok(order) = serde_json::from_str::<Order>(row) else {
+        return "none".to_owned();
+    };
+    let json = |value: serde_json::Result<String>| value.unwrap_or_default();
+    let kind = json(serde_json::to_string(&order.kind));
+    let state = json(serde_json::to_string(&order.state));
+    format!(
+        "{} {kind} is {} because {}",
+        order.seq,
+        state.trim_matches('"'),
+        order.why
+    )
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -168,12 +168,11 @@
     let fleet = start(3);
     let path = file("lost.toml", &intent_text(&with_kind(&fleet.config, "slow")));
     let id = plan_id(&fleet.command(0, &["plan", &path]).expect("plan runs"));
-    // The answer is lost and the row can be read back.
-    faults(
-        &fleet,
-        r#"[{"fault":"lose-answer","path":"/table/txn","count":1}]"#,
-    );
+    // Every answer is lost, and the row can be read back.
+    let lose = r#"{"fault":"lose-answer","path":"/table/txn"}"#;
+    faults(&fleet, &format!("[{lose}]"));
     let read_back = fleet.command(0, &["confirm", &id]).expect("confirm runs");
+    faults(&fleet, "[]");
     assert!(ok(&read_back).contains("configuration 2 accepted"));
 
     // The answer is lost and the table is gone when the row is read back.
@@ -181,11 +180,8 @@
     config = with_kind(&config, "slower");
     let path = file("lost-2.toml", &intent_text(&config));
     let id = plan_id(&fleet.command(0, &["plan", &path]).expect("plan runs"));
-    faults(
-        &fleet,
-        r#"[{"fault":"latency","ms":900,"path":"/table/txn","count":1},
-            {"fault":"lose-answer","path":"/table/txn","count":1}]"#,
-    );
+    let slow = r#"{"fault":"latency","ms":900,"path":"/table/txn"}"#;
+    faults(&fleet, &format!("[{slow},{lose}]"));
     let lost = thread::scope(|scope| {
         let confirm = scope.spawn(|| fleet.command(0, &["confirm", &id]));
         thread::sleep(Duration::from_millis(500));
