--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -27,6 +27,7 @@
 mod settings;
 mod shell;
 
+pub use accounts::Accounts;
 pub use burn::{
     Burn, BurnCounts, BurnReport, Cause, Counts, StateChange, WINDOW_SHARES, WINDOWS, burn_rate,
 };
--- a/crates/rw-node/src/metrics.rs
+++ b/crates/rw-node/src/metrics.rs
@@ -23,6 +23,10 @@
     pub burned: IntCounterVec,
     /// Rate at which the budget burns, by service, kind of work and window.
     pub burn_rate: GaugeVec,
+    /// Calls that this node answered.
+    pub rpc_calls: IntCounterVec,
+    /// Bytes of bodies of calls that this node answered, by direction.
+    pub rpc_bytes: IntCounterVec,
     /// Seconds from arrival to the first byte of the answer, by kind of work.
     pub first_byte: HistogramVec,
     /// Seconds from arrival to the whole answer, by kind of work.
@@ -61,6 +65,12 @@
             &["service", "kind", "window"],
         )?;
         registry.register(Box::new(burn_rate.clone()))?;
+        let rpc_calls = counter("rw_rpc_calls_total", "Calls answered.", &["end"])?;
+        let rpc_bytes = counter(
+            "rw_rpc_bytes_total",
+            "Bytes of bodies of calls answered.",
+            &["way"],
+        )?;
         let first_byte = histogram("rw_first_byte_seconds", "Arrival to first byte.")?;
         let whole = histogram("rw_whole_seconds", "Arrival to whole answer.")?;
         Ok(Self {
@@ -70,6 +80,8 @@
             platform,
             burned,
             burn_rate,
+            rpc_calls,
+            rpc_bytes,
             first_byte,
             whole,
         })
--- a/crates/rw-node/src/rpc.rs
+++ b/crates/rw-node/src/rpc.rs
@@ -47,7 +47,21 @@
     };
     let text = String::from_utf8_lossy(&body);
     match module.raw_json_request(&text, 1).await {
-        Ok((answer, _)) => raw(200, answer.get().as_bytes().to_vec(), "application/json"),
+        Ok((answer, _)) => {
+            let answer = answer.get().as_bytes();
+            let count = |way, bytes: &[u8]| {
+                let counter = shell.metrics.rpc_bytes.with_label_values(&[way]);
+                counter.inc_by(bytes.len() as u64);
+            };
+            shell
+                .metrics
+                .rpc_calls
+                .with_label_values(&["answered"])
+                .inc();
+            count("in", text.as_bytes());
+            count("out", answer);
+            raw(200, answer.to_vec(), "application/json")
+        }
         Err(_) => raw(400, Vec::new(), "text/plain"),
     }
 }
--- /dev/null
+++ b/examples/config_slopes.rs
@@ -0,0 +1,231 @@
+//! Measures what keeping the configuration in force costs a node, at three sizes each.
+//!
+//! All nodes of a size run in this process, on loopback, with ports given by the kernel:
+//!
+//! ```text
+//! cargo run --release --example config_slopes
+//! ```
+
+use rw_fakes::{FakePlatform, PlatformSettings};
+use rw_http::Client;
+use rw_node::{Bound, NodeSettings, Shell};
+use rw_platform::{HttpPlatform, accept_config, read_head};
+use rw_test::{Ask, ask, get};
+use rw_types::{Account, Change, Config, Role, Target, TargetKind, Version, Vm};
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Nodes at each size.
+const NODES: [usize; 3] = [8, 32, 100];
+/// Accounts and targets of a configuration at each size.
+const ITEMS: [(usize, usize); 3] = [(470, 100), (4_700, 1_000), (47_000, 10_000)];
+/// Changes timed at each size.
+const CHANGES: u64 = 10;
+/// Pause between changes: 23,000 a day.
+const CHANGE_PAUSE: Duration = Duration::from_millis(3_750);
+/// Time over which bytes and processor time are counted.
+const COUNTED: Duration = Duration::from_secs(10);
+/// Clock ticks a second in /proc.
+const TICKS: f64 = 100.0;
+/// Bytes of the HTTP heads of one call and its answer, as `async-h1` writes them.
+const HEAD_BYTES: u64 = 400;
+
+struct Fleet {
+    shells: Vec<Arc<Shell>>,
+    callers: Vec<String>,
+    store: HttpPlatform,
+    platform: String,
+}
+
+fn main() {
+    smol::block_on(async {
+        for nodes in NODES {
+            measure_nodes(nodes).await;
+        }
+        ITEMS.iter().for_each(|items| measure_items(*items));
+    });
+}
+
+async fn start(nodes: usize, config: Config) -> Fleet {
+    let settings = PlatformSettings {
+        listen: ANY,
+        list_lag: 0,
+        weight_rate: 1,
+    };
+    let platform = FakePlatform::bind(settings).expect("the platform binds");
+    let addr = platform.addr().expect("an address");
+    smol::spawn(platform.run()).detach();
+    let limit = Duration::from_secs(10);
+    let store = HttpPlatform::new(Client::default(), addr.to_string(), limit);
+    let (_, head) = read_head(&store).await.expect("the head");
+    accept_config(&store, &config, &head)
+        .await
+        .expect("accepted");
+    let mut fleet = Fleet {
+        shells: Vec::new(),
+        callers: Vec::new(),
+        store,
+        platform: addr.to_string(),
+    };
+    let mut vms = Vec::new();
+    let mut bound = Vec::new();
+    for n in 0..nodes {
+        let mut settings = NodeSettings::loopback(&format!("vm-{n}"), "centre-a", addr);
+        settings.poll = Duration::from_secs(1);
+        let node = Bound::bind(settings).expect("the node binds");
+        let [callers, peers, _] = node.addrs().expect("addresses");
+        vms.push(Vm {
+            name: format!("vm-{n}"),
+            centre: "centre-a".to_owned(),
+            peer: peers.to_string(),
+            leaving: false,
+        });
+        fleet.callers.push(callers.to_string());
+        fleet.shells.push(node.shell().clone());
+        bound.push(node);
+    }
+    let body = serde_json::to_string(&vms).expect("JSON");
+    let put = Ask {
+        method: rw_http::Method::Put,
+        path: "/vms",
+        body: &body,
+        headers: &[],
+    };
+    ask(&fleet.platform, put).await.expect("listed");
+    for node in bound {
+        // Nodes of a real fleet don't start in the same millisecond.
+        smol::Timer::after(Duration::from_millis(1_000 / nodes as u64)).await;
+        smol::spawn(async move { node.run(std::future::pending()).await }).detach();
+    }
+    fleet
+}
+
+async fn wait_version(fleet: &Fleet, version: Version) -> Duration {
+    let start = Instant::now();
+    while fleet.shells.iter().any(|s| s.config().version < version) {
+        smol::Timer::after(Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
+
+async fn rpc_bytes(fleet: &Fleet) -> (u64, u64) {
+    let (mut bytes, mut calls) = (0, 0);
+    for addr in &fleet.callers {
+        let text = get(addr, "/metrics").await.expect("metrics").body;
+        let value = |prefix: &str| -> u64 {
+            let lines = text.lines().filter(|l| l.starts_with(prefix));
+            let values = lines.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok());
+            values.sum()
+        };
+        bytes += value("rw_rpc_bytes_total");
+        calls += value("rw_rpc_calls_total");
+    }
+    (bytes, calls)
+}
+
+fn cpu_seconds() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").expect("stat");
+    let fields: Vec<_> = stat
+        .rsplit(')')
+        .next()
+        .expect("fields")
+        .split(' ')
+        .collect();
+    let ticks: f64 = fields[12..14]
+        .iter()
+        .filter_map(|f| f.parse::<f64>().ok())
+        .sum();
+    ticks / TICKS
+}
+
+async fn measure_nodes(nodes: usize) {
+    let mut config = config(100, 0);
+    config.version = Version(1);
+    let fleet = start(nodes, config.clone()).await;
+    wait_version(&fleet, Version(1)).await;
+    // The lists are read by now.
+    smol::Timer::after(Duration::from_secs(5)).await;
+    let mut times = Vec::new();
+    for n in 2..2 + CHANGES {
+        config.accounts[0].share = n as u32;
+        config.version = Version(n);
+        let (_, head) = read_head(&fleet.store).await.expect("the head");
+        accept_config(&fleet.store, &config, &head)
+            .await
+            .expect("accepted");
+        times.push(wait_version(&fleet, Version(n)).await);
+        smol::Timer::after(CHANGE_PAUSE.saturating_sub(times[times.len() - 1])).await;
+    }
+    times.sort();
+    let (before, calls) = rpc_bytes(&fleet).await;
+    let cpu = cpu_seconds();
+    let start = Instant::now();
+    smol::Timer::after(COUNTED).await;
+    let seconds = start.elapsed().as_secs_f64();
+    let cpu = cpu_seconds() - cpu;
+    let (after, more) = rpc_bytes(&fleet).await;
+    let per_node = seconds * nodes as f64;
+    // Each call is one node's question and another's answer.
+    let bytes = 2 * (after - before + HEAD_BYTES * (more - calls));
+    println!(
+        "nodes {nodes}: in force everywhere, median {:?}, longest {:?}; {:.0} bytes and {:.2} ms of CPU a node and second",
+        times[times.len() / 2],
+        times[times.len() - 1],
+        bytes as f64 / per_node,
+        cpu * 1_000.0 / per_node,
+    );
+}
+
+fn config(accounts: usize, targets: usize) -> Config {
+    let account = |n| Account {
+        name: format!("account-{n:06}"),
+        keys: vec![format!("{n:064x}")],
+        share: 1,
+    };
+    let target = |n| Target {
+        name: format!("target-{n:06}"),
+        addr: format!("10.0.{}.{}:9000", n / 250, n % 250),
+        centre: "centre-a".to_owned(),
+        kind: TargetKind::Engine,
+        service: "chat".to_owned(),
+        group: String::new(),
+        models: vec!["small".to_owned()],
+        role: Role::Mixed,
+        checks_fence: true,
+        leaving: false,
+    };
+    Config {
+        accounts: (0..accounts).map(account).collect(),
+        targets: (0..targets).map(target).collect(),
+        ..Config::default()
+    }
+}
+
+/// What one change costs a node that has a configuration of that size in force.
+fn measure_items((accounts, targets): (usize, usize)) {
+    let old = config(accounts, targets);
+    let mut new = old.clone();
+    new.accounts[accounts / 2].share = 2;
+    let change = Change::between(&old, &new);
+    let start = Instant::now();
+    let mut applied = old.clone();
+    assert!(applied.apply(&change));
+    let apply = start.elapsed();
+    let start = Instant::now();
+    let index = rw_node::Accounts::index(&applied);
+    let indexed = start.elapsed();
+    assert!(index.find(&[0; 32], "none").is_none());
+    let sizes = [
+        serde_json::to_vec(&change).expect("JSON").len(),
+        serde_json::to_vec(&applied).expect("JSON").len(),
+    ];
+    println!(
+        "accounts {accounts}, targets {targets}: copy and apply {apply:?}, index {indexed:?}; change {} bytes, whole {} bytes",
+        sizes[0], sizes[1],
+    );
+}
