--- a/crates/rw-node/src/accounts.rs
+++ b/crates/rw-node/src/accounts.rs
@@ -1,12 +1,10 @@
 //! Account lookup by bearer key.
 
-use rw_types::{Config, Version, hash_key};
+use rw_types::{Config, hash_key};
 
 /// Hashes of all valid keys, sorted, each with its account's name.
 #[derive(Debug, Default)]
 pub struct Accounts {
-    /// Version of the configuration indexed.
-    pub(crate) version: Version,
     keys: Vec<(String, String)>,
 }
 
@@ -18,10 +16,7 @@
         let pairs = accounts.flat_map(|a| a.keys.iter().map(|k| (k.clone(), a.name.clone())));
         let mut keys: Vec<_> = pairs.collect();
         keys.sort();
-        Self {
-            version: config.version,
-            keys,
-        }
+        Self { keys }
     }
 
     /// Name of the account whose key hashes to a stored hash.
--- a/crates/rw-node/src/config_sync.rs
+++ b/crates/rw-node/src/config_sync.rs
@@ -50,7 +50,7 @@
     fn run_sync(self: &Arc<Self>, effects: Vec<Effect>) {
         for effect in effects {
             if let Effect::Sync(effect) = effect {
-                smol::spawn(self.clone().run_one(effect)).detach();
+                rw_http::spawn(self.clone().run_one(effect)).detach();
             }
         }
     }
--- a/crates/rw-node/src/plans.rs
+++ b/crates/rw-node/src/plans.rs
@@ -187,7 +187,7 @@
         change.plan.clone_from(&plan.id);
         self.apply_changes(vec![change]);
         let shell = self.clone();
-        smol::spawn(async move {
+        rw_http::spawn(async move {
             let config = shell.config();
             let written = write_snapshot(&shell.platform, &config).await;
             shell.count_platform("snapshot", written.is_ok());
--- a/crates/rw-node/src/shell.rs
+++ b/crates/rw-node/src/shell.rs
@@ -23,6 +23,7 @@
     pub(crate) core: CoreSettings,
     node: Mutex<Node>,
     accounts: RwLock<Arc<Accounts>>,
+    applying: Mutex<()>,
     changes: Mutex<RecentChanges>,
     pub(crate) burn: Mutex<Burn>,
     started: Instant,
@@ -42,6 +43,7 @@
         Self {
             node: Mutex::new(Node::new(core.clone())),
             accounts: RwLock::default(),
+            applying: Mutex::default(),
             changes: Mutex::default(),
             burn: Mutex::default(),
             started: Instant::now(),
@@ -90,22 +92,26 @@
 
     /// Applies a configuration read from anywhere, if it is higher.
     pub(crate) fn apply_config(&self, config: Config) {
-        let config = Arc::new(config);
+        // One at a time, so that what is indexed belongs to the version in force.
+        let _one = self.applying.lock().unwrap_or_else(PoisonError::into_inner);
+        let (old, config) = (self.config(), Arc::new(config));
         self.step(Event::ConfigRead(config.clone()));
         // Only what the reducer took is indexed.
-        if Arc::ptr_eq(&self.config(), &config) {
-            log::info!("configuration {} in force", config.version);
+        if !Arc::ptr_eq(&self.config(), &config) {
+            return;
+        }
+        log::info!("configuration {} in force", config.version);
+        self.note_state(format!("configuration {} in force", config.version));
+        // Most changes leave these lists alone, and comparing costs less than indexing.
+        if old.targets != config.targets {
             self.burn().index(&config);
-            self.note_state(format!("configuration {} in force", config.version));
+        }
+        if old.accounts != config.accounts {
             let index = Arc::new(Accounts::index(&config));
-            let mut held = self
+            *self
                 .accounts
                 .write()
-                .unwrap_or_else(PoisonError::into_inner);
-            // Another thread may have indexed a higher version meanwhile.
-            if held.version < index.version {
-                *held = index;
-            }
+                .unwrap_or_else(PoisonError::into_inner) = index;
         }
     }
 
--- a/examples/config_slopes.rs
+++ b/examples/config_slopes.rs
@@ -217,6 +217,10 @@
     assert!(applied.apply(&change));
     let apply = start.elapsed();
     let start = Instant::now();
+    let same = old.targets == applied.targets && old.kinds == applied.kinds;
+    let compared = start.elapsed();
+    assert!(same);
+    let start = Instant::now();
     let index = rw_node::Accounts::index(&applied);
     let indexed = start.elapsed();
     assert!(index.find(&[0; 32], "none").is_none());
@@ -225,7 +229,7 @@
         serde_json::to_vec(&applied).expect("JSON").len(),
     ];
     println!(
-        "accounts {accounts}, targets {targets}: copy and apply {apply:?}, index {indexed:?}; change {} bytes, whole {} bytes",
+        "accounts {accounts}, targets {targets}: copy and apply {apply:?}, compare targets {compared:?}, index {indexed:?}; change {} bytes, whole {} bytes",
         sizes[0], sizes[1],
     );
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -2,7 +2,10 @@
 
 use rw_http::Client;
 use rw_node::{Status, call_rpc};
-use rw_platform::{HttpPlatform, SNAPSHOT_EVERY, Table as _, read_config, version_key};
+use rw_platform::{
+    HttpPlatform, SNAPSHOT_EVERY, Table as _, accept_config, read_changes, read_config, read_head,
+    version_key, write_snapshot,
+};
 use rw_test::{Fleet, FleetPlan, Process, TOKEN, get};
 use rw_types::{Config, Version};
 use std::time::{Duration, Instant};
@@ -10,6 +13,8 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
 /// The users' bound on the time until an accepted configuration is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(18);
+/// Changes that the pages promise to late nodes.
+const KEPT_CHANGES: u64 = 256;
 const PAUSE: Duration = Duration::from_millis(20);
 
 async fn start(nodes: usize) -> Fleet {
@@ -216,6 +221,37 @@
     });
 }
 
+#[test]
+fn old_changes_are_dropped_and_late_nodes_still_find_theirs() {
+    smol::block_on(async {
+        let fleet = start(0).await;
+        let store = HttpPlatform::new(
+            Client::default(),
+            fleet.platform.addr(""),
+            Duration::from_secs(5),
+        );
+        let mut config = fleet.config.clone();
+        let last = 8 * SNAPSHOT_EVERY;
+        for n in 2..=last {
+            config.version = Version(n);
+            config.accounts[0].share = n as u32;
+            let (_, head) = read_head(&store).await.expect("the head");
+            accept_config(&store, &config, &head)
+                .await
+                .expect("accepted");
+            write_snapshot(&store, &config).await.expect("written");
+        }
+        let head = Version(last);
+        // The pages promise the changes of the latest 256 versions.
+        for (since, kept) in [(1, false), (last - KEPT_CHANGES, true), (last, true)] {
+            let changes = read_changes(&store, Version(since), head).await;
+            assert_eq!(changes.expect("read").is_some(), kept, "since {since}");
+        }
+        let whole = read_config(&store, head).await.expect("read");
+        assert_eq!(whole, Some(config));
+    });
+}
+
 #[test]
 fn a_large_configuration_lies_in_the_object_store() {
     smol::block_on(async {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -1,6 +1,8 @@
 //! Operators: intent, plan, confirmation, history and secrets, on separate processes.
 
-use rw_http::Method;
+use rw_http::{Client, Method};
+use rw_intent::Plan;
+use rw_node::{PlanAsk, call_rpc};
 use rw_test::{Answer, Ask, Fleet, FleetPlan, KEY, Output, Process, ask, intent_text, run};
 use rw_types::{Config, Version, WorkKind, hash_key};
 use std::{
@@ -12,6 +14,8 @@
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+/// Plans that the pages promise to keep.
+const KEPT_PLANS: usize = 256;
 /// Secret of the test fleet, as bytes.
 const SECRET: [u8; 32] = [7; 32];
 
@@ -446,3 +450,31 @@
         assert!(!log.contains(secret), "{secret} is in the log");
     }
 }
+
+#[test]
+fn the_latest_plans_are_kept_and_older_ones_dropped() {
+    let fleet = start(1);
+    let ask = PlanAsk {
+        by: "amina".to_owned(),
+        config: with_kind(&fleet.config, "slow"),
+    };
+    let operator = fleet.nodes[0].addr("operators");
+    let client = Client::default();
+    let limit = Duration::from_secs(5);
+    let plans: Vec<Plan> = smol::block_on(async {
+        let mut plans = Vec::new();
+        for _ in 0..=KEPT_PLANS {
+            let plan = call_rpc(&client, &operator, rw_test::TOKEN, "plan", &ask, limit);
+            plans.push(plan.await.expect("a plan"));
+        }
+        plans
+    });
+    let dropped = fleet
+        .command(0, &["confirm", &plans[0].id])
+        .expect("confirm runs");
+    assert!(dropped.err.contains("is not kept"), "{}", dropped.err);
+    let kept = fleet
+        .command(0, &["confirm", &plans[1].id])
+        .expect("confirm runs");
+    assert!(ok(&kept).contains("configuration 2 accepted"));
+}
