Loads of another version pause while objectives burn, and go on by themselves

Cause: a rolling change takes capacity away from a fleet that lacks it. Change: a VM whose objective burns above 14 in the short window says so in its digest; a node that is one of them, or hears it from one in four peers, wishes no load of another version. Loads that bring a model to its replicas go on, because they may be the cure. Seen to fail: the wish made in spite of the burn.

--- a/crates/rw-core/src/config_sync.rs
+++ b/crates/rw-core/src/config_sync.rs
@@ -18,6 +18,8 @@
 pub const IN_FORCE_MS: u64 = 18_000;
 /// Peers that must have answered before a node trusts them in place of the table.
 const ENOUGH_PEERS: usize = 3;
+/// One in this many peers that burn is enough to pause changes that take capacity away.
+const BURNING_PART: usize = 4;
 /// Longest wait for a fetch before another source is tried, in milliseconds.
 const FETCH_MS: u64 = 3_000;
 
@@ -44,6 +46,8 @@
     },
     /// A peer called with its digest.
     Called(Digest),
+    /// Whether this node's own objectives burn fast.
+    Burning(bool),
     /// A fetch ended, whatever it brought.
     Fetched,
 }
@@ -65,6 +69,14 @@
     },
 }
 
+/// A call of a peer.
+#[derive(Debug, Clone, Copy)]
+struct PeerCall {
+    at: Millis,
+    answered: bool,
+    burning: bool,
+}
+
 /// What a node knows of how current its configuration is.
 #[derive(Debug)]
 pub struct ConfigSync {
@@ -74,8 +86,10 @@
     heard: (Version, Option<String>),
     /// Since when a higher version than the one in force is known.
     behind: Option<Millis>,
-    /// Calls of peers within the last [`IN_FORCE_MS`], oldest first, and whether they were answered.
-    calls: VecDeque<(Millis, bool)>,
+    /// Calls of peers within the last [`IN_FORCE_MS`], oldest first.
+    calls: VecDeque<PeerCall>,
+    /// Whether this node's own objectives burn fast.
+    burning: bool,
     /// When the head was last asked for, or the first tick.
     head_asked: Option<Millis>,
     /// When the running fetch was started.
@@ -94,6 +108,7 @@
             heard: (Version(0), None),
             behind: None,
             calls: VecDeque::new(),
+            burning: false,
             head_asked: None,
             fetching: None,
             fetches: 0,
@@ -111,15 +126,24 @@
         self.age(now).unwrap_or(u64::MAX)
     }
 
+    /// Calls of peers in the window.
+    fn recent(&self, now: Millis) -> impl Iterator<Item = &PeerCall> {
+        let calls = self.calls.iter();
+        calls.filter(move |c| now.since(c.at) <= IN_FORCE_MS)
+    }
+
     /// Calls of peers in the window, and those answered.
     fn reached(&self, now: Millis) -> (usize, usize) {
-        let recent = self
-            .calls
-            .iter()
-            .filter(|(at, _)| now.since(*at) <= IN_FORCE_MS);
-        recent.fold((0, 0), |(all, ok), (_, answered)| {
-            (all + 1, ok + usize::from(*answered))
-        })
+        let answered = self.recent(now).filter(|c| c.answered);
+        (self.recent(now).count(), answered.count())
+    }
+
+    /// Whether objectives burn fast here or at one in four of the peers heard lately.
+    #[must_use]
+    pub fn is_burning(&self, now: Millis) -> bool {
+        let (_, answered) = self.reached(now);
+        let burning = self.recent(now).filter(|c| c.burning).count();
+        self.burning || (burning > 0 && BURNING_PART * burning >= answered)
     }
 
     /// Whether the version in force can be trusted to be the one accepted.
@@ -155,15 +179,16 @@
         ok == 0 && asked
     }
 
-    fn note_call(&mut self, now: Millis, answered: bool) {
-        while self
-            .calls
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > IN_FORCE_MS)
-        {
+    fn note_call(&mut self, at: Millis, answered: bool, burning: bool) {
+        let old = |c: &PeerCall| at.since(c.at) > IN_FORCE_MS;
+        while self.calls.front().is_some_and(old) {
             self.calls.pop_front();
         }
-        self.calls.push_back((now, answered));
+        self.calls.push_back(PeerCall {
+            at,
+            answered,
+            burning,
+        });
     }
 
     /// Takes note that the head was at most `head` at `at`, while `version` is in force.
@@ -223,7 +248,8 @@
                 addr,
                 digest,
             } => {
-                self.sync.note_call(now, digest.is_some());
+                let burning = digest.as_ref().is_some_and(|d| d.burning);
+                self.sync.note_call(now, digest.is_some(), burning);
                 if let Some(digest) = digest {
                     // Only its own call dates a digest; a received one may have waited unread.
                     if let Some(age) = digest.age_ms {
@@ -237,6 +263,7 @@
                 let addr = self.members.find(&digest.vm).map(|v| v.peer.clone());
                 self.take_digest(now, &digest, addr);
             }
+            SyncEvent::Burning(burning) => self.sync.burning = burning,
             SyncEvent::Fetched => self.sync.fetching = None,
         }
         self.fetch_missing(now, out);
--- a/crates/rw-core/src/fleet_wishes.rs
+++ b/crates/rw-core/src/fleet_wishes.rs
@@ -12,11 +12,12 @@
             target.is_some_and(|t| t.lease_group() == group)
         };
         let engines = self.fresh_engines(now);
+        let burning = self.sync.is_burning(now);
         let mut wishes: Vec<Wish> = self
             .config
             .models
             .iter()
-            .flat_map(|model| loads(model, &engines))
+            .flat_map(|model| loads(model, &engines, burning))
             .chain(engines.iter().flat_map(|t| self.unloads(t)))
             .chain(self.wishes.iter().cloned())
             .filter(|w| in_group(&w.target))
@@ -57,7 +58,7 @@
 }
 
 /// Loads that bring `model` to its replicas, to the targets that declare it, and to its version.
-fn loads(model: &Model, engines: &[&TargetState]) -> Vec<Wish> {
+fn loads(model: &Model, engines: &[&TargetState], burning: bool) -> Vec<Wish> {
     let load = OrderKind::Load {
         model: model.name.clone(),
         version: model.version.clone(),
@@ -87,7 +88,8 @@
         })
         .collect();
     // One engine at a time takes another version, so that the others go on serving.
-    let outdated = holders.iter().find(|t| !holds(t, &load));
+    // While objectives burn, none does: they need the capacity more than the version.
+    let outdated = holders.iter().find(|t| !burning && !holds(t, &load));
     wishes.extend(outdated.map(|t| {
         let why = format!(
             "model {} is declared in version {}",
--- a/crates/rw-core/tests/config_sync.rs
+++ b/crates/rw-core/tests/config_sync.rs
@@ -450,3 +450,93 @@
     let had = node.step(Millis(9_000), Event::Sync(SyncEvent::Fetched));
     assert_eq!(fetch(&had), None);
 }
+
+#[test]
+fn one_in_four_peers_that_burn_is_enough() {
+    struct Case {
+        name: &'static str,
+        own: bool,
+        quiet: usize,
+        burning: usize,
+        lost: usize,
+        expected: bool,
+    }
+    let cases = [
+        Case {
+            name: "nobody asked",
+            own: false,
+            quiet: 0,
+            burning: 0,
+            lost: 0,
+            expected: false,
+        },
+        Case {
+            name: "own",
+            own: true,
+            quiet: 9,
+            burning: 0,
+            lost: 0,
+            expected: true,
+        },
+        Case {
+            name: "none",
+            own: false,
+            quiet: 9,
+            burning: 0,
+            lost: 3,
+            expected: false,
+        },
+        Case {
+            name: "one in three",
+            own: false,
+            quiet: 2,
+            burning: 1,
+            lost: 0,
+            expected: true,
+        },
+        Case {
+            name: "one in four",
+            own: false,
+            quiet: 3,
+            burning: 1,
+            lost: 9,
+            expected: true,
+        },
+        Case {
+            name: "one in five",
+            own: false,
+            quiet: 4,
+            burning: 1,
+            lost: 0,
+            expected: false,
+        },
+    ];
+    for case in cases {
+        let mut node = node(0, &vms(9), 1);
+        node.step(Millis(0), Event::Sync(SyncEvent::Burning(case.own)));
+        let digest = |burning| Digest {
+            burning,
+            ..Digest::default()
+        };
+        let told = std::iter::repeat_n(Some(digest(false)), case.quiet)
+            .chain(std::iter::repeat_n(Some(digest(true)), case.burning))
+            .chain(std::iter::repeat_n(None, case.lost));
+        for digest in told {
+            let event = SyncEvent::Answered {
+                asked: Millis(0),
+                addr: String::new(),
+                digest,
+            };
+            node.step(Millis(1), Event::Sync(event));
+        }
+        let now = Millis(2);
+        assert_eq!(node.sync().is_burning(now), case.expected, "{}", case.name);
+        let later = Millis(2 + IN_FORCE_MS);
+        assert_eq!(
+            node.sync().is_burning(later),
+            case.own,
+            "{}, later",
+            case.name
+        );
+    }
+}
--- a/crates/rw-node/src/burn.rs
+++ b/crates/rw-node/src/burn.rs
@@ -137,6 +137,7 @@
     states: VecDeque<StateChange>,
     table: Option<bool>,
     offered: Option<bool>,
+    paused: Option<bool>,
 }
 
 impl Burn {
@@ -235,6 +236,18 @@
         }
     }
 
+    /// Keeps a change of whether changes that take capacity away pause.
+    pub fn note_paused(&mut self, at: u64, vm: &str, paused: bool) {
+        if self.paused.replace(paused).unwrap_or(false) != paused {
+            let what = if paused {
+                "objectives burn fast: loads of other versions pause"
+            } else {
+                "objectives no longer burn fast: loads of other versions go on"
+            };
+            self.note(at, vm, what.to_owned());
+        }
+    }
+
     /// Changes of state, oldest first.
     #[must_use]
     pub fn states(&self) -> Vec<StateChange> {
--- a/crates/rw-node/src/burn_calls.rs
+++ b/crates/rw-node/src/burn_calls.rs
@@ -12,6 +12,10 @@
     time::Duration,
 };
 
+/// Rate in the short window above which objectives burn fast.
+const FAST_RATE: f64 = 14.0;
+/// Fewest answers in the short window that say anything.
+const MIN_ANSWERS: u64 = 20;
 /// Time limit of a peer's report.
 const PEER_LIMIT: Duration = Duration::from_secs(2);
 /// Peers asked at the same time.
@@ -73,6 +77,18 @@
         all
     }
 
+    /// Whether any objective burns fast at this VM.
+    pub(crate) fn burns_fast(&self) -> bool {
+        let config = self.config();
+        let counts = self.burn().counts(self.seconds());
+        counts.iter().any(|c| {
+            let [short, _] = &c.windows;
+            let kind = config.kind(&c.kind);
+            let rate = kind.map_or(0.0, |k| burn_rate(short, k.objective));
+            short.iter().sum::<u64>() >= MIN_ANSWERS && rate > FAST_RATE
+        })
+    }
+
     /// Sets the gauges of burn rates to this VM's counts.
     pub(crate) fn refresh_burn(&self) {
         let config = self.config();
--- a/crates/rw-node/src/config_sync.rs
+++ b/crates/rw-node/src/config_sync.rs
@@ -20,13 +20,25 @@
         loop {
             let effects = self.step(Event::Sync(SyncEvent::Tick));
             self.run_sync(effects);
-            let offered = self.lock().is_offered(self.now());
-            self.burn()
-                .note_offered(unix_now(), &self.settings.vm, offered);
+            self.step_sync(SyncEvent::Burning(self.burns_fast()));
+            self.note_states();
             smol::Timer::after(self.settings.poll).await;
         }
     }
 
+    /// Keeps what has changed of this node's state.
+    fn note_states(&self) {
+        let now = self.now();
+        let (offered, paused) = {
+            let node = self.lock();
+            (node.is_offered(now), node.sync().is_burning(now))
+        };
+        let (at, vm) = (unix_now(), &self.settings.vm);
+        let mut burn = self.burn();
+        burn.note_offered(at, vm, offered);
+        burn.note_paused(at, vm, paused);
+    }
+
     /// Reads the VM list, forever.
     pub(crate) async fn poll_vms(self: Arc<Self>) {
         loop {
@@ -150,6 +162,7 @@
 
     /// This node's digest.
     pub(crate) fn digest(&self) -> Digest {
+        let burning = self.burns_fast();
         let node = self.lock();
         let now = self.now();
         Digest {
@@ -158,6 +171,7 @@
             version: node.config().version,
             age_ms: node.sync().age(now),
             ready: node.is_offered(now),
+            burning,
             suspects: Vec::new(),
         }
     }
--- a/crates/rw-types/src/peer_digest.rs
+++ b/crates/rw-types/src/peer_digest.rs
@@ -18,7 +18,14 @@
     /// Whether the node takes new requests.
     #[serde(default)]
     pub ready: bool,
+    /// Whether the objectives of its callers burn fast.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub burning: bool,
     /// Fingerprints of requests suspected to end their targets, each with those targets' names.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<(u64, Vec<String>)>,
 }
+
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -2,8 +2,13 @@
 
 use rw_http::Method;
 use rw_test::{Ask, Fleet, FleetPlan, KEY, ask, get};
+use rw_types::TargetKind;
+use std::time::{Duration, Instant};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for what must come true.
+const LIMIT: Duration = Duration::from_secs(30);
 
 struct Case {
     name: &'static str,
@@ -133,3 +138,97 @@
         assert!(table.out.contains("burns most"), "{}", table.out);
     });
 }
+
+#[test]
+fn loads_of_another_version_pause_while_objectives_burn() {
+    smol::block_on(async {
+        let plan = FleetPlan {
+            engines: vec![vec!["--change-ms".to_owned(), "50".to_owned()]; 2],
+            ..FleetPlan::default()
+        };
+        let mut fleet = Fleet::start(BINARY, plan).await.expect("the fleet starts");
+        // An engine tells the version of what it was ordered to load.
+        let mut config = fleet.config.clone();
+        let mut other = config.models[0].clone();
+        other.name = "other".to_owned();
+        config.models.insert(0, other);
+        let engines = config.targets.iter_mut();
+        for target in engines.filter(|t| t.kind == TargetKind::Engine) {
+            target.models.insert(0, "other".to_owned());
+        }
+        fleet.accept(config.clone()).await.expect("accepted");
+        wait_loaded(&fleet, "1").await;
+        send(&fleet, r#"[{"fault":"refuse"}]"#, 25).await;
+        let states = wait_burn(&fleet, "loads of other versions pause").await;
+        assert!(states >= 1);
+        config.models[0].version = "2".to_owned();
+        fleet.accept(config).await.expect("accepted");
+        wait_burn(&fleet, "configuration 3 in force").await;
+        for _ in 0..60 {
+            assert_eq!(loaded(&fleet, "2").await, 0, "a load in spite of the burn");
+            smol::Timer::after(PAUSE).await;
+        }
+        // Good answers bring the rate down, and the change goes on by itself.
+        send(&fleet, "[]", 200).await;
+        wait_loaded(&fleet, "2").await;
+    });
+}
+
+/// Sends `n` idempotent calls of a plain service to every node.
+async fn send(fleet: &Fleet, faults: &str, n: usize) {
+    let service = &fleet.services[0];
+    fleet
+        .fault(service, faults)
+        .await
+        .expect("the fault is set");
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str()), ("x-work-kind", "quick")];
+    for node in &fleet.nodes {
+        let calls = (0..n).map(|_| {
+            let call = Ask {
+                method: Method::Get,
+                path: "/services/reservations/lookup/1",
+                body: "",
+                headers: &headers,
+            };
+            let addr = node.addr("callers");
+            async move { ask(&addr, call).await.expect("an answer") }
+        });
+        for call in calls {
+            call.await;
+        }
+    }
+}
+
+/// Waits until a node's change of state is in the report and returns how many nodes had it.
+async fn wait_burn(fleet: &Fleet, what: &str) -> usize {
+    let start = Instant::now();
+    loop {
+        let burn = fleet.command(0, &["burn", "--json"]).expect("burn runs");
+        let count = burn.out.matches(what).count();
+        if count > 0 {
+            return count;
+        }
+        assert!(start.elapsed() < LIMIT, "no {what}: {}", burn.out);
+        smol::Timer::after(PAUSE).await;
+    }
+}
+
+/// Engines that took an order to load `version` of the other model.
+async fn loaded(fleet: &Fleet, version: &str) -> usize {
+    let wanted = format!(r#""model":"other","version":"{version}""#);
+    let mut count = 0;
+    for engine in &fleet.engines {
+        let held = get(&engine.addr(""), "/held").await.expect("held").body;
+        count += usize::from(held.contains(&wanted));
+    }
+    count
+}
+
+async fn wait_loaded(fleet: &Fleet, version: &str) {
+    let start = Instant::now();
+    while loaded(fleet, version).await < fleet.engines.len() {
+        assert!(start.elapsed() < LIMIT, "version {version} is not loaded");
+        smol::Timer::after(PAUSE).await;
+    }
+}
