Each node watches a bounded part of the engines

Cause: every node polls every engine: 1,300 x 10,000 polls in each pause. Weighed: a random subset a node (leaves targets unwatched by chance); a ring of positions (all parts move when a VM leaves); rendezvous hashing a target. Change: three VMs of a target's data centre and one of another by rendezvous hashing, and three targets of each class for each node so that it can serve every model; all of them up to 64 targets. Polls are spread over the pause and at most 33 a second. Plain services aren't polled and stay open to all. Seen to fail first (mutants): without the node's own picks a VM has 1 target of a model; with leaving VMs counted a target has 3 watchers.

--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, draws an unseeded random number or does I/O. The running node, the
 //! property tests and the exhaustive exploration all drive the same [`Node::step`].
 
+mod aperture;
 mod call;
 mod claim;
 mod effect;
@@ -16,6 +17,7 @@
 mod target_state;
 mod wish;
 
+pub use aperture::Aperture;
 pub use call::{Call, Work};
 pub use claim::{Answer, Claim, ClaimRead, ClaimState, claim_key};
 pub use effect::Effect;
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -47,7 +47,7 @@
             Event::CallerGone { id } => self.drop_caller(id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
-            Event::VmsRead(vms) => self.members.replace(vms),
+            Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Leave => self.leaving = true,
         }
         effects
@@ -106,5 +106,6 @@
         }
         self.targets.apply(&config);
         self.config = config;
+        self.choose_targets();
     }
 }
--- a/crates/rw-core/src/target_state.rs
+++ b/crates/rw-core/src/target_state.rs
@@ -92,6 +92,12 @@
         &mut self.list[index]
     }
 
+    /// Takes over which targets are watched, by their positions.
+    pub(crate) fn watch(&mut self, watched: &[bool]) {
+        let pairs = self.list.iter_mut().zip(watched);
+        pairs.for_each(|(target, watched)| target.watched = *watched);
+    }
+
     /// Takes over a target's report.
     pub fn report(&mut self, now: Millis, name: &str, report: LoadReport) {
         let Some(target) = self.find_mut(name) else {
--- a/crates/rw-http/src/sse.rs
+++ b/crates/rw-http/src/sse.rs
@@ -70,10 +70,7 @@
             let n = read.map_err(|_| SendError::Broken)?;
             if n == 0 {
                 // The last chunk was seen, so the next answer can't be crossed with this one.
-                self.conn
-                    .take()
-                    .into_iter()
-                    .for_each(|c| self.client.put_back(c));
+                self.give_back();
                 return Ok(None);
             }
             if n > MAX_LINE || !self.line.ends_with('\n') {
--- a/crates/rw-node/src/loops.rs
+++ b/crates/rw-node/src/loops.rs
@@ -5,7 +5,12 @@
 use rw_http::{Method, Pooling, Request, SendError, Url, spawn};
 use rw_platform::{PlatformError, VmList as _, read_config, read_head};
 use rw_types::{LoadReport, TargetKind};
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+/// Shortest pause between two polls, which bounds their bytes and their part of the core.
+const MIN_GAP: Duration = Duration::from_millis(30);
+/// Pause of a node that watches no engine.
+const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 
 impl Shell {
     /// Reads the configuration's head and the VM list, forever.
@@ -33,28 +38,35 @@
         Ok(())
     }
 
-    /// Reads every engine's load, forever.
+    /// Reads the load of every engine watched, forever, spread evenly over the pause.
     pub(crate) async fn poll_loads(self: Arc<Self>) {
         loop {
-            let config = self.config();
-            let engines = config
-                .targets
-                .iter()
-                .filter(|t| t.kind == TargetKind::Engine);
-            for target in engines {
-                let shell = self.clone();
-                let (name, addr) = (target.name.clone(), target.addr.clone());
-                spawn(async move {
-                    if let Ok(report) = shell.read_load(&addr).await {
-                        shell.step(Event::Reported {
-                            target: name,
-                            report,
-                        });
-                    }
-                })
-                .detach();
+            let engines = self.watched_engines();
+            let count = engines.len().max(1) as u32;
+            let gap = (self.settings.report_poll / count).max(MIN_GAP);
+            for (name, addr) in engines {
+                spawn(self.clone().poll_load(name, addr)).detach();
+                smol::Timer::after(gap).await;
+            }
+            if count == 1 {
+                // Also the pace of a node that watches nothing yet.
+                smol::Timer::after(gap.min(EMPTY_PAUSE)).await;
             }
-            smol::Timer::after(self.settings.report_poll).await;
+        }
+    }
+
+    /// Name and address of each engine watched.
+    fn watched_engines(&self) -> Vec<(String, String)> {
+        let node = self.lock();
+        let targets = node.targets().all().iter();
+        let engines = targets.filter(|t| t.watched && t.spec.kind == TargetKind::Engine);
+        let pairs = engines.map(|t| (t.spec.name.clone(), t.spec.addr.clone()));
+        pairs.collect()
+    }
+
+    async fn poll_load(self: Arc<Self>, target: String, addr: String) {
+        if let Ok(report) = self.read_load(&addr).await {
+            self.step(Event::Reported { target, report });
         }
     }
 
