--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -93,7 +93,7 @@
     secret(
         "token",
         "REDWINGWEIR_TOKEN",
-        "Token of peers and operators; prefer the variable",
+        "Token of peers and operators, or two with a comma during a rotation, the one to send first; prefer the variable",
     ),
     secret(
         "secret",
@@ -115,8 +115,8 @@
     plain(
         "poll-ms",
         "REDWINGWEIR_POLL_MS",
-        Some("2000"),
-        "Pause between reads of the platform, ms",
+        Some("1000"),
+        "Pause between reads of the platform and exchanges with peers, ms",
     ),
     plain(
         "report-poll-ms",
@@ -124,6 +124,36 @@
         Some("500"),
         "Pause between reads of a target's load, ms",
     ),
+    plain(
+        "weight-rate",
+        "REDWINGWEIR_WEIGHT_RATE",
+        Some("1000000000"),
+        "Rate limit of the weight store, bytes a second, for plans",
+    ),
+    plain(
+        "lease-ms",
+        "REDWINGWEIR_LEASE_MS",
+        Some("10000"),
+        "Time that a lease on a group of targets runs, ms",
+    ),
+    plain(
+        "drift-ms",
+        "REDWINGWEIR_DRIFT_MS",
+        Some("500"),
+        "Most that the clocks of two VMs drift apart within one lease, ms",
+    ),
+    plain(
+        "order-ms",
+        "REDWINGWEIR_ORDER_MS",
+        Some("2000"),
+        "Longest life of an order on its way to its target, ms",
+    ),
+    plain(
+        "stale-ms",
+        "REDWINGWEIR_STALE_MS",
+        Some("5000"),
+        "Age from which a target's report is no longer planned on, ms",
+    ),
     plain(
         "threads",
         "REDWINGWEIR_THREADS",
@@ -244,6 +274,11 @@
         silence: Duration::from_millis(ms("silence-ms")?),
         poll: Duration::from_millis(ms("poll-ms")?),
         report_poll: Duration::from_millis(ms("report-poll-ms")?),
+        weight_rate: parse(matches, "weight-rate", "a whole number of bytes")?,
+        lease: Duration::from_millis(ms("lease-ms")?),
+        drift: Duration::from_millis(ms("drift-ms")?),
+        order_life: Duration::from_millis(ms("order-ms")?),
+        stale: Duration::from_millis(ms("stale-ms")?),
         limits: limits(matches)?,
         threads: within(matches, "threads", 1, 64, "1 to 64")?,
     })
@@ -283,8 +318,12 @@
 
 fn token(matches: &ArgMatches) -> Result<String, CliError> {
     let token = text(matches, "token")?;
-    if token.len() < MIN_TOKEN {
-        return Err(bad("token", "(hidden)", "at least 16 bytes long"));
+    if token.split(',').any(|one| one.len() < MIN_TOKEN) {
+        return Err(bad(
+            "token",
+            "(hidden)",
+            "at least 16 bytes long, or two such with a comma between",
+        ));
     }
     Ok(token.to_owned())
 }
@@ -313,7 +352,12 @@
     value.parse().map_err(|_| bad(name, value, wanted))
 }
 
-fn parse_secret(hex: &str) -> Result<[u8; 32], CliError> {
+/// The secret under which keys are hashed.
+///
+/// # Errors
+///
+/// [`CliError::BadSetting`] if it isn't 64 hex digits.
+pub fn parse_secret(hex: &str) -> Result<[u8; 32], CliError> {
     let wrong = || bad("secret", "(hidden)", "64 hex digits");
     if hex.len() != 64 || !hex.is_ascii() {
         return Err(wrong());
--- a/crates/rw-core/src/aperture.rs
+++ b/crates/rw-core/src/aperture.rs
@@ -152,9 +152,8 @@
 impl Node {
     /// Takes over a newly read list of VMs.
     pub(crate) fn replace_vms(&mut self, vms: Vec<Vm>) {
-        let before = self.members.all().to_vec();
-        self.members.replace(vms);
-        if self.members.all() != before {
+        if self.members.replace(vms) {
+            self.authority.outdated = true;
             self.choose_targets();
         }
     }
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,6 @@
 //! The node's state and its one entry point.
 
-use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -15,6 +15,8 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    pub(crate) sync: ConfigSync,
+    pub(crate) authority: Authority,
     pub(crate) leaving: bool,
     next_attempt: u64,
 }
@@ -23,6 +25,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
+        let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
             config: Arc::default(),
@@ -30,6 +33,8 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            sync,
+            authority: Authority::default(),
             leaving: false,
             next_attempt: 1,
         }
@@ -47,7 +52,9 @@
             Event::CallerGone { id } => self.drop_caller(id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
+            Event::Sync(event) => self.sync_step(now, event, &mut effects),
             Event::VmsRead(vms) => self.replace_vms(vms),
+            Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
         }
         effects
@@ -105,6 +112,7 @@
             return;
         }
         self.targets.apply(&config);
+        self.authority.outdated = true;
         self.config = config;
         self.choose_targets();
     }
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod exchange;
 mod guard;
+mod guarded;
 mod limits;
 mod listen;
 mod registry;
--- a/crates/rw-node/src/loops.rs
+++ b/crates/rw-node/src/loops.rs
@@ -1,9 +1,8 @@
 //! What a node reads again and again.
 
 use crate::Shell;
-use rw_core::Event;
+use rw_core::{Event, TargetState};
 use rw_http::{Method, Pooling, Request, SendError, Url, spawn};
-use rw_platform::{PlatformError, VmList as _, read_config, read_head};
 use rw_types::{LoadReport, TargetKind};
 use std::{sync::Arc, time::Duration};
 
@@ -13,32 +12,7 @@
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 
 impl Shell {
-    /// Reads the configuration's head and the VM list, forever.
-    pub(crate) async fn poll_platform(self: Arc<Self>) {
-        loop {
-            let read = self.read_platform().await;
-            let end = if read.is_ok() { "ok" } else { "failed" };
-            self.metrics
-                .platform
-                .with_label_values(&["poll", end])
-                .inc();
-            smol::Timer::after(self.settings.poll).await;
-        }
-    }
-
-    async fn read_platform(&self) -> Result<(), PlatformError> {
-        let (head, _) = read_head(&self.platform).await?;
-        if head > self.config().version
-            && let Some(config) = read_config(&self.platform, head).await?
-        {
-            self.apply_config(config);
-        }
-        let vms = self.platform.vms().await?;
-        self.step(Event::VmsRead(vms));
-        Ok(())
-    }
-
-    /// Reads the load of every engine watched, forever, spread evenly over the pause.
+    /// Reads the load of every engine watched or led, forever, spread evenly over the pause.
     pub(crate) async fn poll_loads(self: Arc<Self>) {
         loop {
             let engines = self.watched_engines();
@@ -55,11 +29,17 @@
         }
     }
 
-    /// Name and address of each engine watched.
+    /// Name and address of each engine that this node routes to or may give orders to.
     fn watched_engines(&self) -> Vec<(String, String)> {
         let node = self.lock();
+        let held: Vec<_> = node
+            .held_groups(self.now())
+            .map(|(group, _)| group)
+            .collect();
+        let led = |t: &TargetState| held.binary_search(&t.spec.lease_group()).is_ok();
         let targets = node.targets().all().iter();
-        let engines = targets.filter(|t| t.watched && t.spec.kind == TargetKind::Engine);
+        let engines = targets.filter(|t| t.spec.kind == TargetKind::Engine);
+        let engines = engines.filter(|t| t.watched || led(t));
         let pairs = engines.map(|t| (t.spec.name.clone(), t.spec.addr.clone()));
         pairs.collect()
     }
