--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod key;
 mod plan;
 mod serve;
+mod slopes;
 mod status;
 
 use crate::CliError;
@@ -34,6 +35,7 @@
         key::spec(),
         plan::spec(),
         serve::spec(),
+        slopes::spec(),
         status::spec(),
     ]
 }
--- a/crates/rw-cli/src/lib.rs
+++ b/crates/rw-cli/src/lib.rs
@@ -6,6 +6,7 @@
 mod logs;
 mod operator;
 mod run;
+mod scale;
 mod settings;
 mod stop;
 
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod shell;
 
+pub use accounts::Accounts;
 pub use changes::{Changes, RecentChanges};
 pub use history::{History, HistoryEntry, step_words};
 pub use metrics::Metrics;
