A burst of connections isn't dropped: a backlog of 4,096

Cause: the standard library listens with a backlog of 128; of 360 streams opened at once through one node 114 failed, since the engine stand-in's kernel queue dropped connections whose second try comes after the client's 1 s. Ruled out: descriptors, slots of the stand-in, the route.

Also the bench of a node at rest and of the tokens it relays.

--- /dev/null
+++ b/benches/node.rs
@@ -0,0 +1,191 @@
+//! What one node process costs: at rest with a fleet of a given size, and for each token relayed.
+//!
+//! Run with `cargo bench --bench node`.
+
+use rw_http::{Client, Method, Pooling, Workers, post_json};
+use rw_test::{Ask, Fleet, FleetPlan, KEY, ask};
+use rw_types::{Account, Config, Target, Vm};
+use smol::{Timer, net::TcpStream};
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+/// Time of one measurement.
+const SPAN: Duration = Duration::from_secs(4);
+/// Time given to a node to take over a configuration and to settle.
+const SETTLE: Duration = Duration::from_secs(3);
+/// VMs, targets and accounts of the states measured.
+const STATES: &[(usize, usize, usize)] = &[
+    (1, 100, 1_000),
+    (1, 1_000, 10_000),
+    (1, 10_000, 47_000),
+    (13, 100, 1_000),
+    (130, 1_000, 10_000),
+    (1_300, 10_000, 47_000),
+];
+/// Idle connections held in the end.
+const IDLE: usize = 10_000;
+/// Streams at once.
+const STREAMS: &[usize] = &[90, 180, 360];
+/// Tokens a second of a stream, from 42 ms between tokens.
+const DECODE: u64 = 24;
+/// Longest wait for an answer.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Ticks a second in the process statistics.
+const TICKS: f64 = 100.0;
+
+/// Processor seconds that a process has used.
+fn cpu(id: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    ticks.filter_map(|t| t.parse::<f64>().ok()).sum::<f64>() / TICKS
+}
+
+/// Resident memory of a process, MB.
+fn resident(id: u32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let number = line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok());
+    number.unwrap_or_default() / 1_024.0
+}
+
+async fn start(engine: &[&str]) -> io::Result<Fleet> {
+    let own = |flags: &[&str]| flags.iter().map(|f| (*f).to_owned()).collect::<Vec<_>>();
+    let plan = FleetPlan {
+        nodes: 1,
+        engines: vec![own(engine)],
+        ..FleetPlan::default()
+    };
+    Fleet::start(BINARY, plan).await
+}
+
+/// A configuration with so many targets, all at the address of the one engine, and accounts.
+fn grown(config: &Config, targets: usize, accounts: usize) -> Config {
+    let mut grown = config.clone();
+    let engine = &config.targets[0];
+    grown.targets.extend((0..targets).map(|n| Target {
+        name: format!("engine-x{n:05}"),
+        group: format!("group-{}", n / 100),
+        ..engine.clone()
+    }));
+    grown.accounts.extend((0..accounts).map(|n| Account {
+        name: format!("account-{n:05}"),
+        keys: vec![format!("{n:064x}")],
+        share: 1,
+    }));
+    grown.sort();
+    grown
+}
+
+/// Lists `count` VMs, of which all but the first can't be reached.
+async fn list(fleet: &Fleet, count: usize) -> io::Result<()> {
+    let peer = |n| match n {
+        0 => fleet.nodes[0].addr("peers"),
+        _ => "127.0.0.1:1".to_owned(),
+    };
+    let vms = (0..count).map(|n| Vm {
+        name: format!("vm-{}", n + 1),
+        centre: "centre-a".to_owned(),
+        peer: peer(n),
+        leaving: false,
+    });
+    let vms: Vec<_> = vms.collect();
+    let put = Ask {
+        method: Method::Put,
+        path: "/vms",
+        body: &serde_json::to_string(&vms)?,
+        headers: &[],
+    };
+    let put = ask(&fleet.platform.addr(""), put).await;
+    put.map(|_| ()).map_err(io::Error::other)
+}
+
+async fn at_rest() -> io::Result<()> {
+    println!("a node at rest");
+    for &(vms, targets, accounts) in STATES {
+        let mut fleet = start(&[]).await?;
+        list(&fleet, vms).await?;
+        let config = grown(&fleet.config, targets, accounts);
+        fleet.accept(config).await?;
+        Timer::after(SETTLE).await;
+        let node = fleet.nodes[0].id();
+        let before = cpu(node);
+        Timer::after(SPAN).await;
+        let used = (cpu(node) - before) / SPAN.as_secs_f64();
+        println!(
+            "  VMs {vms:>5}  targets {targets:>6}  accounts {accounts:>6}  {:>6.1} MB  {:.1}% of a core",
+            resident(node),
+            used * 100.0
+        );
+        if vms < STATES[STATES.len() - 1].0 {
+            continue;
+        }
+        let addr = fleet.nodes[0].addr("callers");
+        let mut held = Vec::with_capacity(IDLE);
+        for _ in 0..IDLE {
+            held.push(TcpStream::connect(&addr).await?);
+        }
+        Timer::after(Duration::from_secs(1)).await;
+        println!("  with {IDLE} idle connections  {:>6.1} MB", resident(node));
+    }
+    Ok(())
+}
+
+/// Reads one stream to its end and returns its events.
+async fn read_stream(client: Client, addr: String, tokens: u64) -> Option<u64> {
+    let body = format!(
+        "{{\"model\":\"small\",\"prompt\":\"hello\",\"max_tokens\":{tokens},\"stream\":true}}"
+    );
+    let mut request = post_json(&addr, "/v1/completions", body.into_bytes()).ok()?;
+    request.insert_header("authorization", format!("Bearer {KEY}"));
+    let sent = client.send(&addr, request, Pooling::Reuse, LIMIT);
+    let mut lines = sent.await.ok()?.lines();
+    let mut events = 0;
+    while lines.next(LIMIT).await.ok()?.is_some() {
+        events += 1;
+    }
+    Some(events)
+}
+
+async fn relay(workers: &Workers) -> io::Result<()> {
+    println!("a node that relays streams of {DECODE} tokens a second");
+    let decode = DECODE.to_string();
+    let engine = ["--decode-rate", &decode, "--slots", "100000"];
+    let fleet = start(&engine).await?;
+    let (node, addr) = (fleet.nodes[0].id(), fleet.nodes[0].addr("callers"));
+    let tokens = DECODE * SPAN.as_secs();
+    for &streams in STREAMS {
+        let (before, began) = (cpu(node), Instant::now());
+        let client = Client::default();
+        let tasks: Vec<_> = (0..streams)
+            .map(|_| workers.spawn(read_stream(client.clone(), addr.clone(), tokens)))
+            .collect();
+        let mut events = 0;
+        let mut failed = 0;
+        for task in tasks {
+            match task.await {
+                Some(n) => events += n,
+                None => failed += 1,
+            }
+        }
+        let used = cpu(node) - before;
+        println!(
+            "  streams {streams:>4}  {:>6.0} tokens/s  failed {failed}  {:.1}% of a core  {:.1} us a token",
+            events as f64 / began.elapsed().as_secs_f64(),
+            used / began.elapsed().as_secs_f64() * 100.0,
+            used / events as f64 * 1e6
+        );
+    }
+    Ok(())
+}
+
+fn main() -> io::Result<()> {
+    let workers = Workers::start(2)?;
+    smol::block_on(async {
+        at_rest().await?;
+        relay(&workers).await
+    })
+}
--- a/crates/rw-http/src/listen.rs
+++ b/crates/rw-http/src/listen.rs
@@ -11,6 +11,8 @@
     time::{Duration, Instant},
 };
 
+/// Connections that wait to be accepted; the kernel's own limit may be lower.
+const BACKLOG: i32 = 4_096;
 /// Pause between looks at whether a limit has run out.
 const SWEEP: Duration = Duration::from_millis(200);
 /// Pause after an accept that failed for want of descriptors.
@@ -32,7 +34,10 @@
     ///
     /// The error of the operating system, for example that the port is in use.
     pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
-        let tcp = Async::<std::net::TcpListener>::bind(addr)?.into();
+        let tcp = Async::<std::net::TcpListener>::bind(addr)?;
+        // The standard library's 128 would drop part of a burst, whose callers then wait a second.
+        rustix::net::listen(&tcp, BACKLOG)?;
+        let tcp = tcp.into();
         Ok(Self {
             tcp,
             limits,
