--- a/benches/node.rs
+++ b/benches/node.rs
@@ -3,7 +3,7 @@
 //! Run with `cargo bench --bench node`.
 
 use rw_http::{Client, Method, Pooling, Workers, post_json};
-use rw_test::{Ask, Fleet, FleetPlan, KEY, ask};
+use rw_test::{Ask, Fleet, FleetPlan, KEY, Process, SECRET_HEX, TOKEN, ask};
 use rw_types::{Account, Config, Target, Vm};
 use smol::{Timer, net::TcpStream};
 use std::{
@@ -52,10 +52,11 @@
     number.unwrap_or_default() / 1_024.0
 }
 
-async fn start(engine: &[&str]) -> io::Result<Fleet> {
+/// A fleet with so many nodes and one engine.
+async fn start(nodes: usize, engine: &[&str]) -> io::Result<Fleet> {
     let own = |flags: &[&str]| flags.iter().map(|f| (*f).to_owned()).collect::<Vec<_>>();
     let plan = FleetPlan {
-        nodes: 1,
+        nodes,
         engines: vec![own(engine)],
         ..FleetPlan::default()
     };
@@ -80,16 +81,27 @@
     grown
 }
 
-/// Lists `count` VMs, of which all but the first can't be reached.
+/// The node `vm-1` with the pauses that `serve` has by default.
+fn serve(fleet: &Fleet) -> io::Result<Process> {
+    let mut args = fleet.node_args(1);
+    for short in ["--poll-ms", "--report-poll-ms"] {
+        if let Some(at) = args.iter().position(|a| a == short) {
+            args.drain(at..at + 2);
+        }
+    }
+    let env = [
+        ("REDWINGWEIR_TOKEN", TOKEN),
+        ("REDWINGWEIR_SECRET", SECRET_HEX),
+    ];
+    Process::start(BINARY, &args, &env)
+}
+
+/// Lists `count` VMs, none of which can be reached.
 async fn list(fleet: &Fleet, count: usize) -> io::Result<()> {
-    let peer = |n| match n {
-        0 => fleet.nodes[0].addr("peers"),
-        _ => "127.0.0.1:1".to_owned(),
-    };
     let vms = (0..count).map(|n| Vm {
         name: format!("vm-{}", n + 1),
         centre: "centre-a".to_owned(),
-        peer: peer(n),
+        peer: "127.0.0.1:1".to_owned(),
         leaving: false,
     });
     let vms: Vec<_> = vms.collect();
@@ -106,12 +118,13 @@
 async fn at_rest() -> io::Result<()> {
     println!("a node at rest");
     for &(vms, targets, accounts) in STATES {
-        let mut fleet = start(&[]).await?;
+        let mut fleet = start(0, &[]).await?;
         list(&fleet, vms).await?;
         let config = grown(&fleet.config, targets, accounts);
         fleet.accept(config).await?;
+        let process = serve(&fleet)?;
         Timer::after(SETTLE).await;
-        let node = fleet.nodes[0].id();
+        let node = process.id();
         let before = cpu(node);
         Timer::after(SPAN).await;
         let used = (cpu(node) - before) / SPAN.as_secs_f64();
@@ -123,7 +136,7 @@
         if vms < STATES[STATES.len() - 1].0 {
             continue;
         }
-        let addr = fleet.nodes[0].addr("callers");
+        let addr = process.addr("callers");
         let mut held = Vec::with_capacity(IDLE);
         for _ in 0..IDLE {
             held.push(TcpStream::connect(&addr).await?);
@@ -154,7 +167,7 @@
     println!("a node that relays streams of {DECODE} tokens a second");
     let decode = DECODE.to_string();
     let engine = ["--decode-rate", &decode, "--slots", "100000"];
-    let fleet = start(&engine).await?;
+    let fleet = start(1, &engine).await?;
     let (node, addr) = (fleet.nodes[0].id(), fleet.nodes[0].addr("callers"));
     let tokens = DECODE * SPAN.as_secs();
     for &streams in STREAMS {
