--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -53,7 +53,7 @@
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
-            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
         }
@@ -114,5 +114,6 @@
         self.targets.apply(&config);
         self.authority.outdated = true;
         self.config = config;
+        self.choose_targets();
     }
 }
