The stand-ins spoil answers on the wire, stall, misnumber tokens and crash on a body

Cause: the service stand-in showed a lost, a cut and a wrongly measured answer all as a broken chunk, and an answer without a length could not be shown at all, because async-h1's server adds one. So no test could tell these faults apart. Change: the service writes spoilt answers itself; the engine stalls in mid-stream, sends a token twice or leaves one out; both end their process on a body that contains a given text, and count calls by path. A refusal echoes its attempt.

--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -150,6 +150,10 @@
             self.faults.set(armed);
             return json(200, &());
         }
+        if path == "/calls" {
+            return json(200, &self.faults.calls());
+        }
+        self.faults.crash_on(&body);
         let struck = self.faults.strike(&path);
         if struck.contains(&Fault::Refuse) {
             let mut answer = raw(503, Vec::new(), "text/plain");
@@ -217,6 +221,10 @@
                 return;
             }
             pause(1.0 / self.settings.decode_rate.max(1) as f64).await;
+            if n >= generate.output / 2 && struck.contains(&Fault::Stall) {
+                std::future::pending::<()>().await;
+            }
+            let n = Faults::number(struck, n, generate.output);
             let token = seed.wrapping_add(n) % 1_000;
             let event =
                 format!("data: {{\"attempt\":{attempt},\"n\":{n},\"text\":\"t{token} \"}}\n\n");
--- a/crates/rw-fakes/src/fault.rs
+++ b/crates/rw-fakes/src/fault.rs
@@ -31,6 +31,17 @@
     WrongLength,
     /// Take the call and never answer.
     Silence,
+    /// Send half of a stream, then nothing on an open connection.
+    Stall,
+    /// Send one token of a stream twice.
+    RepeatToken,
+    /// Leave one token of a stream out.
+    SkipToken,
+    /// End the process when a body contains the text.
+    Crash {
+        /// Text.
+        text: String,
+    },
 }
 
 /// A fault with how many calls it still strikes.
@@ -51,17 +62,23 @@
 #[derive(Debug, Default)]
 pub struct Faults {
     armed: Mutex<Vec<Armed>>,
+    /// Calls by path, sorted.
+    calls: Mutex<Vec<(String, u64)>>,
 }
 
+/// Exit code of a process that a request crashed.
+const CRASHED: i32 = 70;
+
 impl Faults {
     /// Replaces the faults in force.
     pub fn set(&self, armed: Vec<Armed>) {
         *self.armed.lock().unwrap_or_else(PoisonError::into_inner) = armed;
     }
 
-    /// Takes the faults that strike a call of `path`.
+    /// Counts a call of `path` and takes the faults that strike it.
     #[must_use]
     pub fn strike(&self, path: &str) -> Vec<Fault> {
+        self.count(path);
         let mut armed = self.armed.lock().unwrap_or_else(PoisonError::into_inner);
         let mut struck = Vec::new();
         for one in armed.iter_mut().filter(|a| path.starts_with(&a.path)) {
@@ -87,4 +104,45 @@
             }
         }
     }
+
+    /// Calls so far by path, sorted, whatever became of them.
+    #[must_use]
+    pub fn calls(&self) -> Vec<(String, u64)> {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.clone()
+    }
+
+    /// Ends the process if `body` contains the text of an armed crash.
+    pub fn crash_on(&self, body: &[u8]) {
+        let armed = self.armed.lock().unwrap_or_else(PoisonError::into_inner);
+        let body = String::from_utf8_lossy(body);
+        let struck = armed.iter().any(|a| match &a.fault {
+            Fault::Crash { text } => body.contains(text.as_str()),
+            _ => false,
+        });
+        if struck {
+            std::process::exit(CRASHED);
+        }
+    }
+
+    /// The number under which token `n` of `total` is sent.
+    #[must_use]
+    pub fn number(faults: &[Fault], n: u64, total: u64) -> u64 {
+        let late = n >= total / 2;
+        if late && faults.contains(&Fault::RepeatToken) {
+            n.saturating_sub(1)
+        } else if late && faults.contains(&Fault::SkipToken) {
+            n + 1
+        } else {
+            n
+        }
+    }
+
+    fn count(&self, path: &str) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        match calls.binary_search_by(|c| c.0.as_str().cmp(path)) {
+            Ok(i) => calls[i].1 += 1,
+            Err(i) => calls.insert(i, (path.to_owned(), 1)),
+        }
+    }
 }
--- a/crates/rw-fakes/src/lib.rs
+++ b/crates/rw-fakes/src/lib.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod service;
 mod table_state;
+mod wire;
 
 pub use engine::{EngineSettings, FakeEngine, Generate};
 pub use fault::{Armed, Fault, Faults};
--- a/crates/rw-fakes/src/service.rs
+++ b/crates/rw-fakes/src/service.rs
@@ -1,8 +1,13 @@
 //! The plain-service stand-in, which counts what it ran.
 
-use crate::{Armed, Fault, Faults};
-use rw_http::{Limits, Listener, Request, Response, json, raw, read_body};
+use crate::{Armed, Fault, Faults, wire::send_answer};
+use async_h1::server::decode;
+use rw_http::{Request, Response, json, raw, read_body};
 use serde::{Deserialize, Serialize};
+use smol::{
+    Async,
+    net::{TcpListener, TcpStream},
+};
 use std::{
     io,
     net::SocketAddr,
@@ -26,7 +31,7 @@
 /// The plain-service stand-in, bound but not yet serving.
 #[derive(Debug)]
 pub struct FakeService {
-    listener: Listener,
+    listener: TcpListener,
     inner: Arc<Inner>,
 }
 
@@ -43,7 +48,7 @@
     ///
     /// The error of the operating system.
     pub fn bind(listen: SocketAddr) -> io::Result<Self> {
-        let listener = Listener::bind(listen, Limits::default())?;
+        let listener = Async::<std::net::TcpListener>::bind(listen)?.into();
         Ok(Self {
             listener,
             inner: Arc::default(),
@@ -56,18 +61,18 @@
     ///
     /// The error of the operating system.
     pub fn addr(&self) -> io::Result<SocketAddr> {
-        self.listener.addr()
+        self.listener.local_addr()
     }
 
     /// Serves until the future is dropped.
     pub async fn run(self) {
-        let inner = self.inner;
-        self.listener
-            .run(move |request| {
-                let inner = inner.clone();
-                async move { inner.answer(request).await }
-            })
-            .await;
+        loop {
+            let Ok((stream, _)) = self.listener.accept().await else {
+                continue;
+            };
+            let inner = self.inner.clone();
+            smol::spawn(async move { inner.serve(stream).await }).detach();
+        }
     }
 }
 
@@ -76,71 +81,72 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(&self, mut request: Request) -> Response {
-        let body = match read_body(&mut request, MAX_BODY).await {
+    async fn serve(&self, mut stream: TcpStream) {
+        while let Ok(Some((mut request, _))) = decode(stream.clone()).await {
+            let (answer, struck) = self.answer(&mut request).await;
+            let sent = send_answer(&mut stream, request.method(), answer, &struck).await;
+            if !matches!(sent, Ok(true)) {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, request: &mut Request) -> (Response, Vec<Fault>) {
+        let plain = |status| (raw(status, Vec::new(), "text/plain"), Vec::new());
+        let body = match read_body(request, MAX_BODY).await {
             Ok(body) => body,
-            Err(status) => return raw(status.into(), Vec::new(), "text/plain"),
+            Err(status) => return plain(status.into()),
         };
         let path = request.url().path().to_owned();
         match path.as_str() {
-            "/held" => return json(200, &*self.lock()),
+            "/held" => return (json(200, &*self.lock()), Vec::new()),
+            "/calls" => return (json(200, &self.faults.calls()), Vec::new()),
             "/fault" => {
                 let Ok(armed) = serde_json::from_slice::<Vec<Armed>>(&body) else {
-                    return raw(400, Vec::new(), "text/plain");
+                    return plain(400);
                 };
                 self.faults.set(armed);
-                return json(200, &());
+                return (json(200, &()), Vec::new());
             }
             _ => {}
         }
         let struck = self.faults.strike(&path);
-        if struck.contains(&Fault::Refuse) {
-            let mut answer = raw(503, Vec::new(), "text/plain");
-            answer.insert_header("x-outcome", "not-run");
-            return answer;
+        let attempt = request.header("x-attempt").map(|v| v.last().to_string());
+        let mut answer = if struck.contains(&Fault::Refuse) {
+            let mut refused = raw(503, Vec::new(), "text/plain");
+            refused.insert_header("x-outcome", "not-run");
+            refused
+        } else {
+            let answer = self.act(request, &path, &body);
+            self.faults.crash_on(&body);
+            answer
+        };
+        Faults::wait(&struck).await;
+        if let Some(attempt) = attempt {
+            let crossed = struck.contains(&Fault::CrossAnswer);
+            answer.insert_header("x-attempt", if crossed { "0" } else { &attempt });
         }
-        let key = request
-            .header("idempotency-key")
-            .map(|v| v.last().to_string());
+        (answer, struck)
+    }
+
+    /// Runs the call; `/echo` answers the body as it came.
+    fn act(&self, request: &Request, path: &str, body: &[u8]) -> Response {
+        let header = |name: &str| request.header(name).map(|v| v.last().to_string());
         let held = Held {
             call: format!("{} {path}", request.method()),
-            key: key.unwrap_or_default(),
-            body: String::from_utf8_lossy(&body).into_owned(),
+            key: header("idempotency-key").unwrap_or_default(),
+            body: String::from_utf8_lossy(body).into_owned(),
         };
         let runs = {
             let mut all = self.lock();
             all.push(held.clone());
             all.len()
         };
-        Faults::wait(&struck).await;
-        let attempt = request.header("x-attempt").map(|v| v.last().to_string());
-        let mut answer = json(
-            200,
-            &serde_json::json!({ "run": runs, "call": held.call, "echo": held.body }),
-        );
-        if let Some(attempt) = attempt {
-            let crossed = struck.contains(&Fault::CrossAnswer);
-            answer.insert_header("x-attempt", if crossed { "0" } else { &attempt });
+        if path == "/echo" {
+            let kind = header("content-type").unwrap_or_default();
+            return raw(201, body.to_vec(), &kind);
         }
-        spoil(answer, &struck)
-    }
-}
-
-/// Applies the faults that concern how an answer is sent.
-pub(crate) fn spoil(mut answer: Response, struck: &[Fault]) -> Response {
-    if struck
-        .iter()
-        .any(|f| matches!(f, Fault::LoseAnswer | Fault::CutAnswer | Fault::WrongLength))
-    {
-        // The body ends before its length, then the connection is closed.
-        let (tx, rx) = async_channel::bounded(1);
-        let _ = tx.try_send(Err(io::ErrorKind::ConnectionReset.into()));
-        let mut cut = rw_http::events(rx);
-        cut.insert_header("content-type", "application/json");
-        return cut;
-    }
-    if struck.contains(&Fault::NoLength) {
-        answer.remove_header("content-length");
+        let value = serde_json::json!({ "run": runs, "call": held.call, "echo": held.body });
+        json(200, &value)
     }
-    answer
 }
