--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -111,6 +111,24 @@
         Some("30000"),
         "Longest silence of a target, ms",
     ),
+    plain(
+        "first-byte-ms",
+        "REDWINGWEIR_FIRST_BYTE_MS",
+        Some("10000"),
+        "Wait for a target's first byte before it is probed, ms",
+    ),
+    plain(
+        "token-gap-ms",
+        "REDWINGWEIR_TOKEN_GAP_MS",
+        Some("5000"),
+        "Wait for the next token before the target is probed, ms",
+    ),
+    plain(
+        "leave-grace-ms",
+        "REDWINGWEIR_LEAVE_GRACE_MS",
+        Some("2000"),
+        "Time from turning not ready to refusing new requests, ms",
+    ),
     plain(
         "poll-ms",
         "REDWINGWEIR_POLL_MS",
@@ -199,6 +217,9 @@
         secret: parse_secret(text(matches, "secret")?)?,
         max_body: parse(matches, "max-body", "a whole number of bytes")?,
         silence: Duration::from_millis(ms("silence-ms")?),
+        first_byte: Duration::from_millis(ms("first-byte-ms")?),
+        token_gap: Duration::from_millis(ms("token-gap-ms")?),
+        leave_grace: Duration::from_millis(ms("leave-grace-ms")?),
         poll: Duration::from_millis(ms("poll-ms")?),
         report_poll: Duration::from_millis(ms("report-poll-ms")?),
     })
--- /dev/null
+++ b/crates/rw-core/src/answer.rs
@@ -0,0 +1,51 @@
+//! A recorded answer.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+
+/// A target's whole answer, kept so that a resend of its key gets the same bytes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    #[serde(default)]
+    pub kind: String,
+    /// Body.
+    #[serde(serialize_with = "write_body", deserialize_with = "read_body")]
+    pub body: Vec<u8>,
+}
+
+/// A body in JSON: its text, or hex digits where it is not UTF-8.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+enum Body<'a> {
+    Text(std::borrow::Cow<'a, str>),
+    Hex { hex: String },
+}
+
+fn write_body<S: Serializer>(body: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+    let body = match std::str::from_utf8(body) {
+        Ok(text) => Body::Text(text.into()),
+        Err(_) => Body::Hex {
+            hex: body.iter().map(|b| format!("{b:02x}")).collect(),
+        },
+    };
+    body.serialize(serializer)
+}
+
+fn read_body<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    match Body::deserialize(deserializer)? {
+        Body::Text(text) => Ok(text.into_owned().into_bytes()),
+        Body::Hex { hex } => from_hex(&hex).ok_or_else(|| D::Error::custom("not hex digits")),
+    }
+}
+
+fn from_hex(hex: &str) -> Option<Vec<u8>> {
+    if !hex.is_ascii() || !hex.len().is_multiple_of(2) {
+        return None;
+    }
+    let pairs = (0..hex.len()).step_by(2);
+    pairs
+        .map(|i| u8::from_str_radix(&hex[i..i + 2], 16).ok())
+        .collect()
+}
--- a/crates/rw-core/src/claim.rs
+++ b/crates/rw-core/src/claim.rs
@@ -1,5 +1,6 @@
 //! Claims: a row inserted before the one dispatch of a non-idempotent request.
 
+use crate::Answer;
 use rw_types::{BootId, RequestId, Version};
 use serde::{Deserialize, Serialize};
 
@@ -32,13 +33,24 @@
     Lost,
 }
 
-/// A recorded answer.
+/// What a claimant says of a request that it claimed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// HTTP status.
-    pub status: u16,
-    /// Body.
-    pub body: String,
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// It may still be dispatched or is running.
+    Running,
+    /// It was not dispatched and never will be.
+    Released,
+    /// It ran and this was the answer.
+    Done(Answer),
+    /// It may have run and the answer is lost.
+    Lost,
+    /// The claimant has nothing on it: its end is in the table, or is forgotten.
+    Settled,
+    /// The claimant's process is gone.
+    Gone,
+    /// The claimant can't be asked now.
+    Silent,
 }
 
 /// What the table says of a claim.
--- a/crates/rw-core/src/effect.rs
+++ b/crates/rw-core/src/effect.rs
@@ -1,7 +1,7 @@
 //! What the shell is to do.
 
 use crate::{Answer, Claim};
-use rw_types::{AttemptId, Refusal, RequestId, Version};
+use rw_types::{AttemptId, BootId, Refusal, RequestId, Version};
 
 /// An effect, as data.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,6 +26,8 @@
     },
     /// Record how a claimed request ended; retried in the background until it is settled.
     SettleClaim {
+        /// Request.
+        id: RequestId,
         /// Row key.
         key: String,
         /// Version that the row must have.
@@ -33,6 +35,41 @@
         /// Claim with its last state.
         claim: Claim,
     },
+    /// Release a claim that may have been written, if its row is still this claim; retried in the
+    /// background.
+    ReleaseClaim {
+        /// Request.
+        id: RequestId,
+        /// Row key.
+        key: String,
+        /// Claim as it may have been written.
+        claim: Claim,
+    },
+    /// Ask another VM how far a request is that it claimed.
+    AskClaimant {
+        /// Request.
+        id: RequestId,
+        /// `ip:port` of the claimant's peer listener.
+        peer: String,
+        /// Boot of the claimant.
+        boot: BootId,
+        /// The claimant's request.
+        claimed: RequestId,
+    },
+    /// Send the request to the VM that minted its ticket.
+    Forward {
+        /// Request.
+        id: RequestId,
+        /// `ip:port` of that VM's peer listener.
+        peer: String,
+    },
+    /// Tell all peers which bodies crash their targets, and learn what they know.
+    ShareSuspects {
+        /// Request.
+        id: RequestId,
+        /// Whether the request waits for it.
+        wait: bool,
+    },
     /// Send the request to a target.
     Dispatch {
         /// Request.
@@ -81,12 +118,16 @@
         match self {
             Self::WriteClaim { id, .. }
             | Self::ReadClaim { id, .. }
+            | Self::SettleClaim { id, .. }
+            | Self::ReleaseClaim { id, .. }
+            | Self::AskClaimant { id, .. }
+            | Self::Forward { id, .. }
+            | Self::ShareSuspects { id, .. }
             | Self::Dispatch { id, .. }
             | Self::Deliver { id }
             | Self::Replay { id, .. }
             | Self::Refuse { id, .. }
             | Self::Cancel { id, .. } => Some(*id),
-            Self::SettleClaim { .. } => None,
         }
     }
 }
--- a/crates/rw-core/src/event.rs
+++ b/crates/rw-core/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a node.
 
-use crate::{Call, ClaimRead};
+use crate::{Call, ClaimRead, Standing, Suspect};
 use rw_types::{AttemptId, Config, LoadReport, RequestId, Vm};
 use std::sync::Arc;
 
@@ -21,6 +21,32 @@
         /// What is known now.
         read: ClaimRead,
     },
+    /// A claimant was asked how far a claimed request is.
+    ClaimStanding {
+        /// Request.
+        id: RequestId,
+        /// What the claimant says.
+        standing: Standing,
+    },
+    /// The table has the end of a claim.
+    ClaimSettled {
+        /// Request.
+        id: RequestId,
+    },
+    /// A request was sent to the VM that minted its ticket.
+    Forwarded {
+        /// Request.
+        id: RequestId,
+        /// Whether that VM gave a final answer.
+        answered: bool,
+    },
+    /// Peers were told which bodies crash their targets.
+    SuspectsShared {
+        /// Request that waited for it.
+        id: RequestId,
+    },
+    /// A peer told which bodies crash their targets.
+    SuspectsRead(Vec<Suspect>),
     /// An attempt ended.
     Ended {
         /// Request.
@@ -46,8 +72,10 @@
     },
     /// The platform's list was read.
     VmsRead(Vec<Vm>),
-    /// The process was told to stop.
+    /// The process was told to stop: it is no longer ready, but still takes what reaches it.
     Leave,
+    /// The balancer had its time to notice: new requests are refused from now on.
+    Close,
 }
 
 /// How an attempt ended.
@@ -57,8 +85,10 @@
     Whole {
         /// HTTP status of the answer.
         status: u16,
-        /// Body, where it must be recorded with a claim.
-        body: String,
+        /// Content type.
+        kind: String,
+        /// Body of a plain service's answer, which may have to be recorded.
+        body: Vec<u8>,
     },
     /// No byte left this process.
     Unsent,
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -3,26 +3,41 @@
 //! Nothing here reads a clock, draws an unseeded random number or does I/O. The running node, the
 //! property tests and the exhaustive exploration all drive the same [`Node::step`].
 
+mod answer;
 mod call;
 mod claim;
+mod claim_flow;
+mod crash_flow;
 mod effect;
 mod event;
 mod member;
 mod node;
 mod request;
 mod request_flow;
+mod retry_budget;
 mod route;
 mod settings;
+mod suspect;
 mod target_state;
+mod ticket;
+mod ticket_flow;
+mod ticket_runs;
+mod unsettled;
 mod wish;
 
+pub use answer::Answer;
 pub use call::{Call, Work};
-pub use claim::{Answer, Claim, ClaimRead, ClaimState, claim_key};
+pub use claim::{Claim, ClaimRead, ClaimState, Standing, claim_key};
 pub use effect::Effect;
 pub use event::{AttemptEnd, Event};
 pub use member::Members;
 pub use node::Node;
 pub use request::{Phase, Request};
+pub use retry_budget::RetryBudget;
 pub use settings::CoreSettings;
+pub use suspect::{Suspect, Suspects};
 pub use target_state::{TargetState, Targets};
+pub use ticket::Ticket;
+pub use ticket_runs::{TicketRun, TicketRuns};
+pub use unsettled::Unsettled;
 pub use wish::Wish;
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,9 @@
 //! The node's state and its one entry point.
 
-use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{
+    CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects, Targets, TicketRuns,
+    Unsettled, Wish,
+};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -16,6 +19,11 @@
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
     pub(crate) leaving: bool,
+    pub(crate) closing: bool,
+    pub(crate) unsettled: Unsettled,
+    pub(crate) tickets: TicketRuns,
+    pub(crate) suspects: Suspects,
+    pub(crate) budget: RetryBudget,
     next_attempt: u64,
 }
 
@@ -23,6 +31,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
+        let budget = RetryBudget::new(settings.retries);
         Self {
             settings,
             config: Arc::default(),
@@ -31,6 +40,11 @@
             requests: Vec::new(),
             wishes: Vec::new(),
             leaving: false,
+            closing: false,
+            unsettled: Unsettled::default(),
+            tickets: TicketRuns::default(),
+            suspects: Suspects::default(),
+            budget,
             next_attempt: 1,
         }
     }
@@ -48,7 +62,15 @@
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
             Event::VmsRead(vms) => self.members.replace(vms),
+            Event::ClaimStanding { id, standing } => {
+                self.claim_standing(now, id, standing, &mut effects)
+            }
+            Event::ClaimSettled { id } => self.unsettled.remove(id),
+            Event::Forwarded { id, answered } => self.forwarded(id, answered, &mut effects),
+            Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
+            Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
             Event::Leave => self.leaving = true,
+            Event::Close => self.closing = true,
         }
         effects
     }
--- a/crates/rw-core/src/request.rs
+++ b/crates/rw-core/src/request.rs
@@ -1,6 +1,6 @@
 //! The state of one request.
 
-use crate::{Call, Claim};
+use crate::{Call, Claim, Ticket};
 use rw_types::{AttemptId, RequestId, Version};
 
 /// A request that has no final answer yet.
@@ -18,11 +18,49 @@
     pub tried: Vec<String>,
     /// Tokens that the caller has.
     pub tokens: u64,
+    /// Whether a target may have run any part of it.
+    pub ran: bool,
+    /// Whether a claim of it may be in the table although its write was not confirmed.
+    pub stray: bool,
+    /// Whether its claim was read again after the claimant had nothing on it.
+    pub reread: bool,
+    /// Ticket of this process that it runs under.
+    pub ticket: Option<Ticket>,
+}
+
+impl Request {
+    pub(crate) fn new(id: RequestId, call: Call) -> Self {
+        Self {
+            id,
+            call,
+            phase: Phase::Arrived,
+            attempts: 0,
+            tried: Vec::new(),
+            tokens: 0,
+            ran: false,
+            stray: false,
+            reread: false,
+            ticket: None,
+        }
+    }
 }
 
 /// What a request waits for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Phase {
+    /// Nothing yet.
+    Arrived,
+    /// The claimant, for how far the request is.
+    Asking {
+        /// Claim to be written if the claimant gave the request up.
+        claim: Claim,
+        /// Version of the claimant's row.
+        version: Version,
+    },
+    /// The VM that minted its ticket.
+    Forwarded,
+    /// Peers, which are told of a crash before the next dispatch.
+    Sharing,
     /// The table, for a claim.
     Claiming {
         /// Claim being written.
--- a/crates/rw-core/src/request_flow.rs
+++ b/crates/rw-core/src/request_flow.rs
@@ -1,44 +1,62 @@
 //! A request's way from arrival to its final answer.
 
 use crate::{
-    Answer, AttemptEnd, Call, Claim, ClaimRead, ClaimState, Effect, Node, Phase, Request, Work,
-    claim_key,
+    Answer, AttemptEnd, Call, Claim, ClaimState, Effect, Node, Phase, Request, Ticket, Work,
+    crash_flow::refuse,
     route::{pick_target, serves},
 };
-use rw_types::{AttemptId, Millis, Outcome, Refusal, RefusalKind, RequestId, Version};
+use rw_types::{AttemptId, Millis, Outcome, RefusalKind, RequestId, Version};
 
 impl Node {
     pub(crate) fn arrive(&mut self, now: Millis, id: RequestId, call: Call, out: &mut Vec<Effect>) {
-        if let Some(kind) = self.refuse_early(&call) {
-            return out.push(self.refusal(id, kind, Outcome::NotRun));
+        if call.needs_claim()
+            && let Some(ticket) = call.key.as_deref().and_then(Ticket::parse)
+        {
+            return self.arrive_ticket(now, id, call, ticket, out);
+        }
+        if let Some(kind) = self.refuse_early(now, &call) {
+            // An earlier send of the key may have run.
+            let outcome = if call.needs_claim() {
+                Outcome::Unknown
+            } else {
+                Outcome::NotRun
+            };
+            let left = self.poison_left(now, call.fingerprint);
+            return out.push(match (kind, left) {
+                (RefusalKind::Poison, Some(left)) => refuse(id, kind, outcome, left),
+                _ => self.refusal(id, kind, outcome),
+            });
         }
         let claim = call.needs_claim().then(|| self.new_claim(id, &call));
-        let request = Request {
-            id,
-            phase: Phase::Running {
-                attempt: AttemptId(0),
-                target: String::new(),
-                claim: None,
-            },
-            call,
-            attempts: 0,
-            tried: Vec::new(),
-            tokens: 0,
-        };
-        match self.requests.binary_search_by_key(&id, |r| r.id) {
-            Ok(_) => return,
-            Err(i) => self.requests.insert(i, request),
+        let suspect = call.is_idempotent() && self.is_suspect(now, call.fingerprint);
+        if !self.insert_request(Request::new(id, call)) {
+            return;
         }
         match claim {
+            // A peer may have seen it crash one target more.
+            None if suspect => self.share_suspects(id, out),
             None => self.dispatch(now, id, None, out),
             Some(claim) => self.write_claim(id, claim, Version(0), out),
         }
     }
 
-    fn refuse_early(&self, call: &Call) -> Option<RefusalKind> {
-        if self.leaving {
+    pub(crate) fn insert_request(&mut self, request: Request) -> bool {
+        match self.requests.binary_search_by_key(&request.id, |r| r.id) {
+            Ok(_) => false,
+            Err(i) => {
+                self.requests.insert(i, request);
+                true
+            }
+        }
+    }
+
+    pub(crate) fn refuse_early(&self, now: Millis, call: &Call) -> Option<RefusalKind> {
+        if self.closing {
             return Some(RefusalKind::Leaving);
         }
+        if self.poison_left(now, call.fingerprint).is_some() {
+            return Some(RefusalKind::Poison);
+        }
         match &call.work {
             Work::Generate { model, .. } if self.config.model(model).is_none() => {
                 Some(RefusalKind::UnknownModel)
@@ -50,96 +68,6 @@
         }
     }
 
-    fn new_claim(&self, id: RequestId, call: &Call) -> Claim {
-        Claim {
-            vm: self.settings.vm.clone(),
-            boot: self.settings.boot,
-            request: id,
-            fingerprint: call.fingerprint,
-            state: ClaimState::Held,
-        }
-    }
-
-    fn write_claim(
-        &mut self,
-        id: RequestId,
-        claim: Claim,
-        version: Version,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(i) = self.request_index(id) else {
-            return;
-        };
-        let request = &mut self.requests[i];
-        request.phase = Phase::Claiming {
-            claim: claim.clone(),
-        };
-        let key = request_key(&request.call);
-        out.push(Effect::WriteClaim {
-            id,
-            key,
-            version,
-            claim,
-        });
-    }
-
-    pub(crate) fn claim_read(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        read: ClaimRead,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(i) = self.request_index(id) else {
-            return;
-        };
-        let Phase::Claiming { claim } = &self.requests[i].phase else {
-            return;
-        };
-        let mine = claim.clone();
-        match read {
-            ClaimRead::Written(version) => self.dispatch(now, id, Some((mine, version)), out),
-            ClaimRead::Lost => {
-                let key = request_key(&self.requests[i].call);
-                out.push(Effect::ReadClaim { id, key });
-            }
-            // An earlier send of the key may have run, and only the table could tell.
-            ClaimRead::Untaken | ClaimRead::Unreadable => {
-                self.finish(id, RefusalKind::StoreDown, Outcome::Unknown, out);
-            }
-            ClaimRead::Found(None) => self.write_claim(id, mine, Version(0), out),
-            ClaimRead::Found(Some((found, version))) => {
-                self.claim_found(now, id, &mine, found, version, out);
-            }
-        }
-    }
-
-    fn claim_found(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        mine: &Claim,
-        found: Claim,
-        version: Version,
-        out: &mut Vec<Effect>,
-    ) {
-        if found == *mine {
-            return self.dispatch(now, id, Some((found, version)), out);
-        }
-        if found.fingerprint != mine.fingerprint {
-            return self.finish(id, RefusalKind::KeyReused, Outcome::NotRun, out);
-        }
-        match found.state {
-            ClaimState::Held => self.finish(id, RefusalKind::InProgress, Outcome::Unknown, out),
-            ClaimState::Lost => self.finish(id, RefusalKind::RunLost, Outcome::Unknown, out),
-            ClaimState::Released => self.write_claim(id, mine.clone(), version, out),
-            ClaimState::Done(answer) => {
-                self.take_request(id);
-                out.push(Effect::Replay { id, answer });
-            }
-        }
-    }
-
     pub(crate) fn dispatch(
         &mut self,
         now: Millis,
@@ -151,6 +79,10 @@
             return;
         };
         let request = &self.requests[i];
+        // A stream that has begun is finished even if it is late.
+        if now >= request.call.deadline && request.tokens == 0 {
+            return self.give_up(now, id, claim, RefusalKind::TooLate, out);
+        }
         let picked = pick_target(
             &self.targets,
             &request.call.work,
@@ -159,7 +91,8 @@
             now,
         );
         let Some(index) = picked else {
-            return self.give_up(now, id, claim, out);
+            let kind = self.no_target(id);
+            return self.give_up(now, id, claim, kind, out);
         };
         let attempt = self.new_attempt();
         let request = &mut self.requests[i];
@@ -187,30 +120,37 @@
         });
     }
 
-    /// No target is open: nothing of this dispatch has run.
+    /// Why no target can be picked for a request.
+    fn no_target(&self, id: RequestId) -> RefusalKind {
+        let call = self.request_index(id).map(|i| &self.requests[i].call);
+        let served = call.is_some_and(|c| {
+            let mut targets = self.targets.all().iter();
+            targets.any(|t| serves(t, &c.work))
+        });
+        match call.map(|c| &c.work) {
+            Some(Work::Generate { .. }) if !served => RefusalKind::UnknownModel,
+            _ => RefusalKind::NoTarget,
+        }
+    }
+
+    /// Ends a request that can't be dispatched, or not once more.
     fn give_up(
         &mut self,
-        _now: Millis,
+        now: Millis,
         id: RequestId,
         claim: Option<(Claim, Version)>,
+        kind: RefusalKind,
         out: &mut Vec<Effect>,
     ) {
         let Some(i) = self.request_index(id) else {
             return;
         };
-        let call = &self.requests[i].call;
-        let served = self.targets.all().iter().any(|t| serves(t, &call.work));
-        let kind = match (served, &call.work) {
-            (false, Work::Generate { .. }) => RefusalKind::UnknownModel,
-            _ => RefusalKind::NoTarget,
-        };
-        let ran = self.requests[i].tokens > 0;
-        let outcome = if ran {
+        let outcome = if self.requests[i].ran {
             Outcome::Unknown
         } else {
             Outcome::NotRun
         };
-        self.settle(id, claim, ClaimState::Released, out);
+        self.settle(now, id, claim, ClaimState::Released, out);
         self.finish(id, kind, outcome, out);
     }
 
@@ -239,25 +179,31 @@
         let (target, claim) = (target.clone(), claim.clone());
         self.release_target(now, &target, &end);
         match end {
-            AttemptEnd::Whole { status, body } => {
-                self.settle(id, claim, ClaimState::Done(Answer { status, body }), out);
+            AttemptEnd::Whole { status, kind, body } => {
+                self.budget.credit();
+                let answer = Answer { status, kind, body };
+                self.settle(now, id, claim, ClaimState::Done(answer), out);
                 self.take_request(id);
                 out.push(Effect::Deliver { id });
             }
             AttemptEnd::Unsent | AttemptEnd::Declined => self.try_again(now, id, claim, out),
-            AttemptEnd::Broken { tokens, .. } => {
+            AttemptEnd::Broken { tokens, crashed } => {
                 self.requests[i].tokens = tokens;
+                self.requests[i].ran = true;
+                if crashed && self.target_crashed(now, id, &target, out) {
+                    return;
+                }
                 if self.requests[i].call.is_idempotent() {
                     return self.try_again(now, id, claim, out);
                 }
-                self.settle(id, claim, ClaimState::Lost, out);
+                self.settle(now, id, claim, ClaimState::Lost, out);
                 self.finish(id, RefusalKind::AnswerLost, Outcome::Unknown, out);
             }
         }
     }
 
     /// Nothing of the attempt ran, or running it again does no harm.
-    fn try_again(
+    pub(crate) fn try_again(
         &mut self,
         now: Millis,
         id: RequestId,
@@ -268,7 +214,11 @@
             return;
         };
         if self.requests[i].attempts >= self.settings.attempts {
-            return self.give_up(now, id, claim, out);
+            return self.give_up(now, id, claim, RefusalKind::NoTarget, out);
+        }
+        // Without successes there is nothing to hope for from one more dispatch.
+        if !self.budget.take() {
+            return self.give_up(now, id, claim, RefusalKind::Overloaded, out);
         }
         self.dispatch(now, id, claim, out);
     }
@@ -305,25 +255,12 @@
         out.push(Effect::Cancel { id, attempt });
     }
 
-    fn settle(
-        &self,
-        id: RequestId,
-        claim: Option<(Claim, Version)>,
-        state: ClaimState,
-        out: &mut Vec<Effect>,
-    ) {
-        let (Some((claim, version)), Some(i)) = (claim, self.request_index(id)) else {
-            return;
-        };
-        let key = request_key(&self.requests[i].call);
-        out.push(Effect::SettleClaim {
-            key,
-            version,
-            claim: Claim { state, ..claim },
-        });
+    pub(crate) fn replay(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+        self.take_request(id);
+        out.push(Effect::Replay { id, answer });
     }
 
-    fn finish(
+    pub(crate) fn finish(
         &mut self,
         id: RequestId,
         kind: RefusalKind,
@@ -334,33 +271,21 @@
         out.push(self.refusal(id, kind, outcome));
     }
 
-    fn take_request(&mut self, id: RequestId) {
+    pub(crate) fn take_request(&mut self, id: RequestId) {
         if let Some(i) = self.request_index(id) {
             self.requests.remove(i);
         }
     }
 
-    fn refusal(&self, id: RequestId, kind: RefusalKind, outcome: Outcome) -> Effect {
+    pub(crate) fn refusal(&self, id: RequestId, kind: RefusalKind, outcome: Outcome) -> Effect {
         let retry_ms = match kind {
             RefusalKind::UnknownKey
             | RefusalKind::UnknownModel
             | RefusalKind::UnknownService
             | RefusalKind::KeyReused
-            | RefusalKind::Poison
             | RefusalKind::RunLost => 0,
             _ => self.settings.retry_ms,
         };
-        Effect::Refuse {
-            id,
-            refusal: Refusal {
-                kind,
-                outcome,
-                retry_ms,
-            },
-        }
+        refuse(id, kind, outcome, retry_ms)
     }
 }
-
-fn request_key(call: &Call) -> String {
-    claim_key(&call.caller, call.key.as_deref().unwrap_or_default())
-}
--- a/crates/rw-core/src/settings.rs
+++ b/crates/rw-core/src/settings.rs
@@ -19,6 +19,14 @@
     pub retry_ms: u64,
     /// How long a target that failed gets no new work.
     pub rest_ms: u64,
+    /// Most retries in a row without a success.
+    pub retries: u32,
+    /// How long ends of claims that the table may not have are kept.
+    pub keep_ms: u64,
+    /// How long after it was minted a ticket may be used.
+    pub ticket_ms: u64,
+    /// How long a body that crashed its targets is refused.
+    pub poison_ms: u64,
 }
 
 impl Default for CoreSettings {
@@ -31,6 +39,10 @@
             attempts: 3,
             retry_ms: 1_000,
             rest_ms: 1_000,
+            retries: 100,
+            keep_ms: 600_000,
+            ticket_ms: 600_000,
+            poison_ms: 300_000,
         }
     }
 }
--- /dev/null
+++ b/crates/rw-core/src/ticket_flow.rs
@@ -0,0 +1,120 @@
+//! A request under a ticket: only the process that minted it decides, from its memory.
+
+use crate::{Call, ClaimState, Effect, Node, Phase, Request, Ticket, TicketRun};
+use rw_types::{Millis, Outcome, RefusalKind, RequestId};
+
+impl Node {
+    /// A new ticket; `None` once the node is leaving.
+    #[must_use]
+    pub fn mint(&self, now: Millis) -> Option<Ticket> {
+        (!self.leaving).then(|| Ticket {
+            vm: self.settings.vm.clone(),
+            boot: self.settings.boot,
+            minted: now,
+        })
+    }
+
+    pub(crate) fn arrive_ticket(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        call: Call,
+        ticket: Ticket,
+        out: &mut Vec<Effect>,
+    ) {
+        if ticket.vm != self.settings.vm {
+            return self.forward(id, call, &ticket, out);
+        }
+        // The process that could run it is gone, and its memory with it.
+        if ticket.boot != self.settings.boot {
+            return out.push(self.refusal(id, RefusalKind::RunLost, Outcome::Unknown));
+        }
+        let key = call.key.as_deref().unwrap_or_default();
+        if let Some(run) = self.tickets.find(ticket.minted, &call.caller, key) {
+            let run = run.clone();
+            return self.used_ticket(id, &call, run, out);
+        }
+        if let Some(kind) = self.refuse_ticket(now, &call, &ticket) {
+            return out.push(kind_refusal(self, id, kind));
+        }
+        let run = TicketRun {
+            minted: ticket.minted,
+            caller: call.caller.clone(),
+            key: key.to_owned(),
+            fingerprint: call.fingerprint,
+            state: ClaimState::Held,
+        };
+        self.tickets
+            .prune(Millis(now.0.saturating_sub(self.settings.ticket_ms)));
+        if !self.tickets.start(run) {
+            return out.push(self.refusal(id, RefusalKind::Overloaded, Outcome::NotRun));
+        }
+        let request = Request {
+            ticket: Some(ticket),
+            ..Request::new(id, call)
+        };
+        if self.insert_request(request) {
+            self.dispatch(now, id, None, out);
+        }
+    }
+
+    /// Why an unused ticket can't run.
+    fn refuse_ticket(&self, now: Millis, call: &Call, ticket: &Ticket) -> Option<RefusalKind> {
+        // Its record may be forgotten already, so it could have run.
+        if now.since(ticket.minted) >= self.settings.ticket_ms || ticket.minted > now {
+            return Some(RefusalKind::RunLost);
+        }
+        self.refuse_early(now, call)
+    }
+
+    fn used_ticket(&mut self, id: RequestId, call: &Call, run: TicketRun, out: &mut Vec<Effect>) {
+        let refused = if run.fingerprint != call.fingerprint {
+            (RefusalKind::KeyReused, Outcome::NotRun)
+        } else {
+            match run.state {
+                ClaimState::Done(answer) => return out.push(Effect::Replay { id, answer }),
+                ClaimState::Held => (RefusalKind::InProgress, Outcome::Unknown),
+                ClaimState::Lost | ClaimState::Released => (RefusalKind::RunLost, Outcome::Unknown),
+            }
+        };
+        out.push(self.refusal(id, refused.0, refused.1));
+    }
+
+    fn forward(&mut self, id: RequestId, call: Call, ticket: &Ticket, out: &mut Vec<Effect>) {
+        let Some(vm) = self.members.find(&ticket.vm) else {
+            return out.push(self.refusal(id, RefusalKind::RunLost, Outcome::Unknown));
+        };
+        let peer = vm.peer.clone();
+        let request = Request {
+            phase: Phase::Forwarded,
+            ..Request::new(id, call)
+        };
+        if self.insert_request(request) {
+            out.push(Effect::Forward { id, peer });
+        }
+    }
+
+    pub(crate) fn forwarded(&mut self, id: RequestId, answered: bool, out: &mut Vec<Effect>) {
+        let Some(i) = self.request_index(id) else {
+            return;
+        };
+        if self.requests[i].phase != Phase::Forwarded {
+            return;
+        }
+        if answered {
+            self.take_request(id);
+            return out.push(Effect::Deliver { id });
+        }
+        // An earlier send may have run there, even if this one was never taken.
+        self.finish(id, RefusalKind::AnswerLost, Outcome::Unknown, out);
+    }
+}
+
+/// A ticket whose record is absent within its life has not run.
+fn kind_refusal(node: &Node, id: RequestId, kind: RefusalKind) -> Effect {
+    let outcome = match kind {
+        RefusalKind::RunLost => Outcome::Unknown,
+        _ => Outcome::NotRun,
+    };
+    node.refusal(id, kind, outcome)
+}
--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,6 +1,7 @@
 //! A client with a pool of idle connections per address.
 
 use crate::{Reply, SendError};
+use futures_util::FutureExt as _;
 use http_types::{Body, Method, Request, Url};
 use smol::{Timer, future, net::TcpStream};
 use std::{
@@ -36,6 +37,14 @@
     idle_since: Instant,
 }
 
+impl Conn {
+    /// Whether nothing waits to be read: neither bytes of an earlier answer nor the end.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        self.stream.peek(&mut byte).now_or_never().is_none()
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     addr: SocketAddr,
@@ -66,11 +75,29 @@
             Some(conn) => conn,
             None => open(addr, limit.min(CONNECT_LIMIT)).await?,
         };
-        let answer = within(limit, async_h1::connect(conn.stream.clone(), request)).await?;
-        let response = answer.map_err(|_| SendError::Broken)?;
+        let answer = within(limit, async_h1::connect(conn.stream.clone(), request)).await;
+        let answer = answer.and_then(|a| a.map_err(|_| SendError::Broken));
+        let Ok(response) = answer else {
+            self.drop_idle(addr);
+            return Err(answer.err().unwrap_or(SendError::Broken));
+        };
         Reply::check(response, conn, self.clone())
     }
 
+    /// Drops the idle connections to `addr`, which may have gone silent with one that did.
+    pub fn forget(&self, addr: &str) {
+        if let Ok(addr) = addr.parse() {
+            self.drop_idle(addr);
+        }
+    }
+
+    fn drop_idle(&self, addr: SocketAddr) {
+        let mut idle = self.lock();
+        if let Ok(i) = idle.binary_search_by_key(&addr, |e| e.addr) {
+            idle[i].conns.clear();
+        }
+    }
+
     fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<Conn> {
         if pooling == Pooling::Fresh {
             return None;
@@ -78,7 +105,8 @@
         let mut idle = self.lock();
         let i = idle.binary_search_by_key(&addr, |e| e.addr).ok()?;
         while let Some(conn) = idle[i].conns.pop() {
-            if conn.born.elapsed() < MAX_AGE && conn.idle_since.elapsed() < MAX_IDLE {
+            let young = conn.born.elapsed() < MAX_AGE && conn.idle_since.elapsed() < MAX_IDLE;
+            if young && conn.is_quiet() {
                 return Some(conn);
             }
         }
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -9,6 +9,7 @@
 mod reply;
 mod respond;
 mod sse;
+mod traffic;
 
 pub use client::{Client, Pooling, post_json};
 pub use error::SendError;
@@ -16,5 +17,6 @@
 pub use reply::Reply;
 pub use respond::{code, events, json, raw};
 pub use sse::SseLines;
+pub use traffic::Traffic;
 
 pub use http_types::{Body, Method, Request, Response, StatusCode, Url};
--- a/crates/rw-http/src/listen.rs
+++ b/crates/rw-http/src/listen.rs
@@ -1,6 +1,7 @@
 //! A listener that bounds what a slow or silent peer can hold.
 
-use async_h1::server::Server;
+use crate::Traffic;
+use async_h1::server::{ConnectionStatus, Server};
 use http_types::{Request, Response, StatusCode};
 use smol::{
     Async,
@@ -12,7 +13,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -42,6 +43,7 @@
     tcp: TcpListener,
     limits: Limits,
     open: Arc<AtomicUsize>,
+    traffic: Traffic,
 }
 
 impl Listener {
@@ -56,6 +58,7 @@
             tcp,
             limits,
             open: Arc::default(),
+            traffic: Traffic::default(),
         })
     }
 
@@ -68,6 +71,12 @@
         self.tcp.local_addr()
     }
 
+    /// The requests that this listener is busy with.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.clone()
+    }
+
     /// Serves every connection with `handler` until the future is dropped; connections then end
     /// with their tasks on the global executor.
     pub async fn run<H, F>(&self, handler: H)
@@ -86,9 +95,9 @@
                 continue;
             }
             let open = self.open.clone();
-            let handler = handler.clone();
+            let (handler, traffic) = (handler.clone(), self.traffic.clone());
             smol::spawn(async move {
-                serve(stream, handler).await;
+                serve(stream, handler, traffic).await;
                 open.fetch_sub(1, Ordering::Relaxed);
             })
             .detach();
@@ -96,18 +105,31 @@
     }
 }
 
-async fn serve<H, F>(stream: TcpStream, handler: H)
+async fn serve<H, F>(stream: TcpStream, handler: H, traffic: Traffic)
 where
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let held = Mutex::new(None);
     let endpoint = |request: Request| {
+        *held.lock().unwrap_or_else(PoisonError::into_inner) = Some(traffic.enter());
         let answer = handler(request);
-        async move { Ok(answer.await) }
+        let traffic = &traffic;
+        async move {
+            let mut response = answer.await;
+            if traffic.is_closing() {
+                response.insert_header("connection", "close");
+            }
+            Ok(response)
+        }
     };
+    let mut server = Server::new(stream, endpoint);
     // A connection that breaks is the peer's matter; the handler has counted what it ran.
-    let _ = Server::new(stream, endpoint).accept().await;
+    while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {
+        // The last byte of the answer is written only now.
+        held.lock().unwrap_or_else(PoisonError::into_inner).take();
+    }
 }
 
 /// Reads a request's body of at most `limit` bytes.
--- /dev/null
+++ b/crates/rw-http/src/traffic.rs
@@ -0,0 +1,45 @@
+//! How many requests a listener is busy with.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
+};
+
+/// Requests from their header to the last byte of their answer; clones share the count.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    busy: Arc<AtomicUsize>,
+    closing: Arc<AtomicBool>,
+}
+
+/// One request, counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Entered(Traffic);
+
+impl Traffic {
+    /// Requests whose answer is not written to its end.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::Acquire)
+    }
+
+    /// Closes each connection after its next answer.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn enter(&self) -> Entered {
+        self.busy.fetch_add(1, Ordering::AcqRel);
+        Entered(self.clone())
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.busy.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One dispatch of a generation request, read token by token.
 
-use crate::{Shell, completion::chunk, drive::Caller, payload::Payload};
+use crate::{Shell, completion::chunk, drive::Caller, payload::Payload, watch::Wait};
 use rw_core::{AttemptEnd, Call, Work};
 use rw_http::{Pooling, Response, SendError, SseLines, post_json};
 use rw_types::{AttemptId, RequestId};
@@ -91,6 +91,19 @@
         ran
     }
 
+    /// The end of an attempt that failed with `error`.
+    pub(crate) async fn ended(&self, error: SendError, tokens: u64, addr: &str) -> AttemptEnd {
+        if error.is_unsent() {
+            return AttemptEnd::Unsent;
+        }
+        // Only a broken connection with nothing listening behind it tells of a crash.
+        let broke = matches!(error, SendError::Broken | SendError::Short);
+        AttemptEnd::Broken {
+            tokens,
+            crashed: broke && self.has_ended(addr).await,
+        }
+    }
+
     async fn generate(
         &self,
         n: AttemptId,
@@ -99,10 +112,14 @@
         attempt: &mut Attempt,
         caller: &mut Caller,
     ) -> Ran {
-        match self.open_stream(n, addr, resume, attempt).await {
-            Ok(Some(lines)) => self.relay(n, lines, attempt, caller).await,
-            Ok(None) => Ran::Ended(AttemptEnd::Declined),
-            Err(error) => Ran::Ended(ended(error, attempt.tokens)),
+        let relayed = match self.open_stream(n, addr, resume, attempt).await {
+            Ok(Some(lines)) => self.relay(n, addr, lines, attempt, caller).await,
+            Ok(None) => return Ran::Ended(AttemptEnd::Declined),
+            Err(error) => Err(error),
+        };
+        match relayed {
+            Ok(ran) => ran,
+            Err(error) => Ran::Ended(self.ended(error, attempt.tokens, addr).await),
         }
     }
 
@@ -138,10 +155,10 @@
         };
         let bytes = serde_json::to_vec(&body).map_err(|_| SendError::BadAddr)?;
         let request = post_json(addr, "/generate", bytes)?;
-        let reply = self
+        let sent = self
             .client
-            .send(addr, request, Pooling::Reuse, self.settings.silence)
-            .await?;
+            .send(addr, request, Pooling::Reuse, self.settings.silence);
+        let reply = self.watch(addr, Wait::First, sent).await?;
         if reply.status() == 200 {
             return Ok(Some(reply.lines()));
         }
@@ -154,34 +171,35 @@
     async fn relay(
         &self,
         n: AttemptId,
+        addr: &str,
         mut lines: SseLines,
         attempt: &mut Attempt,
         caller: &mut Caller,
-    ) -> Ran {
+    ) -> Result<Ran, SendError> {
+        let mut wait = Wait::First;
         loop {
-            let line = match lines.next(self.settings.silence).await {
-                Ok(Some(line)) => line,
-                // An end without the last event is a cut stream.
-                Ok(None) => return Ran::Ended(ended(SendError::Short, attempt.tokens)),
-                Err(error) => return Ran::Ended(ended(error, attempt.tokens)),
-            };
-            let token = serde_json::from_str::<Token<'_>>(line);
-            let Ok(token) = token else {
-                return Ran::Ended(ended(SendError::Broken, attempt.tokens));
-            };
+            let next = lines.next(self.settings.silence);
+            // An end without the last event is a cut stream.
+            let line = self
+                .watch(addr, wait, next)
+                .await?
+                .ok_or(SendError::Short)?;
+            wait = Wait::Next;
+            let token: Token<'_> = serde_json::from_str(line).map_err(|_| SendError::Broken)?;
             // Another attempt's token, a gap or a repeat: the stream can't be trusted.
             if token.attempt != n || token.n != attempt.tokens {
-                return Ran::Ended(ended(SendError::Broken, attempt.tokens));
+                return Err(SendError::Broken);
             }
             if token.end {
-                return Ran::Ended(AttemptEnd::Whole {
+                return Ok(Ran::Ended(AttemptEnd::Whole {
                     status: 200,
-                    body: String::new(),
-                });
+                    kind: String::new(),
+                    body: Vec::new(),
+                }));
             }
             attempt.tokens += 1;
             if !pass_on(attempt, caller, &token.text).await {
-                return Ran::CallerGone;
+                return Ok(Ran::CallerGone);
             }
         }
     }
@@ -208,15 +226,3 @@
         .await
         .is_ok()
 }
-
-/// The end of an attempt that failed with `error`.
-pub(crate) fn ended(error: SendError, tokens: u64) -> AttemptEnd {
-    if error.is_unsent() {
-        AttemptEnd::Unsent
-    } else {
-        AttemptEnd::Broken {
-            tokens,
-            crashed: error == SendError::Broken,
-        }
-    }
-}
--- a/crates/rw-node/src/callers.rs
+++ b/crates/rw-node/src/callers.rs
@@ -4,9 +4,10 @@
     Shell,
     completion::{bad_request, refuse},
     parse::{header, parse_generate, parse_plain},
+    tickets::unread_outcome,
 };
 use rw_http::{Method, Request, Response, json, raw, read_body};
-use rw_types::{Outcome, Refusal, RefusalKind};
+use rw_types::{Refusal, RefusalKind};
 use std::sync::Arc;
 
 impl Shell {
@@ -24,27 +25,29 @@
             let kind = RefusalKind::UnknownKey;
             return refuse(&Refusal {
                 kind,
-                outcome: Outcome::NotRun,
+                outcome: unread_outcome(&request),
                 retry_ms: 0,
             });
         };
         let Some(caller) = config.accounts.get(account).map(|a| a.name.clone()) else {
             return refuse(&Refusal {
                 kind: RefusalKind::Leaving,
-                outcome: Outcome::NotRun,
+                outcome: unread_outcome(&request),
                 retry_ms: 0,
             });
         };
         if request.method() == Method::Get && path == "/v1/models" {
             return models(&config);
         }
+        if request.method() == Method::Post && path == "/tickets" {
+            return self.mint_ticket();
+        }
+        let unread = unread_outcome(&request);
         let body = match read_body(&mut request, self.settings.max_body).await {
             Ok(body) => body,
             Err(status) => {
-                return bad_request(
-                    status.into(),
-                    "the body is cut or over the limit; send a smaller one",
-                );
+                let text = "the body is cut or over the limit; send a smaller one";
+                return bad_request(status.into(), text, unread);
             }
         };
         let now = self.now();
@@ -59,11 +62,14 @@
                 let (name, rest) = split_service(path);
                 parse_plain(&request, body, name, rest, &caller, &config, now)
             }
-            _ => return bad_request(404, "no such path; use /v1/… or /services/<name>/…"),
+            _ => {
+                let text = "no such path; use /v1/…, /tickets or /services/<name>/…";
+                return bad_request(404, text, unread);
+            }
         };
         match parsed {
             Ok((call, payload)) => self.answer_call(call, payload).await,
-            Err(error) => bad_request(400, &error.to_string()),
+            Err(error) => bad_request(400, &error.to_string(), unread),
         }
     }
 
--- a/crates/rw-node/src/claims.rs
+++ b/crates/rw-node/src/claims.rs
@@ -1,9 +1,9 @@
 //! Claims in the table.
 
 use crate::Shell;
-use rw_core::{Claim, ClaimRead};
+use rw_core::{Claim, ClaimRead, ClaimState, Event};
 use rw_platform::{PlatformError, Row, Table as _, Txn};
-use rw_types::Version;
+use rw_types::{RequestId, Version};
 use std::{sync::Arc, time::Duration};
 
 /// First pause before an unsettled claim is written again; doubled up to the last.
@@ -40,11 +40,20 @@
     }
 
     /// Writes the last state of a claim until the table has it.
-    pub(crate) async fn settle_claim(self: Arc<Self>, key: String, version: Version, claim: Claim) {
+    pub(crate) async fn settle_claim(
+        self: Arc<Self>,
+        id: RequestId,
+        key: String,
+        version: Version,
+        claim: Claim,
+    ) {
         let mut pause = SETTLE_PAUSE;
         for _ in 0..SETTLE_TRIES {
             match self.write_claim(&key, version, &claim).await {
-                ClaimRead::Written(_) | ClaimRead::Found(_) => return,
+                ClaimRead::Written(_) | ClaimRead::Found(_) => {
+                    self.step(Event::ClaimSettled { id });
+                    return;
+                }
                 _ => {}
             }
             smol::Timer::after(pause).await;
@@ -52,6 +61,28 @@
         }
         log::warn!("claim left unsettled; a resend of its key will be told that it may have run");
     }
+
+    /// Releases a claim that may have been written, if its row is still this claim.
+    ///
+    /// A write that takes effect later than all tries is answered for from memory.
+    pub(crate) async fn release_claim(self: Arc<Self>, id: RequestId, key: String, claim: Claim) {
+        let mut pause = SETTLE_PAUSE;
+        for _ in 0..SETTLE_TRIES {
+            match self.read_claim(&key).await {
+                ClaimRead::Found(Some((found, version))) if found == claim => {
+                    let released = Claim {
+                        state: ClaimState::Released,
+                        ..claim
+                    };
+                    return self.settle_claim(id, key, version, released).await;
+                }
+                ClaimRead::Found(Some(_)) => return,
+                _ => {}
+            }
+            smol::Timer::after(pause).await;
+            pause = (pause * 2).min(SETTLE_PAUSE_MAX);
+        }
+    }
 }
 
 fn found(row: Option<&Row>) -> ClaimRead {
--- a/crates/rw-node/src/completion.rs
+++ b/crates/rw-node/src/completion.rs
@@ -82,14 +82,14 @@
 
 /// A refusal of a request that could not be read.
 #[must_use]
-pub fn bad_request(status: u16, message: &str) -> Response {
+pub fn bad_request(status: u16, message: &str, outcome: Outcome) -> Response {
     let error = ErrorText {
         kind: "bad-request",
         message,
-        outcome: Outcome::NotRun,
+        outcome,
         retry_after_ms: 0,
     };
-    with_outcome(json(status, &ErrorBody { error }), Outcome::NotRun)
+    with_outcome(json(status, &ErrorBody { error }), outcome)
 }
 
 /// Names the outcome in the answer's header.
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -5,6 +5,8 @@
     attempt::{Attempt, Ran},
     completion::{refusal_body, refuse, whole, with_outcome},
     payload::Payload,
+    resend::Claimed,
+    tickets::outcome_of,
 };
 use rw_core::{Call, Effect, Event, Work};
 use rw_http::{Response, events, raw};
@@ -78,7 +80,7 @@
             call: call.clone(),
         });
         while let Some(event) = self
-            .run_effects(id, effects, &mut attempt, &mut caller)
+            .run_effects(id, &call, effects, &mut attempt, &mut caller)
             .await
         {
             effects = self.step(event);
@@ -94,6 +96,7 @@
     async fn run_effects(
         self: &Arc<Self>,
         id: RequestId,
+        call: &Call,
         effects: Vec<Effect>,
         attempt: &mut Attempt,
         caller: &mut Caller,
@@ -102,11 +105,36 @@
         for effect in effects {
             match effect {
                 Effect::SettleClaim {
+                    id,
                     key,
                     version,
                     claim,
                 } => {
-                    smol::spawn(self.clone().settle_claim(key, version, claim)).detach();
+                    smol::spawn(self.clone().settle_claim(id, key, version, claim)).detach();
+                }
+                Effect::ReleaseClaim { id, key, claim } => {
+                    smol::spawn(self.clone().release_claim(id, key, claim)).detach();
+                }
+                Effect::AskClaimant {
+                    peer,
+                    boot,
+                    claimed: request,
+                    ..
+                } => {
+                    let standing = self.ask_claimant(&peer, Claimed { boot, request }).await;
+                    next = Some(Event::ClaimStanding { id, standing });
+                }
+                Effect::Forward { peer, .. } => {
+                    let answered = self.forward_ticket(&peer, call, attempt).await;
+                    next = Some(Event::Forwarded { id, answered });
+                }
+                Effect::ShareSuspects { wait: true, .. } => {
+                    self.share_suspects().await;
+                    next = Some(Event::SuspectsShared { id });
+                }
+                Effect::ShareSuspects { .. } => {
+                    let shell = self.clone();
+                    smol::spawn(async move { shell.share_suspects().await }).detach();
                 }
                 Effect::WriteClaim {
                     key,
@@ -132,7 +160,7 @@
                 Effect::Deliver { .. } => self.deliver(id, attempt, caller).await,
                 Effect::Replay { answer, .. } => {
                     self.count(&attempt.kind, Outcome::Done);
-                    let response = raw(answer.status, answer.body.into_bytes(), "application/json");
+                    let response = raw(answer.status, answer.body, &answer.kind);
                     caller.answer(with_outcome(response, Outcome::Done)).await;
                 }
                 Effect::Refuse { refusal, .. } => {
@@ -166,7 +194,13 @@
     }
 
     async fn deliver(&self, id: RequestId, attempt: &mut Attempt, caller: &mut Caller) {
-        self.count(&attempt.kind, Outcome::Done);
+        // The answer of another VM names its own outcome.
+        let forwarded = attempt
+            .plain
+            .as_ref()
+            .filter(|r| r.header("x-outcome").is_some());
+        let outcome = forwarded.map_or(Outcome::Done, outcome_of);
+        self.count(&attempt.kind, outcome);
         if let Some(stream) = caller.stream.take() {
             let _ = stream.send(Ok(b"data: [DONE]\n\n".to_vec())).await;
             return;
@@ -176,7 +210,7 @@
                 whole(id, model, *chat, &attempt.text, attempt.tokens)
             }
             _ => match attempt.plain.take() {
-                Some(response) => with_outcome(response, Outcome::Done),
+                Some(response) => with_outcome(response, outcome),
                 None => raw(500, Vec::new(), "text/plain"),
             },
         };
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -13,10 +13,15 @@
 mod payload;
 mod peers;
 mod plain;
+mod request_calls;
+mod resend;
 mod rpc;
 mod serve;
 mod settings;
 mod shell;
+mod suspects;
+mod tickets;
+mod watch;
 
 pub use metrics::Metrics;
 pub use operators::{Status, VmStatus};
--- a/crates/rw-node/src/peers.rs
+++ b/crates/rw-node/src/peers.rs
@@ -1,6 +1,6 @@
 //! Calls between nodes.
 
-use crate::{Shell, rpc::RpcResult};
+use crate::{Shell, request_calls::add_request_calls, rpc::RpcResult};
 use jsonrpsee_core::{RegisterMethodError, server::RpcModule};
 use rw_types::{BootId, Config, Version};
 use serde::{Deserialize, Serialize};
@@ -31,6 +31,7 @@
 /// The methods that peers may call.
 pub(crate) fn peer_module(shell: Arc<Shell>) -> Result<RpcModule<Arc<Shell>>, RegisterMethodError> {
     let mut module = RpcModule::new(shell);
+    add_request_calls(&mut module)?;
     module.register_method("digest", |_, shell, _| RpcResult::Ok(shell.digest()))?;
     module.register_method("config", |_, shell, _| {
         RpcResult::Ok(Config::clone(&shell.config()))
--- a/crates/rw-node/src/plain.rs
+++ b/crates/rw-node/src/plain.rs
@@ -1,12 +1,8 @@
 //! One dispatch of a plain-service call.
 
-use crate::{
-    Shell,
-    attempt::{Attempt, ended},
-    payload::Payload,
-};
-use rw_core::AttemptEnd;
-use rw_http::{Pooling, Request, Response, SendError, Url, raw};
+use crate::{Shell, attempt::Attempt, payload::Payload};
+use rw_core::{Answer, AttemptEnd, Work};
+use rw_http::{Pooling, Request, SendError, Url, raw};
 use rw_types::AttemptId;
 
 impl Shell {
@@ -18,42 +14,55 @@
     ) -> AttemptEnd {
         match self.try_plain(n, addr, attempt).await {
             Ok(None) => AttemptEnd::Declined,
-            Ok(Some((response, status, body))) => {
-                attempt.plain = Some(response);
-                AttemptEnd::Whole { status, body }
+            Ok(Some(answer)) => {
+                let Answer { status, kind, body } = answer.clone();
+                attempt.plain = Some(raw(status, body, &kind));
+                let Answer { status, kind, body } = answer;
+                AttemptEnd::Whole { status, kind, body }
             }
-            Err(error) => ended(error, 0),
+            Err(error) => self.ended(error, 0, addr).await,
         }
     }
 
+    /// The answer, or `None` if the target says that it did not run the request.
     async fn try_plain(
         &self,
         n: AttemptId,
         addr: &str,
         attempt: &Attempt,
-    ) -> Result<Option<(Response, u16, String)>, SendError> {
+    ) -> Result<Option<Answer>, SendError> {
         let request = plain_request(n, addr, attempt)?;
+        let idempotent = matches!(
+            attempt.work,
+            Work::Service {
+                idempotent: true,
+                ..
+            }
+        );
+        // A late answer is still worth waiting for where the call can't be repeated.
+        let limit = if idempotent {
+            self.settings.first_byte
+        } else {
+            self.settings.silence
+        };
         // A connection that the target closed meanwhile would leave the outcome open.
-        let sent = self
-            .client
-            .send(addr, request, Pooling::Fresh, self.settings.silence);
+        let sent = self.client.send(addr, request, Pooling::Fresh, limit);
         let reply = sent.await?;
-        if reply.header("x-outcome") == Some("not-run") {
-            return Ok(None);
-        }
-        // An answer to another attempt must not reach this caller.
+        // An answer to another attempt must not reach this caller, and proves nothing of this one.
         let echoed = reply.header("x-attempt");
         if echoed.is_some_and(|echo| echo != n.to_string()) {
             return Err(SendError::Broken);
         }
+        if reply.header("x-outcome") == Some("not-run") {
+            return Ok(None);
+        }
         let status = reply.status();
         let kind = reply
             .header("content-type")
             .unwrap_or("application/octet-stream")
             .to_owned();
-        let body = reply.bytes(self.settings.silence).await?;
-        let text = String::from_utf8_lossy(&body).into_owned();
-        Ok(Some((raw(status, body, &kind), status, text)))
+        let body = reply.bytes(limit).await?;
+        Ok(Some(Answer { status, kind, body }))
     }
 }
 
--- /dev/null
+++ b/crates/rw-node/src/request_calls.rs
@@ -0,0 +1,36 @@
+//! Peer calls about single requests.
+
+use crate::{
+    Shell,
+    resend::Claimed,
+    rpc::RpcResult,
+    tickets::{TicketAnswer, TicketCall},
+};
+use jsonrpsee_core::{RegisterMethodError, server::RpcModule};
+use jsonrpsee_types::{ErrorObjectOwned, error::INVALID_PARAMS_CODE};
+use rw_core::Suspect;
+use std::sync::Arc;
+
+/// Adds the calls about claims, tickets and suspects.
+pub(crate) fn add_request_calls(
+    module: &mut RpcModule<Arc<Shell>>,
+) -> Result<(), RegisterMethodError> {
+    module.register_method("claim_state", |params, shell, _| {
+        let Claimed { boot, request } = params.one()?;
+        RpcResult::Ok(shell.lock().standing(boot, request))
+    })?;
+    module.register_method("suspects", |params, shell, _| {
+        RpcResult::Ok(shell.swap_suspects(params.one::<Vec<Suspect>>()?))
+    })?;
+    module.register_async_method("run_ticket", |params, shell, _| async move {
+        let call: TicketCall = params.one()?;
+        let ran = Arc::<Shell>::clone(&shell).run_ticket(call).await;
+        RpcResult::<TicketAnswer>::from(ran.ok_or_else(not_mine))
+    })?;
+    Ok(())
+}
+
+fn not_mine() -> ErrorObjectOwned {
+    let text = "the ticket is of another VM; read the VM list again";
+    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, text, None::<()>)
+}
--- /dev/null
+++ b/crates/rw-node/src/resend.rs
@@ -0,0 +1,48 @@
+//! What this node asks peers about keys that they hold.
+
+use crate::{RpcError, Shell, call_rpc};
+use rw_core::Standing;
+use rw_types::{BootId, RequestId};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::time::Duration;
+
+/// Longest wait for a peer that answers from memory.
+const PEER_LIMIT: Duration = Duration::from_millis(1_000);
+/// Sends of a peer call; the first may ride on a connection that the peer closed meanwhile.
+const PEER_SENDS: u32 = 2;
+
+/// Which claimed request is asked about.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Claimed {
+    /// Boot of the claimant.
+    pub boot: BootId,
+    /// The claimant's request.
+    pub request: RequestId,
+}
+
+impl Shell {
+    /// Asks the VM at `peer` how far a request is that it claimed.
+    pub(crate) async fn ask_claimant(&self, peer: &str, claimed: Claimed) -> Standing {
+        let asked = self.call_peer(peer, "claim_state", &claimed, PEER_LIMIT);
+        asked.await.unwrap_or(Standing::Silent)
+    }
+
+    /// Calls a peer's method that may safely be called twice.
+    pub(crate) async fn call_peer<P: Serialize, R: DeserializeOwned>(
+        &self,
+        peer: &str,
+        method: &str,
+        params: &P,
+        limit: Duration,
+    ) -> Result<R, RpcError> {
+        let token = &self.settings.token;
+        let mut sends = 1;
+        loop {
+            let called = call_rpc(&self.client, peer, token, method, params, limit).await;
+            match called {
+                Err(RpcError::Unreachable(_)) if sends < PEER_SENDS => sends += 1,
+                ended => return ended,
+            }
+        }
+    }
+}
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -5,13 +5,11 @@
 };
 use displaydoc::Display;
 use rw_core::{CoreSettings, Event};
-use rw_http::{Limits, Listener};
+use rw_http::{Limits, Listener, Traffic};
 use rw_types::BootId;
 use smol::future;
 use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
-/// Time between turning not ready and closing the listeners, for the balancer to notice.
-const LEAVE_GRACE: Duration = Duration::from_secs(2);
 /// Pause between looks at whether the last request has ended.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
 
@@ -122,20 +120,24 @@
         let serving = async {
             future::zip(future::zip(callers, peers), future::zip(operators, loops)).await;
         };
+        let traffic = [self.callers.traffic(), self.peers.traffic()];
         let leaving = async {
             stop.await;
-            leave(&self.shell).await;
+            leave(&self.shell, &traffic).await;
         };
         future::or(serving, leaving).await;
         Ok(())
     }
 }
 
-async fn leave(shell: &Shell) {
-    log::info!("leaving: no new requests");
+async fn leave(shell: &Shell, traffic: &[Traffic]) {
+    log::info!("leaving: not ready, and soon no new requests");
     shell.step(Event::Leave);
-    smol::Timer::after(LEAVE_GRACE).await;
-    while shell.lock().open_requests() > 0 {
+    smol::Timer::after(shell.settings.leave_grace).await;
+    shell.step(Event::Close);
+    traffic.iter().for_each(Traffic::close);
+    // An answer counts as given once its last byte is written.
+    while shell.lock().open_requests() > 0 || traffic.iter().any(|t| t.busy() > 0) {
         smol::Timer::after(LEAVE_POLL).await;
     }
     log::info!("left: every request has its answer");
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -33,6 +33,12 @@
     pub max_body: u64,
     /// Longest silence of a target before its first byte and between bytes.
     pub silence: Duration,
+    /// Wait for a target's first byte before it is probed.
+    pub first_byte: Duration,
+    /// Wait for the next token before the target is probed.
+    pub token_gap: Duration,
+    /// Time between turning not ready and refusing new requests, for the balancer to notice.
+    pub leave_grace: Duration,
     /// Pause between reads of the configuration's head and of the VM list.
     pub poll: Duration,
     /// Pause between reads of a target's load.
@@ -55,6 +61,9 @@
             secret: [7; 32],
             max_body: 4 << 20,
             silence: Duration::from_secs(5),
+            first_byte: Duration::from_secs(2),
+            token_gap: Duration::from_secs(2),
+            leave_grace: Duration::from_secs(2),
             poll: Duration::from_millis(200),
             report_poll: Duration::from_millis(200),
         }
--- /dev/null
+++ b/crates/rw-node/src/watch.rs
@@ -0,0 +1,67 @@
+//! Watching a silent target: a probe on a new connection tells a lost connection from a slow one.
+
+use crate::Shell;
+use rw_http::{Method, Pooling, Request, SendError, Url};
+use rw_types::LoadReport;
+use smol::{Timer, future, pin};
+use std::{
+    future::Future,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for the answer to a probe.
+const PROBE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// What a target is waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Wait {
+    /// The first byte, which a queue of prompts may hold up.
+    First,
+    /// The next token.
+    Next,
+}
+
+impl Shell {
+    /// Waits for `work` of the target at `addr` as long as the target can be believed to be at it.
+    pub(crate) async fn watch<T>(
+        &self,
+        addr: &str,
+        wait: Wait,
+        work: impl Future<Output = Result<T, SendError>>,
+    ) -> Result<T, SendError> {
+        let pause = match wait {
+            Wait::First => self.settings.first_byte,
+            Wait::Next => self.settings.token_gap,
+        };
+        let end = Instant::now() + self.settings.silence;
+        pin!(work);
+        loop {
+            let done = future::or(async { Some(work.as_mut().await) }, async {
+                Timer::after(pause).await;
+                None
+            });
+            if let Some(done) = done.await {
+                return done;
+            }
+            let probe = self.probe(addr).await;
+            let queued = probe.is_ok_and(|load| load.queued > 0);
+            if wait == Wait::Next || !queued || Instant::now() >= end {
+                self.client.forget(addr);
+                return Err(SendError::TimedOut);
+            }
+        }
+    }
+
+    /// Whether the target at `addr` is known to have ended: nothing listens there any more.
+    pub(crate) async fn has_ended(&self, addr: &str) -> bool {
+        matches!(self.probe(addr).await, Err(SendError::NotSent))
+    }
+
+    async fn probe(&self, addr: &str) -> Result<LoadReport, SendError> {
+        let url = Url::parse(&format!("http://{addr}/load")).map_err(|_| SendError::BadAddr)?;
+        let request = Request::new(Method::Get, url);
+        let sent = self.client.send(addr, request, Pooling::Fresh, PROBE_LIMIT);
+        let body = sent.await?.bytes(PROBE_LIMIT).await?;
+        serde_json::from_slice(&body).map_err(|_| SendError::Broken)
+    }
+}
