--- a/crates/rw-core/src/ticket_flow.rs
+++ b/crates/rw-core/src/ticket_flow.rs
@@ -82,7 +82,12 @@
 
     fn forward(&mut self, id: RequestId, call: Call, ticket: &Ticket, out: &mut Vec<Effect>) {
         let Some(vm) = self.members.find(&ticket.vm) else {
-            return out.push(self.refusal(id, RefusalKind::RunLost, Outcome::Unknown));
+            // A list that was never read says nothing of the VM.
+            let kind = match self.members.all() {
+                [] => RefusalKind::InProgress,
+                _ => RefusalKind::RunLost,
+            };
+            return out.push(self.refusal(id, kind, Outcome::Unknown));
         };
         let peer = vm.peer.clone();
         let request = Request {
--- a/crates/rw-fakes/src/service.rs
+++ b/crates/rw-fakes/src/service.rs
@@ -124,6 +124,9 @@
         Faults::wait(&struck).await;
         if let Some(attempt) = attempt {
             let crossed = struck.contains(&Fault::CrossAnswer);
+            if crossed {
+                answer = json(200, &serde_json::json!({ "crossed": true }));
+            }
             answer.insert_header("x-attempt", if crossed { "0" } else { &attempt });
         }
         (answer, struck)
--- a/crates/rw-fakes/src/wire.rs
+++ b/crates/rw-fakes/src/wire.rs
@@ -34,7 +34,7 @@
     let mut body = Vec::new();
     answer.take_body().read_to_end(&mut body).await?;
     let mut head = format!("HTTP/1.1 {status} Spoilt\r\ncontent-type: application/json\r\n");
-    if let Some(attempt) = answer.header("x-attempt") {
+    if let Some(attempt) = answer.header("x-attempt").map(|v| v.last().as_str()) {
         head.push_str(&format!("x-attempt: {attempt}\r\n"));
     }
     if longer {
--- a/crates/rw-node/src/resend.rs
+++ b/crates/rw-node/src/resend.rs
@@ -8,6 +8,8 @@
 
 /// Longest wait for a peer that answers from memory.
 const PEER_LIMIT: Duration = Duration::from_millis(1_000);
+/// Pause between probes of a peer that is slow to answer.
+const PEER_PAUSE: Duration = Duration::from_millis(1_000);
 /// Sends of a peer call; the first may ride on a connection that the peer closed meanwhile.
 const PEER_SENDS: u32 = 2;
 
@@ -27,6 +29,22 @@
         asked.await.unwrap_or(Standing::Silent)
     }
 
+    /// Returns once the peer no longer answers a probe on a new connection.
+    pub(crate) async fn watch_peer(&self, peer: &str) {
+        loop {
+            smol::Timer::after(PEER_PAUSE).await;
+            let claimed = Claimed {
+                boot: BootId(0),
+                request: RequestId(0),
+            };
+            // Pooled connections may have gone silent with the one that is waited on.
+            self.client.forget(peer);
+            if self.ask_claimant(peer, claimed).await == Standing::Silent {
+                return;
+            }
+        }
+    }
+
     /// Calls a peer's method that may safely be called twice.
     pub(crate) async fn call_peer<P: Serialize, R: DeserializeOwned>(
         &self,
--- a/crates/rw-node/src/tickets.rs
+++ b/crates/rw-node/src/tickets.rs
@@ -8,6 +8,7 @@
 use rw_http::{Method, Response, json, raw};
 use rw_types::{Outcome, Refusal, RefusalKind};
 use serde::{Deserialize, Serialize};
+use smol::future;
 use std::{str::FromStr as _, sync::Arc, time::Duration};
 
 /// Time for the way there and back beside the request's own deadline.
@@ -87,11 +88,15 @@
         };
         let limit = Duration::from_millis(sent.left_ms) + FORWARD_SLACK;
         let answered = self.call_peer::<_, TicketAnswer>(peer, "run_ticket", &sent, limit);
-        let Ok(TicketAnswer {
+        let watched = future::or(async { answered.await.ok() }, async {
+            self.watch_peer(peer).await;
+            None
+        });
+        let Some(TicketAnswer {
             outcome,
             retry,
             answer,
-        }) = answered.await
+        }) = watched.await
         else {
             return false;
         };
--- a/crates/rw-test/src/answer.rs
+++ b/crates/rw-test/src/answer.rs
@@ -28,6 +28,8 @@
     pub outcome: String,
     /// The `retry-after` header, empty if absent.
     pub retry: String,
+    /// The `content-type` header, empty if absent.
+    pub kind: String,
     /// Body as text.
     pub body: String,
 }
@@ -49,12 +51,14 @@
         .await?;
     let header = |name| reply.header(name).unwrap_or_default().to_owned();
     let (status, outcome, retry) = (reply.status(), header("x-outcome"), header("retry-after"));
+    let kind = header("content-type");
     let body = reply.bytes(LIMIT).await?;
     let body = String::from_utf8_lossy(&body).into_owned();
     Ok(Answer {
         status,
         outcome,
         retry,
+        kind,
         body,
     })
 }
--- /dev/null
+++ b/crates/rw-test/src/counts.rs
@@ -0,0 +1,99 @@
+//! What stand-ins counted on their side, and calls of a fleet's nodes as its one caller.
+
+use crate::{Answer, Ask, Fleet, KEY, Process, TOKEN, ask, get};
+use rw_http::{Method, SendError};
+use serde::{Deserialize, de::DeserializeOwned};
+
+#[derive(Debug, Deserialize)]
+struct Held {
+    key: String,
+    body: String,
+}
+
+impl Fleet {
+    /// Runs under an idempotency key, over all services.
+    pub async fn runs(&self, key: &str) -> usize {
+        self.count_held(|held| held.key == key).await
+    }
+
+    /// Runs of a body, over all services.
+    pub async fn body_runs(&self, body: &str) -> usize {
+        self.count_held(|held| held.body == body).await
+    }
+
+    /// Calls of a path that a stand-in got, whatever became of them.
+    pub async fn calls(&self, process: &Process, path: &str) -> u64 {
+        let calls: Vec<(String, u64)> = read(process, "/calls").await;
+        let found = calls.into_iter().find(|c| c.0 == path);
+        found.map_or(0, |c| c.1)
+    }
+
+    /// Writes and reads of the table so far.
+    pub async fn table_stats(&self) -> (u64, u64) {
+        read(&self.platform, "/table/stats").await
+    }
+
+    /// Sends a POST to node `n` as the fleet's caller; an empty key is left out.
+    ///
+    /// # Errors
+    ///
+    /// Any [`SendError`].
+    pub async fn post(
+        &self,
+        n: usize,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Result<Answer, SendError> {
+        let bearer = format!("Bearer {KEY}");
+        let mut headers = vec![("authorization", bearer.as_str())];
+        if !key.is_empty() {
+            headers.push(("idempotency-key", key));
+        }
+        let sent = Ask {
+            method: Method::Post,
+            path,
+            body,
+            headers: &headers,
+        };
+        ask(&self.nodes[n].addr("callers"), sent).await
+    }
+
+    /// Whether every node takes every target for open.
+    pub async fn is_open(&self) -> bool {
+        for node in &self.nodes {
+            let bearer = format!("Bearer {TOKEN}");
+            let status = Ask {
+                method: Method::Post,
+                path: "/",
+                body: r#"{"jsonrpc":"2.0","id":1,"method":"status","params":[]}"#,
+                headers: &[("authorization", bearer.as_str())],
+            };
+            let answer = ask(&node.addr("operators"), status).await;
+            let answer = answer.expect("the node answers its status");
+            let status: serde_json::Value =
+                serde_json::from_str(&answer.body).expect("the status is JSON");
+            let targets = status["result"]["targets"].as_array();
+            let targets = targets.expect("the status lists targets");
+            if targets.iter().any(|t| t[2] == false) {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn count_held(&self, wanted: impl Fn(&Held) -> bool) -> usize {
+        let mut runs = 0;
+        for service in &self.services {
+            let held: Vec<Held> = read(service, "/held").await;
+            runs += held.iter().filter(|h| wanted(h)).count();
+        }
+        runs
+    }
+}
+
+async fn read<T: DeserializeOwned>(process: &Process, path: &str) -> T {
+    let answer = get(&process.addr(""), path).await;
+    let answer = answer.expect("the stand-in answers");
+    serde_json::from_str(&answer.body).expect("the stand-in answers JSON")
+}
--- a/crates/rw-test/src/lib.rs
+++ b/crates/rw-test/src/lib.rs
@@ -1,6 +1,7 @@
 //! Test support: processes of the binary, and a client that reads answers as text.
 
 mod answer;
+mod counts;
 mod fleet;
 mod process;
 
