--- a/crates/rw-core/src/effect.rs
+++ b/crates/rw-core/src/effect.rs
@@ -1,6 +1,6 @@
 //! What the shell is to do.
 
-use crate::{Answer, Claim};
+use crate::{Answer, Claim, SyncEffect};
 use rw_types::{AttemptId, BootId, Refusal, RequestId, Version};
 
 /// An effect, as data.
@@ -109,6 +109,8 @@
         /// Attempt.
         attempt: AttemptId,
     },
+    /// Keep the configuration in force.
+    Sync(SyncEffect),
 }
 
 impl Effect {
@@ -128,6 +130,7 @@
             | Self::Replay { id, .. }
             | Self::Refuse { id, .. }
             | Self::Cancel { id, .. } => Some(*id),
+            Self::Sync(_) => None,
         }
     }
 }
--- a/crates/rw-core/src/event.rs
+++ b/crates/rw-core/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a node.
 
-use crate::{Call, ClaimRead, Standing, Suspect};
+use crate::{Call, ClaimRead, Standing, Suspect, SyncEvent};
 use rw_types::{AttemptId, Config, LoadReport, RequestId, Vm};
 use std::sync::Arc;
 
@@ -72,6 +72,8 @@
     },
     /// The platform's list was read.
     VmsRead(Vec<Vm>),
+    /// Something about the configuration in force.
+    Sync(SyncEvent),
     /// The process was told to stop: it is no longer ready, but still takes what reaches it.
     Leave,
     /// The balancer had its time to notice: new requests are refused from now on.
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,8 +1,8 @@
 //! The node's state and its one entry point.
 
 use crate::{
-    CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects, Targets, TicketRuns,
-    Unsettled, Wish,
+    ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects, Targets,
+    TicketRuns, Unsettled, Wish,
 };
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
@@ -18,6 +18,7 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    pub(crate) sync: ConfigSync,
     pub(crate) leaving: bool,
     pub(crate) closing: bool,
     pub(crate) unsettled: Unsettled,
@@ -32,6 +33,7 @@
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
         let budget = RetryBudget::new(settings.retries);
+        let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
             config: Arc::default(),
@@ -39,6 +41,7 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            sync,
             leaving: false,
             closing: false,
             unsettled: Unsettled::default(),
@@ -69,6 +72,7 @@
             Event::Forwarded { id, answered } => self.forwarded(id, answered, &mut effects),
             Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
             Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
+            Event::Sync(event) => self.sync_step(now, event, &mut effects),
             Event::Leave => self.leaving = true,
             Event::Close => self.closing = true,
         }
--- a/crates/rw-node/src/resend.rs
+++ b/crates/rw-node/src/resend.rs
@@ -1,6 +1,6 @@
 //! What this node asks peers about keys that they hold.
 
-use crate::{RpcError, Shell, call_rpc};
+use crate::{RpcError, Shell};
 use rw_core::Standing;
 use rw_types::{BootId, RequestId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -25,7 +25,7 @@
 impl Shell {
     /// Asks the VM at `peer` how far a request is that it claimed.
     pub(crate) async fn ask_claimant(&self, peer: &str, claimed: Claimed) -> Standing {
-        let asked = self.call_peer(peer, "claim_state", &claimed, PEER_LIMIT);
+        let asked = self.ask_peer(peer, "claim_state", &claimed, PEER_LIMIT);
         asked.await.unwrap_or(Standing::Silent)
     }
 
@@ -46,18 +46,16 @@
     }
 
     /// Calls a peer's method that may safely be called twice.
-    pub(crate) async fn call_peer<P: Serialize, R: DeserializeOwned>(
+    pub(crate) async fn ask_peer<P: Serialize, R: DeserializeOwned>(
         &self,
         peer: &str,
         method: &str,
         params: &P,
         limit: Duration,
     ) -> Result<R, RpcError> {
-        let token = &self.settings.token;
         let mut sends = 1;
         loop {
-            let called = call_rpc(&self.client, peer, token, method, params, limit).await;
-            match called {
+            match self.call_peer(peer, method, params, limit).await {
                 Err(RpcError::Unreachable(_)) if sends < PEER_SENDS => sends += 1,
                 ended => return ended,
             }
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -43,6 +43,8 @@
     pub poll: Duration,
     /// Pause between reads of a target's load.
     pub report_poll: Duration,
+    /// Bytes a second that the platform's weight store gives out, for plans.
+    pub weight_rate: u64,
 }
 
 impl NodeSettings {
@@ -66,6 +68,7 @@
             leave_grace: Duration::from_secs(2),
             poll: Duration::from_millis(200),
             report_poll: Duration::from_millis(200),
+            weight_rate: 1 << 30,
         }
     }
 }
--- a/crates/rw-node/src/suspects.rs
+++ b/crates/rw-node/src/suspects.rs
@@ -23,7 +23,7 @@
             .map(|peer| {
                 let (shell, mine) = (self.clone(), mine.clone());
                 smol::spawn(async move {
-                    let called = shell.call_peer(&peer, "suspects", &*mine, SHARE_LIMIT);
+                    let called = shell.ask_peer(&peer, "suspects", &*mine, SHARE_LIMIT);
                     if let Ok(theirs) = called.await {
                         shell.step(Event::SuspectsRead(theirs));
                     }
--- a/crates/rw-node/src/tickets.rs
+++ b/crates/rw-node/src/tickets.rs
@@ -87,7 +87,7 @@
             return false;
         };
         let limit = Duration::from_millis(sent.left_ms) + FORWARD_SLACK;
-        let answered = self.call_peer::<_, TicketAnswer>(peer, "run_ticket", &sent, limit);
+        let answered = self.ask_peer::<_, TicketAnswer>(peer, "run_ticket", &sent, limit);
         let watched = future::or(async { answered.await.ok() }, async {
             self.watch_peer(peer).await;
             None
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -145,11 +145,11 @@
     }
 }
 
-/// Whole reads of the platform by a node so far.
+/// Reads of the VM list by a node so far.
 async fn polls(node: &rw_test::Process) -> u64 {
     let metrics = rw_test::get(&node.addr("callers"), "/metrics").await;
     let text = metrics.expect("metrics").body;
-    let name = r#"rw_platform_total{call="poll",end="ok"} "#;
+    let name = r#"rw_platform_total{call="vms",end="ok"} "#;
     let value = text.lines().find_map(|l| l.strip_prefix(name));
     value.and_then(|v| v.parse().ok()).unwrap_or(0)
 }
