--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -211,7 +211,7 @@
         self.lock().queued -= generate.prompt;
         let crossed = u64::from(struck.contains(&Fault::CrossAnswer));
         let attempt = generate.attempt + crossed;
-        let seed = rw_types::fingerprint(generate.text.as_bytes());
+        let seed = rw_types::fingerprint(generate.text.as_bytes()).wrapping_add(crossed);
         let cut = struck
             .iter()
             .any(|f| matches!(f, Fault::CutAnswer | Fault::LoseAnswer));
@@ -221,6 +221,9 @@
                 return;
             }
             pause(1.0 / self.settings.decode_rate.max(1) as f64).await;
+            if n >= generate.output / 2 && struck.contains(&Fault::NoEnd) {
+                return;
+            }
             if n >= generate.output / 2 && struck.contains(&Fault::Stall) {
                 std::future::pending::<()>().await;
             }
--- a/crates/rw-fakes/src/fault.rs
+++ b/crates/rw-fakes/src/fault.rs
@@ -33,6 +33,8 @@
     Silence,
     /// Send half of a stream, then nothing on an open connection.
     Stall,
+    /// End a stream properly after half of its tokens, without its last event.
+    NoEnd,
     /// Send one token of a stream twice.
     RepeatToken,
     /// Leave one token of a stream out.
--- a/crates/rw-test/src/counts.rs
+++ b/crates/rw-test/src/counts.rs
@@ -59,6 +59,15 @@
         ask(&self.nodes[n].addr("callers"), sent).await
     }
 
+    /// Reads of the VM list by node `n` so far.
+    pub async fn list_reads(&self, n: usize) -> u64 {
+        let metrics = get(&self.nodes[n].addr("callers"), "/metrics").await;
+        let text = metrics.expect("the node answers its metrics").body;
+        let name = r#"rw_platform_total{call="vms",end="ok"} "#;
+        let value = text.lines().find_map(|l| l.strip_prefix(name));
+        value.and_then(|v| v.parse().ok()).unwrap_or(0)
+    }
+
     /// Whether every node takes every target for open.
     pub async fn is_open(&self) -> bool {
         for node in &self.nodes {
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -104,6 +104,11 @@
         service: NONE,
         table: r#"[{"fault":"lose-answer","path":"/table/txn"},{"fault":"outage","path":"/table/get"}]"#,
     },
+    Case {
+        name: "table silent once",
+        service: NONE,
+        table: r#"[{"fault":"silence","path":"/table/txn","count":1}]"#,
+    },
     Case {
         name: "table answers lost, answer cut",
         service: r#"[{"fault":"cut-answer"}]"#,
@@ -136,24 +141,15 @@
 
 /// Waits until every node has read the VM list as it is now.
 async fn know_list(fleet: &Fleet) {
-    for node in &fleet.nodes {
-        let first = polls(node).await;
+    for n in 0..fleet.nodes.len() {
+        let first = fleet.list_reads(n).await;
         until("the VM list is read", async || {
-            polls(node).await >= first + 2
+            fleet.list_reads(n).await >= first + 2
         })
         .await;
     }
 }
 
-/// Reads of the VM list by a node so far.
-async fn polls(node: &rw_test::Process) -> u64 {
-    let metrics = rw_test::get(&node.addr("callers"), "/metrics").await;
-    let text = metrics.expect("metrics").body;
-    let name = r#"rw_platform_total{call="vms",end="ok"} "#;
-    let value = text.lines().find_map(|l| l.strip_prefix(name));
-    value.and_then(|v| v.parse().ok()).unwrap_or(0)
-}
-
 async fn fail(fleet: &Fleet, service: &str, table: &str) {
     for process in &fleet.services {
         fleet.fault(process, service).await.expect("a fault is set");
