Planned stops of nodes and targets proved with traffic running

Cause: the proof was missing; a node that stopped could exit before the last bytes of an answer to a slow reader were written, and refused what its balancer still sent. Change: tests/stops.rs stops two of three nodes under eight callers behind a balancer that is a moment behind, holds a stopping node open with a long stream while it refuses new work, lets a caller read 12 MB late, and marks a target leaving under traffic. Seen to fail: exit without waiting (connection lost), exit once the reducer has no open request (the slow reader gets a cut answer), refusing from the signal on (keyed calls end as unknown), no refusal at all, a leaving target still picked (new calls after 5 s).

--- /dev/null
+++ b/tests/stops.rs
@@ -0,0 +1,241 @@
+//! Planned stops on separate processes: of a node and of a target, with traffic running.
+
+use rw_http::Method;
+use rw_test::{Answer, Ask, Fleet, FleetPlan, KEY, ask, get};
+use smol::{
+    Timer,
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+const GENERATE: &str = "/v1/completions";
+const RESERVE: &str = "/services/reservations/reserve";
+const STREAM: &str = r#"{"model":"small","max_tokens":60,"prompt":"bells","stream":true}"#;
+const TOKENS: usize = 60;
+const LIMIT: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(20);
+/// Longest time in which a leaving target may still get new work, as the users state it.
+const LEAVE_LIMIT: Duration = Duration::from_secs(5);
+/// How long traffic goes on after that time.
+const AFTER: Duration = Duration::from_secs(2);
+/// Callers that send one request after the other.
+const CALLERS: usize = 8;
+
+async fn start() -> Fleet {
+    let slow = ["--decode-rate", "60"].map(str::to_owned).to_vec();
+    let plan = FleetPlan {
+        engines: vec![slow.clone(), slow],
+        flags: ["--leave-grace-ms", "1000"].map(str::to_owned).to_vec(),
+        ..FleetPlan::default()
+    };
+    Fleet::start(BINARY, plan).await.expect("the fleet starts")
+}
+
+async fn post(addr: &str, path: &str, key: &str, body: &str) -> Result<Answer, String> {
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+    let headers = if key.is_empty() {
+        &headers[..1]
+    } else {
+        &headers
+    };
+    let sent = Ask {
+        method: Method::Post,
+        path,
+        body,
+        headers,
+    };
+    ask(addr, sent).await.map_err(|e| e.to_string())
+}
+
+async fn is_ready(addr: &str) -> bool {
+    get(addr, "/readyz").await.is_ok_and(|a| a.status == 200)
+}
+
+/// A caller behind a balancer that sends to the first ready node; returns what went wrong.
+async fn call_on(addrs: Vec<String>, name: usize, stop: Arc<AtomicBool>) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let mut n = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let mut ready = None;
+        for addr in &addrs {
+            if is_ready(addr).await {
+                ready = Some(addr);
+                break;
+            }
+        }
+        let Some(addr) = ready else {
+            continue;
+        };
+        n += 1;
+        // The balancer is a moment behind.
+        Timer::after(PAUSE * 5).await;
+        let answer = if name.is_multiple_of(2) {
+            post(addr, GENERATE, "", STREAM).await
+        } else {
+            post(addr, RESERVE, &format!("{name}-{n}"), "{}").await
+        };
+        if let Err(fault) = whole(answer, name.is_multiple_of(2)) {
+            wrong.push(fault);
+        }
+    }
+    wrong
+}
+
+fn whole(answer: Result<Answer, String>, stream: bool) -> Result<(), String> {
+    let answer = answer?;
+    let pieces = answer.body.matches("\"text\":").count();
+    let ended = answer.body.ends_with("data: [DONE]\n\n");
+    if answer.outcome != "done" || (stream && (!ended || pieces != TOKENS)) {
+        return Err(format!("{answer:?}"));
+    }
+    Ok(())
+}
+
+struct Traffic {
+    stop: Arc<AtomicBool>,
+    callers: Vec<smol::Task<Vec<String>>>,
+}
+
+impl Traffic {
+    fn start(fleet: &Fleet) -> Self {
+        let addrs: Vec<_> = fleet.nodes.iter().map(|n| n.addr("callers")).collect();
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = (0..CALLERS)
+            .map(|name| smol::spawn(call_on(addrs.clone(), name, stop.clone())))
+            .collect();
+        Self { stop, callers }
+    }
+
+    async fn end(self) -> Vec<String> {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut wrong = Vec::new();
+        for caller in self.callers {
+            wrong.extend(caller.await);
+        }
+        wrong
+    }
+}
+
+#[test]
+fn a_stopped_node_cuts_nothing_and_exits_cleanly() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let traffic = Traffic::start(&fleet);
+        for _ in 0..2 {
+            Timer::after(Duration::from_millis(500)).await;
+            let mut node = fleet.nodes.remove(0);
+            node.signal("TERM");
+            assert_eq!(node.wait(LIMIT), Some(0), "exit code");
+        }
+        assert_eq!(traffic.end().await, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_stopped_node_refuses_new_work_while_its_streams_end() {
+    smol::block_on(async {
+        let fleet = start().await;
+        let addr = fleet.nodes[0].addr("callers");
+        let long = STREAM.replace("60", "200");
+        let running = smol::spawn({
+            let addr = addr.clone();
+            async move { post(&addr, GENERATE, "", &long).await }
+        });
+        Timer::after(PAUSE * 5).await;
+        fleet.nodes[0].signal("TERM");
+        let refused = loop {
+            let answer = post(&addr, RESERVE, "", "{}").await.expect("an answer");
+            if answer.status != 200 {
+                break answer;
+            }
+            Timer::after(PAUSE).await;
+        };
+        assert_eq!(refused.outcome, "not-run", "{refused:?}");
+        assert!(refused.body.contains("leaving"), "{refused:?}");
+        let keyed = post(&addr, RESERVE, "k", "{}").await.expect("an answer");
+        assert_eq!(keyed.outcome, "unknown", "{keyed:?}");
+        let streamed = running.await.expect("the stream's answer");
+        assert_eq!(streamed.body.matches("\"text\":").count(), 200);
+        assert!(streamed.body.ends_with("data: [DONE]\n\n"));
+    });
+}
+
+/// More than the buffers of a connection hold.
+const LARGE: usize = 12 << 20;
+
+#[test]
+fn a_stopped_node_waits_for_a_slow_reader() {
+    smol::block_on(async {
+        let plan = FleetPlan {
+            nodes: 1,
+            flags: ["--leave-grace-ms", "100", "--max-body", "16000000"]
+                .map(str::to_owned)
+                .to_vec(),
+            ..FleetPlan::default()
+        };
+        let fleet = Fleet::start(BINARY, plan).await.expect("the fleet starts");
+        let addr = fleet.nodes[0].addr("callers");
+        let mut caller = TcpStream::connect(&addr).await.expect("a connection");
+        let head = format!(
+            "POST /services/reservations/echo HTTP/1.1\r\nhost: {addr}\r\n\
+             authorization: Bearer {KEY}\r\ncontent-length: {LARGE}\r\n\r\n"
+        );
+        let mut request = head.into_bytes();
+        request.resize(request.len() + LARGE, b'x');
+        caller
+            .write_all(&request)
+            .await
+            .expect("the request is sent");
+        let mut first = [0; 16];
+        caller
+            .read_exact(&mut first)
+            .await
+            .expect("the answer begins");
+        fleet.nodes[0].signal("TERM");
+        // Reads nothing until the node would long have gone.
+        Timer::after(Duration::from_secs(1)).await;
+        let mut rest = Vec::new();
+        caller
+            .read_to_end(&mut rest)
+            .await
+            .expect("the answer ends");
+        let body = rest.iter().filter(|b| **b == b'x').count();
+        assert!(body >= LARGE, "{body} of {LARGE} bytes");
+    });
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work_and_its_streams_end() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let traffic = Traffic::start(&fleet);
+        Timer::after(Duration::from_secs(1)).await;
+        let before = fleet.calls(&fleet.engines[0], "/generate").await;
+        assert!(before > 0, "the target had no work before");
+        let mut config = fleet.config.clone();
+        let target = config.targets.iter_mut().find(|t| t.name == "engine-1");
+        target.expect("the target").leaving = true;
+        let accepted = Instant::now();
+        fleet.accept(config).await.expect("a configuration");
+        while accepted.elapsed() < LEAVE_LIMIT {
+            Timer::after(PAUSE).await;
+        }
+        let at_limit = fleet.calls(&fleet.engines[0], "/generate").await;
+        let others = fleet.calls(&fleet.engines[1], "/generate").await;
+        Timer::after(AFTER).await;
+        let after = fleet.calls(&fleet.engines[0], "/generate").await;
+        assert_eq!(after, at_limit, "new work on a leaving target");
+        let moved = fleet.calls(&fleet.engines[1], "/generate").await;
+        assert!(moved > others, "no traffic went on");
+        assert_eq!(traffic.end().await, Vec::<String>::new());
+    });
+}
