--- a/crates/rw-core/src/effect.rs
+++ b/crates/rw-core/src/effect.rs
@@ -1,6 +1,6 @@
 //! What the shell is to do.
 
-use crate::{Answer, Claim, SyncEffect};
+use crate::{Answer, AuthorityEffect, Claim, SyncEffect};
 use rw_types::{AttemptId, BootId, Refusal, RequestId, Version};
 
 /// An effect, as data.
@@ -111,6 +111,8 @@
     },
     /// Keep the configuration in force.
     Sync(SyncEffect),
+    /// Something about leases and orders.
+    Authority(AuthorityEffect),
 }
 
 impl Effect {
@@ -130,7 +132,7 @@
             | Self::Replay { id, .. }
             | Self::Refuse { id, .. }
             | Self::Cancel { id, .. } => Some(*id),
-            Self::Sync(_) => None,
+            Self::Sync(_) | Self::Authority(_) => None,
         }
     }
 }
--- a/crates/rw-core/src/event.rs
+++ b/crates/rw-core/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a node.
 
-use crate::{Call, ClaimRead, Standing, Suspect, SyncEvent};
+use crate::{AuthorityEvent, Call, ClaimRead, Standing, Suspect, SyncEvent};
 use rw_types::{AttemptId, Config, LoadReport, RequestId, Vm};
 use std::sync::Arc;
 
@@ -74,6 +74,8 @@
     VmsRead(Vec<Vm>),
     /// Something about the configuration in force.
     Sync(SyncEvent),
+    /// Something about leases and orders.
+    Authority(AuthorityEvent),
     /// The process was told to stop: it is no longer ready, but still takes what reaches it.
     Leave,
     /// The balancer had its time to notice: new requests are refused from now on.
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,8 +1,8 @@
 //! The node's state and its one entry point.
 
 use crate::{
-    ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects, Targets,
-    TicketRuns, Unsettled, Wish,
+    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects,
+    Targets, TicketRuns, Unsettled, Wish,
 };
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
@@ -19,6 +19,7 @@
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
     pub(crate) sync: ConfigSync,
+    pub(crate) authority: Authority,
     pub(crate) leaving: bool,
     pub(crate) closing: bool,
     pub(crate) unsettled: Unsettled,
@@ -42,6 +43,7 @@
             requests: Vec::new(),
             wishes: Vec::new(),
             sync,
+            authority: Authority::default(),
             leaving: false,
             closing: false,
             unsettled: Unsettled::default(),
@@ -64,7 +66,6 @@
             Event::CallerGone { id } => self.drop_caller(id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
-            Event::VmsRead(vms) => self.members.replace(vms),
             Event::ClaimStanding { id, standing } => {
                 self.claim_standing(now, id, standing, &mut effects)
             }
@@ -73,6 +74,8 @@
             Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
             Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
+            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
             Event::Close => self.closing = true,
         }
@@ -131,6 +134,7 @@
             return;
         }
         self.targets.apply(&config);
+        self.authority.outdated = true;
         self.config = config;
     }
 }
--- a/crates/rw-core/src/settings.rs
+++ b/crates/rw-core/src/settings.rs
@@ -27,6 +27,14 @@
     pub ticket_ms: u64,
     /// How long a body that crashed its targets is refused.
     pub poison_ms: u64,
+    /// How long a lease runs from before its renewal was sent.
+    pub lease_ms: u64,
+    /// Most by which the clocks of two VMs drift apart within one lease.
+    pub drift_ms: u64,
+    /// Longest life of an order on its way to its target.
+    pub order_ms: u64,
+    /// Age from which a report is no longer planned on.
+    pub stale_ms: u64,
 }
 
 impl Default for CoreSettings {
@@ -43,6 +51,10 @@
             keep_ms: 600_000,
             ticket_ms: 600_000,
             poison_ms: 300_000,
+            lease_ms: 10_000,
+            drift_ms: 500,
+            order_ms: 2_000,
+            stale_ms: 5_000,
         }
     }
 }
--- a/crates/rw-fakes/src/lib.rs
+++ b/crates/rw-fakes/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod fault;
+mod order_state;
 mod platform;
 mod service;
 mod table_state;
@@ -12,6 +13,7 @@
 
 pub use engine::{EngineSettings, FakeEngine, Generate};
 pub use fault::{Armed, Fault, Faults};
+pub use order_state::{HeldOrder, OrderBook};
 pub use platform::{FakePlatform, PlatformSettings};
 pub use service::{FakeService, Held};
 pub use table_state::TableState;
--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,9 +1,13 @@
 //! A client with a pool of idle connections per address.
 
-use crate::{Reply, SendError};
-use futures_util::FutureExt as _;
-use http_types::{Body, Method, Request, Url};
-use smol::{Timer, future, net::TcpStream};
+use crate::{Reply, SendError, guarded::Guarded, watch::Watch};
+use async_h1::client::{Encoder, decode};
+use http_types::{Body, Method, Request, Response, Url};
+use smol::{
+    Timer, future,
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 use std::{
     future::Future,
     net::SocketAddr,
@@ -33,15 +37,22 @@
 pub(crate) struct Conn {
     pub(crate) stream: TcpStream,
     pub(crate) addr: SocketAddr,
+    pub(crate) watch: Watch,
     born: Instant,
     idle_since: Instant,
 }
 
 impl Conn {
-    /// Whether nothing waits to be read: neither bytes of an earlier answer nor the end.
-    fn is_quiet(&self) -> bool {
+    fn is_fresh(&self) -> bool {
+        self.born.elapsed() < MAX_AGE && self.idle_since.elapsed() < MAX_IDLE
+    }
+
+    /// Whether the other side has neither closed nor sent anything that nobody asked for.
+    async fn is_quiet(&self) -> bool {
         let mut byte = [0];
-        self.stream.peek(&mut byte).now_or_never().is_none()
+        future::poll_once(self.stream.peek(&mut byte))
+            .await
+            .is_none()
     }
 }
 
@@ -71,11 +82,12 @@
         limit: Duration,
     ) -> Result<Reply, SendError> {
         let addr: SocketAddr = addr.parse().map_err(|_| SendError::BadAddr)?;
-        let conn = match self.pooled(addr, pooling) {
+        let mut conn = match self.pooled(addr, pooling).await {
             Some(conn) => conn,
             None => open(addr, limit.min(CONNECT_LIMIT)).await?,
         };
-        let answer = within(limit, async_h1::connect(conn.stream.clone(), request)).await;
+        let answer = exchange(conn.stream.clone(), request);
+        let answer = conn.watch.within(limit, answer).await;
         let answer = answer.and_then(|a| a.map_err(|_| SendError::Broken));
         let Ok(response) = answer else {
             self.drop_idle(addr);
@@ -98,21 +110,47 @@
         }
     }
 
-    fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<Conn> {
+    /// Sends `request` on a new connection, unless `latest` has passed when its bytes go out.
+    ///
+    /// The clock is read directly before each write, on the thread that writes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`]; a request cut by `latest` is [`SendError::Broken`], and its target
+    /// never sees it whole.
+    pub async fn send_before(
+        &self,
+        addr: &str,
+        request: Request,
+        latest: Instant,
+        limit: Duration,
+    ) -> Result<Reply, SendError> {
+        let addr: SocketAddr = addr.parse().map_err(|_| SendError::BadAddr)?;
+        let conn = open(addr, limit.min(CONNECT_LIMIT)).await?;
+        let stream = Guarded::new(conn.stream.clone(), latest);
+        let answer = within(limit, async_h1::connect(stream, request)).await?;
+        let response = answer.map_err(|_| SendError::Broken)?;
+        Reply::check(response, conn, self.clone())
+    }
+
+    async fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<Conn> {
         if pooling == Pooling::Fresh {
             return None;
         }
-        let mut idle = self.lock();
-        let i = idle.binary_search_by_key(&addr, |e| e.addr).ok()?;
-        while let Some(conn) = idle[i].conns.pop() {
-            let young = conn.born.elapsed() < MAX_AGE && conn.idle_since.elapsed() < MAX_IDLE;
-            if young && conn.is_quiet() {
+        while let Some(conn) = self.pop(addr) {
+            if conn.is_fresh() && conn.is_quiet().await {
                 return Some(conn);
             }
         }
         None
     }
 
+    fn pop(&self, addr: SocketAddr) -> Option<Conn> {
+        let mut idle = self.lock();
+        let i = idle.binary_search_by_key(&addr, |e| e.addr).ok()?;
+        idle[i].conns.pop()
+    }
+
     pub(crate) fn put_back(&self, mut conn: Conn) {
         conn.idle_since = Instant::now();
         let mut idle = self.lock();
@@ -142,6 +180,15 @@
     }
 }
 
+/// Sends a request in one piece and reads the head of its answer.
+async fn exchange(mut stream: TcpStream, request: Request) -> http_types::Result<Response> {
+    let mut encoder = Encoder::new(request);
+    let mut bytes = Vec::with_capacity(512);
+    encoder.read_to_end(&mut bytes).await?;
+    stream.write_all(&bytes).await?;
+    decode(stream).await
+}
+
 async fn open(addr: SocketAddr, limit: Duration) -> Result<Conn, SendError> {
     let opened = within(limit, TcpStream::connect(addr)).await;
     let stream = match opened {
@@ -154,16 +201,14 @@
     Ok(Conn {
         stream,
         addr,
+        watch: Watch::new(),
         born: now,
         idle_since: now,
     })
 }
 
 /// Runs `work` for at most `limit`.
-pub(crate) async fn within<T>(
-    limit: Duration,
-    work: impl Future<Output = T>,
-) -> Result<T, SendError> {
+async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Result<T, SendError> {
     let timer = async {
         Timer::after(limit).await;
         Err(SendError::TimedOut)
--- a/crates/rw-http/src/listen.rs
+++ b/crates/rw-http/src/listen.rs
@@ -1,48 +1,28 @@
 //! A listener that bounds what a slow or silent peer can hold.
 
-use crate::Traffic;
-use async_h1::server::{ConnectionStatus, Server};
+use crate::{Limits, Traffic, Workers, conn::Conn, exchange::serve_conn, registry::Registry};
 use http_types::{Request, Response, StatusCode};
-use smol::{
-    Async,
-    io::AsyncReadExt as _,
-    net::{TcpListener, TcpStream},
-};
+use smol::{Async, Timer, future, io::AsyncReadExt as _, net::TcpListener};
 use std::{
     future::Future,
     io,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
-/// Limits of one listener.
-#[derive(Debug, Clone, Copy)]
-pub struct Limits {
-    /// Longest wait for a request's header, which also bounds idle connections.
-    pub header_time: Duration,
-    /// Most open connections; more are closed at once.
-    pub connections: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            header_time: Duration::from_secs(10),
-            connections: 20_000,
-        }
-    }
-}
+/// Pause between looks at whether a limit has run out.
+const SWEEP: Duration = Duration::from_millis(200);
+/// Pause after an accept that failed for want of descriptors.
+const RETRY: Duration = Duration::from_millis(5);
 
 /// A bound TCP listener that serves HTTP.
 #[derive(Debug)]
 pub struct Listener {
     tcp: TcpListener,
     limits: Limits,
-    open: Arc<AtomicUsize>,
+    workers: Workers,
+    open: Arc<Registry>,
     traffic: Traffic,
 }
 
@@ -57,11 +37,19 @@
         Ok(Self {
             tcp,
             limits,
+            workers: Workers::default(),
             open: Arc::default(),
             traffic: Traffic::default(),
         })
     }
 
+    /// Spreads connections over `workers` instead of the global executor.
+    #[must_use]
+    pub fn on(mut self, workers: Workers) -> Self {
+        self.workers = workers;
+        self
+    }
+
     /// The address bound.
     ///
     /// # Errors
@@ -78,57 +66,55 @@
     }
 
     /// Serves every connection with `handler` until the future is dropped; connections then end
-    /// with their tasks on the global executor.
+    /// with their tasks.
     pub async fn run<H, F>(&self, handler: H)
     where
         H: Fn(Request) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
     {
-        loop {
-            let Ok((stream, _)) = self.tcp.accept().await else {
-                // Out of descriptors: wait for some to be freed.
-                smol::Timer::after(Duration::from_millis(20)).await;
-                continue;
+        future::or(self.accept(handler), self.sweep()).await;
+    }
+
+    async fn accept<H, F>(&self, handler: H)
+    where
+        H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let start = Instant::now();
+        for id in 0.. {
+            let stream = loop {
+                match self.tcp.accept().await {
+                    Ok((stream, _)) => break stream,
+                    // Out of descriptors: an idle connection gives way to a new one.
+                    Err(_) => {
+                        self.open.close_idle();
+                        Timer::after(RETRY).await;
+                    }
+                }
             };
-            if self.open.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
-                self.open.fetch_sub(1, Ordering::Relaxed);
+            let _ = stream.set_nodelay(true);
+            let conn = Arc::new(Conn::new(id, stream, self.limits, start));
+            let full = self.open.add(conn.clone()) > self.limits.connections;
+            if full && !self.open.close_idle() {
+                self.open.remove(id);
                 continue;
             }
-            let open = self.open.clone();
-            let (handler, traffic) = (handler.clone(), self.traffic.clone());
-            smol::spawn(async move {
-                serve(stream, handler, traffic).await;
-                open.fetch_sub(1, Ordering::Relaxed);
-            })
-            .detach();
+            conn.begin();
+            let (open, handler, traffic) =
+                (self.open.clone(), handler.clone(), self.traffic.clone());
+            let serving = async move {
+                serve_conn(conn, handler, traffic).await;
+                open.remove(id);
+            };
+            self.workers.spawn(serving).detach();
         }
     }
-}
 
-async fn serve<H, F>(stream: TcpStream, handler: H, traffic: Traffic)
-where
-    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let held = Mutex::new(None);
-    let endpoint = |request: Request| {
-        *held.lock().unwrap_or_else(PoisonError::into_inner) = Some(traffic.enter());
-        let answer = handler(request);
-        let traffic = &traffic;
-        async move {
-            let mut response = answer.await;
-            if traffic.is_closing() {
-                response.insert_header("connection", "close");
-            }
-            Ok(response)
+    async fn sweep(&self) {
+        loop {
+            Timer::after(SWEEP).await;
+            self.open.sweep();
         }
-    };
-    let mut server = Server::new(stream, endpoint);
-    // A connection that breaks is the peer's matter; the handler has counted what it ran.
-    while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {
-        // The last byte of the answer is written only now.
-        held.lock().unwrap_or_else(PoisonError::into_inner).take();
     }
 }
 
--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -191,6 +191,7 @@
                 return Err(SendError::Broken);
             }
             if token.end {
+                lines.finish();
                 return Ok(Ran::Ended(AttemptEnd::Whole {
                     status: 200,
                     kind: String::new(),
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -9,7 +9,7 @@
     tickets::outcome_of,
 };
 use rw_core::{Call, Effect, Event, Work};
-use rw_http::{Response, events, raw};
+use rw_http::{Response, events, raw, spawn};
 use rw_types::{AttemptId, Outcome, Refusal, RequestId};
 use std::{io, sync::Arc};
 
@@ -63,7 +63,7 @@
         };
         let shell = self.clone();
         // A task of its own: a non-idempotent run must reach its record without its caller.
-        smol::spawn(async move { shell.drive(call, payload, caller).await }).detach();
+        spawn(async move { shell.drive(call, payload, caller).await }).detach();
         match rx.recv().await {
             Ok(response) => response,
             Err(_) => raw(500, Vec::new(), "text/plain"),
@@ -110,10 +110,10 @@
                     version,
                     claim,
                 } => {
-                    smol::spawn(self.clone().settle_claim(id, key, version, claim)).detach();
+                    spawn(self.clone().settle_claim(id, key, version, claim)).detach();
                 }
                 Effect::ReleaseClaim { id, key, claim } => {
-                    smol::spawn(self.clone().release_claim(id, key, claim)).detach();
+                    spawn(self.clone().release_claim(id, key, claim)).detach();
                 }
                 Effect::AskClaimant {
                     peer,
@@ -134,7 +134,7 @@
                 }
                 Effect::ShareSuspects { .. } => {
                     let shell = self.clone();
-                    smol::spawn(async move { shell.share_suspects().await }).detach();
+                    spawn(async move { shell.share_suspects().await }).detach();
                 }
                 Effect::WriteClaim {
                     key,
@@ -168,7 +168,7 @@
                     caller.cut(&refusal).await;
                     caller.answer(refuse(&refusal)).await;
                 }
-                Effect::Cancel { .. } | Effect::Sync(_) => {}
+                Effect::Cancel { .. } | Effect::Sync(_) | Effect::Authority(_) => {}
             }
         }
         next
--- a/crates/rw-node/src/suspects.rs
+++ b/crates/rw-node/src/suspects.rs
@@ -22,7 +22,7 @@
             .into_iter()
             .map(|peer| {
                 let (shell, mine) = (self.clone(), mine.clone());
-                smol::spawn(async move {
+                rw_http::spawn(async move {
                     let called = shell.ask_peer(&peer, "suspects", &*mine, SHARE_LIMIT);
                     if let Ok(theirs) = called.await {
                         shell.step(Event::SuspectsRead(theirs));
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -22,7 +22,7 @@
 pub use ids::{AttemptId, BootId, Fence, Millis, RequestId, Version};
 pub use intent::{ConfigError, check_config};
 pub use list_change::ListChange;
-pub use load::{CacheEvent, LoadReport};
+pub use load::{CacheEvent, LoadReport, ModelLoad};
 pub use named::Named;
 pub use order::{Order, OrderKind, OrderReply, OrderState};
 pub use outcome::{Outcome, Refusal, RefusalKind};
