A VM that stops as planned leaves its tickets in the object store

Ruled out: a table row a ticket (the write budget, all at once at the stop), and handing them to a peer (which may stop next, and others would have to learn which peer). Change: once closed and without open requests, the process writes all its used tickets as one object named by VM and boot. A resend that meets a VM gone, or in another boot, reads it: the same answer for one that ran, a true not-run (410, take a new ticket) for one that was never used, and unknown for one older than the records. Seen to fail: nothing left behind (unknown after the stop), the age of a ticket not looked at (not-run for a forgotten one), records not looked at (not-run for one that ran). Figures: one object write a stop, no table write.

--- a/crates/rw-core/src/effect.rs
+++ b/crates/rw-core/src/effect.rs
@@ -63,6 +63,13 @@
         /// `ip:port` of that VM's peer listener.
         peer: String,
     },
+    /// Read what the process that minted a ticket left behind.
+    ReadHandover {
+        /// Request.
+        id: RequestId,
+        /// Object key.
+        key: String,
+    },
     /// Tell all peers which bodies crash their targets, and learn what they know.
     ShareSuspects {
         /// Request.
@@ -126,6 +133,7 @@
             | Self::ReleaseClaim { id, .. }
             | Self::AskClaimant { id, .. }
             | Self::Forward { id, .. }
+            | Self::ReadHandover { id, .. }
             | Self::ShareSuspects { id, .. }
             | Self::Dispatch { id, .. }
             | Self::Deliver { id }
--- a/crates/rw-core/src/event.rs
+++ b/crates/rw-core/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a node.
 
-use crate::{AuthorityEvent, Call, ClaimRead, Standing, Suspect, SyncEvent};
+use crate::{AuthorityEvent, Call, ClaimRead, Handover, Standing, Suspect, SyncEvent};
 use rw_types::{AttemptId, Config, LoadReport, RequestId, Vm};
 use std::sync::Arc;
 
@@ -40,6 +40,13 @@
         /// Whether that VM gave a final answer.
         answered: bool,
     },
+    /// The object store was asked what the process that minted a ticket left behind.
+    HandoverRead {
+        /// Request.
+        id: RequestId,
+        /// What it left; `None` if there is nothing or it can't be read.
+        handover: Option<Handover>,
+    },
     /// Peers were told which bodies crash their targets.
     SuspectsShared {
         /// Request that waited for it.
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -71,6 +71,7 @@
             }
             Event::ClaimSettled { id } => self.unsettled.remove(id),
             Event::Forwarded { id, answered } => self.forwarded(id, answered, &mut effects),
+            Event::HandoverRead { id, handover } => self.handover_read(id, handover, &mut effects),
             Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
             Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
--- a/crates/rw-core/src/request.rs
+++ b/crates/rw-core/src/request.rs
@@ -1,7 +1,7 @@
 //! The state of one request.
 
 use crate::{Call, Claim, Ticket};
-use rw_types::{AttemptId, RequestId, Version};
+use rw_types::{AttemptId, RefusalKind, RequestId, Version};
 
 /// A request that has no final answer yet.
 #[derive(Debug, Clone)]
@@ -58,7 +58,14 @@
         version: Version,
     },
     /// The VM that minted its ticket.
-    Forwarded,
+    Forwarded(Ticket),
+    /// What the process that minted its ticket left behind.
+    Handover {
+        /// Ticket.
+        ticket: Ticket,
+        /// What the caller is told if nothing was left.
+        refusal: RefusalKind,
+    },
     /// Peers, which are told of a crash before the next dispatch.
     Sharing,
     /// The table, for a claim.
--- a/crates/rw-core/src/request_flow.rs
+++ b/crates/rw-core/src/request_flow.rs
@@ -283,6 +283,7 @@
             | RefusalKind::UnknownModel
             | RefusalKind::UnknownService
             | RefusalKind::KeyReused
+            | RefusalKind::TicketOver
             | RefusalKind::RunLost => 0,
             _ => self.settings.retry_ms,
         };
--- a/crates/rw-core/src/ticket_flow.rs
+++ b/crates/rw-core/src/ticket_flow.rs
@@ -1,6 +1,8 @@
 //! A request under a ticket: only the process that minted it decides, from its memory.
 
-use crate::{Call, ClaimState, Effect, Node, Phase, Request, Ticket, TicketRun};
+use crate::{
+    Call, ClaimState, Effect, Handover, Node, Phase, Request, Ticket, TicketRun, handover_key,
+};
 use rw_types::{Millis, Outcome, RefusalKind, RequestId};
 
 impl Node {
@@ -23,11 +25,11 @@
         out: &mut Vec<Effect>,
     ) {
         if ticket.vm != self.settings.vm {
-            return self.forward(id, call, &ticket, out);
+            return self.forward(id, call, ticket, out);
         }
         // The process that could run it is gone, and its memory with it.
         if ticket.boot != self.settings.boot {
-            return out.push(self.refusal(id, RefusalKind::RunLost, Outcome::Unknown));
+            return self.ask_handover(id, call, ticket, RefusalKind::RunLost, out);
         }
         let key = call.key.as_deref().unwrap_or_default();
         if let Some(run) = self.tickets.find(ticket.minted, &call.caller, key) {
@@ -72,26 +74,26 @@
             (RefusalKind::KeyReused, Outcome::NotRun)
         } else {
             match run.state {
-                ClaimState::Done(answer) => return out.push(Effect::Replay { id, answer }),
+                ClaimState::Done(answer) => return self.replay(id, answer, out),
                 ClaimState::Held => (RefusalKind::InProgress, Outcome::Unknown),
                 ClaimState::Lost | ClaimState::Released => (RefusalKind::RunLost, Outcome::Unknown),
             }
         };
-        out.push(self.refusal(id, refused.0, refused.1));
+        self.finish(id, refused.0, refused.1, out);
     }
 
-    fn forward(&mut self, id: RequestId, call: Call, ticket: &Ticket, out: &mut Vec<Effect>) {
+    fn forward(&mut self, id: RequestId, call: Call, ticket: Ticket, out: &mut Vec<Effect>) {
         let Some(vm) = self.members.find(&ticket.vm) else {
             // A list that was never read says nothing of the VM.
             let kind = match self.members.all() {
                 [] => RefusalKind::InProgress,
                 _ => RefusalKind::RunLost,
             };
-            return out.push(self.refusal(id, kind, Outcome::Unknown));
+            return self.ask_handover(id, call, ticket, kind, out);
         };
         let peer = vm.peer.clone();
         let request = Request {
-            phase: Phase::Forwarded,
+            phase: Phase::Forwarded(ticket),
             ..Request::new(id, call)
         };
         if self.insert_request(request) {
@@ -103,15 +105,72 @@
         let Some(i) = self.request_index(id) else {
             return;
         };
-        if self.requests[i].phase != Phase::Forwarded {
+        let Phase::Forwarded(ticket) = self.requests[i].phase.clone() else {
             return;
-        }
+        };
+        let call = self.requests[i].call.clone();
+        self.take_request(id);
         if answered {
-            self.take_request(id);
             return out.push(Effect::Deliver { id });
         }
         // An earlier send may have run there, even if this one was never taken.
-        self.finish(id, RefusalKind::AnswerLost, Outcome::Unknown, out);
+        self.ask_handover(id, call, ticket, RefusalKind::AnswerLost, out);
+    }
+
+    /// What this process leaves behind of its tickets; complete once it is closing and has no open
+    /// request.
+    #[must_use]
+    pub fn handover(&self, now: Millis) -> Handover {
+        Handover {
+            stopped: now,
+            runs: self.tickets.all().to_vec(),
+        }
+    }
+
+    fn ask_handover(
+        &mut self,
+        id: RequestId,
+        call: Call,
+        ticket: Ticket,
+        refusal: RefusalKind,
+        out: &mut Vec<Effect>,
+    ) {
+        let key = handover_key(&ticket.vm, ticket.boot);
+        let request = Request {
+            phase: Phase::Handover { ticket, refusal },
+            ..Request::new(id, call)
+        };
+        if self.insert_request(request) {
+            out.push(Effect::ReadHandover { id, key });
+        }
+    }
+
+    pub(crate) fn handover_read(
+        &mut self,
+        id: RequestId,
+        handover: Option<Handover>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(i) = self.request_index(id) else {
+            return;
+        };
+        let Phase::Handover { ticket, refusal } = self.requests[i].phase.clone() else {
+            return;
+        };
+        let call = self.requests[i].call.clone();
+        let Some(Handover { stopped, runs }) = handover else {
+            return self.finish(id, refusal, Outcome::Unknown, out);
+        };
+        let key = call.key.as_deref().unwrap_or_default();
+        let mut runs = runs.into_iter();
+        if let Some(run) = runs.find(|r| r.caller == call.caller && r.key == key) {
+            return self.used_ticket(id, &call, run, out);
+        }
+        // Older records were forgotten before the stop.
+        if ticket.minted > stopped || stopped.since(ticket.minted) >= self.settings.ticket_ms {
+            return self.finish(id, RefusalKind::RunLost, Outcome::Unknown, out);
+        }
+        self.finish(id, RefusalKind::TicketOver, Outcome::NotRun, out);
     }
 }
 
--- a/crates/rw-core/src/ticket_runs.rs
+++ b/crates/rw-core/src/ticket_runs.rs
@@ -2,6 +2,7 @@
 
 use crate::{Answer, ClaimState};
 use rw_types::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Most used tickets remembered; more are refused before they run.
 const MAX_RUNS: usize = 50_000;
@@ -9,7 +10,7 @@
 const MAX_BYTES: usize = 64 << 20;
 
 /// One used ticket.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TicketRun {
     /// When its ticket was minted.
     pub minted: Millis,
@@ -38,6 +39,12 @@
         Some(&self.runs[i])
     }
 
+    /// All used tickets.
+    #[must_use]
+    pub fn all(&self) -> &[TicketRun] {
+        &self.runs
+    }
+
     /// Notes that a ticket runs now; false if there is no room.
     pub fn start(&mut self, run: TicketRun) -> bool {
         if self.runs.len() >= MAX_RUNS || self.bytes >= MAX_BYTES {
--- a/crates/rw-core/tests/requests.rs
+++ b/crates/rw-core/tests/requests.rs
@@ -2,8 +2,8 @@
 //! dispatched, and what is recorded.
 
 use rw_core::{
-    Answer, AttemptEnd, Call, Claim, ClaimRead, ClaimState, CoreSettings, Effect, Event, Node,
-    Standing, Suspect, Ticket, Work,
+    Answer, AttemptEnd, Call, Claim, ClaimRead, ClaimState, CoreSettings, Effect, Event, Handover,
+    Node, Standing, Suspect, Ticket, TicketRun, Work,
 };
 use rw_types::{
     BootId, Config, Millis, Model, Outcome, RefusalKind, RequestId, Role, Service, ServiceKind,
@@ -15,7 +15,7 @@
 use Outcome::{NotRun, Unknown};
 use RefusalKind::{
     AnswerLost, InProgress, KeyReused, Leaving, NoTarget, Overloaded, Poison, RunLost, StoreDown,
-    TooLate,
+    TicketOver, TooLate,
 };
 use Told::{Delivered, Nothing, Refused, Replayed};
 
@@ -43,6 +43,7 @@
     Standing(Standing),
     End(AttemptEnd),
     Forwarded(bool),
+    Left(Option<Handover>),
     Shared,
     Tell(Suspect),
     Wait(u64),
@@ -233,6 +234,27 @@
     })
 }
 
+/// What the VM of a [`Ask::StrangeTicket`] left behind.
+fn left(state: ClaimState, fingerprint: u64) -> Step {
+    left_of("vm-9", state, fingerprint)
+}
+
+fn left_of(vm: &str, state: ClaimState, fingerprint: u64) -> Step {
+    let run = TicketRun {
+        minted: Millis(0),
+        caller: "c".to_owned(),
+        key: ticket(vm, RIVAL, 0),
+        fingerprint,
+        state,
+    };
+    left_at(0, vec![run])
+}
+
+fn left_at(stopped: u64, runs: Vec<TicketRun>) -> Step {
+    let stopped = Millis(stopped);
+    Step::Left(Some(Handover { stopped, runs }))
+}
+
 /// Runs a case and returns what the last caller was told, the dispatches and the last record.
 fn run(case: &Case) -> (Told, usize, Option<ClaimState>) {
     let mut node = node();
@@ -259,6 +281,10 @@
                 id: request,
                 answered,
             },
+            Step::Left(handover) => Event::HandoverRead {
+                id: request,
+                handover,
+            },
             Step::Shared => Event::SuspectsShared { id: request },
             Step::Tell(suspect) => Event::SuspectsRead(vec![suspect]),
             Step::Close => Event::Close,
@@ -422,10 +448,17 @@
         case("old, but remembered", OwnTicket, vec![whole(), Step::Wait(600_000), Step::Resend(BODY)], Replayed, 1),
         case("closing, unused", OwnTicket, vec![Step::Close], Refused(Leaving, NotRun), 0),
         case("closing, used", OwnTicket, vec![whole(), Step::Close, Step::Resend(BODY)], Replayed, 1),
-        case("earlier boot", OldTicket, vec![], Refused(RunLost, Unknown), 0),
-        case("VM gone", StrangeTicket, vec![], Refused(RunLost, Unknown), 0),
+        case("earlier boot", OldTicket, vec![Step::Left(None)], Refused(RunLost, Unknown), 0),
+        case("VM gone", StrangeTicket, vec![Step::Left(None)], Refused(RunLost, Unknown), 0),
+        case("VM stopped, done", StrangeTicket, vec![left(ClaimState::Done(answer()), BODY)], Replayed, 0),
+        case("VM stopped, lost", StrangeTicket, vec![left(ClaimState::Lost, BODY)], Refused(RunLost, Unknown), 0),
+        case("VM stopped, another body", StrangeTicket, vec![left(ClaimState::Done(answer()), 1)], Refused(KeyReused, NotRun), 0),
+        case("VM stopped, unused", StrangeTicket, vec![left_at(0, Vec::new())], Refused(TicketOver, NotRun), 0),
+        case("VM stopped, forgotten", StrangeTicket, vec![left_at(600_000, Vec::new())], Refused(RunLost, Unknown), 0),
+        case("earlier boot, done", OldTicket, vec![left_of("vm-1", ClaimState::Done(answer()), BODY)], Replayed, 0),
+        case("other VM just stopped", RivalTicket, vec![Step::Forwarded(false), left_of("vm-2", ClaimState::Done(answer()), BODY)], Replayed, 0),
         case("other VM", RivalTicket, vec![Step::Forwarded(true)], Delivered, 0),
-        case("other VM out of reach", RivalTicket, vec![Step::Forwarded(false)], Refused(AnswerLost, Unknown), 0),
+        case("other VM out of reach", RivalTicket, vec![Step::Forwarded(false), Step::Left(None)], Refused(AnswerLost, Unknown), 0),
     ]);
 }
 
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -128,6 +128,10 @@
                     let answered = self.forward_ticket(&peer, call, attempt).await;
                     next = Some(Event::Forwarded { id, answered });
                 }
+                Effect::ReadHandover { key, .. } => {
+                    let handover = self.read_handover(&key).await;
+                    next = Some(Event::HandoverRead { id, handover });
+                }
                 Effect::ShareSuspects { wait: true, .. } => {
                     self.share_suspects().await;
                     next = Some(Event::SuspectsShared { id });
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod completion;
 mod config_sync;
 mod drive;
+mod handover;
 mod history;
 mod loops;
 mod metrics;
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -165,6 +165,7 @@
     while shell.lock().open_requests() > 0 || traffic.iter().any(|t| t.busy() > 0) {
         smol::Timer::after(LEAVE_POLL).await;
     }
+    shell.leave_tickets().await;
     log::info!("left: every request has its answer");
 }
 
--- a/crates/rw-types/src/outcome.rs
+++ b/crates/rw-types/src/outcome.rs
@@ -53,6 +53,8 @@
     KeyReused,
     /// an earlier run with this key lost its answer; look at the service before using a new key
     RunLost,
+    /// the VM that minted the ticket has stopped without running it; take a new ticket from /tickets
+    TicketOver,
     /// the request ended every target that ran it; change it before sending it again
     Poison,
     /// the target's answer was cut or lost; for non-idempotent work look at the service before sending it again
@@ -70,6 +72,7 @@
             Self::UnknownModel | Self::UnknownService => 404,
             Self::KeyReused | Self::Poison => 422,
             Self::InProgress => 409,
+            Self::TicketOver => 410,
             Self::Overloaded => 429,
             Self::AnswerLost | Self::RunLost => 502,
             Self::NoTarget | Self::TooLate | Self::StoreDown | Self::Leaving => 503,
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -169,6 +169,37 @@
     });
 }
 
+#[test]
+fn a_stopped_node_leaves_its_tickets_behind() {
+    smol::block_on(async {
+        let mut fleet = start().await;
+        let mut keys = Vec::new();
+        for _ in 0..2 {
+            let minted = fleet.post(0, "/tickets", "", "").await.expect("a ticket");
+            let body: serde_json::Value = serde_json::from_str(&minted.body).expect("JSON");
+            keys.push(body["key"].as_str().expect("a key").to_owned());
+        }
+        let first = fleet.post(0, RESERVE, &keys[0], "{}").await;
+        let first = first.expect("an answer");
+        let mut node = fleet.nodes.remove(0);
+        node.signal("TERM");
+        assert_eq!(node.wait(LIMIT), Some(0), "exit code");
+        for n in [0, 1] {
+            let again = fleet.post(n, RESERVE, &keys[0], "{}").await;
+            let again = again.expect("an answer");
+            assert_eq!(
+                (again.outcome, again.body),
+                (first.outcome.clone(), first.body.clone())
+            );
+            let unused = fleet.post(n, RESERVE, &keys[1], "{}").await;
+            let unused = unused.expect("an answer");
+            assert_eq!((unused.status, unused.outcome.as_str()), (410, "not-run"));
+        }
+        assert_eq!(fleet.runs(&keys[0]).await, 1);
+        assert_eq!(fleet.runs(&keys[1]).await, 0);
+    });
+}
+
 /// More than the buffers of a connection hold.
 const LARGE: usize = 12 << 20;
 
