--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -15,6 +15,7 @@
 mod reply;
 mod respond;
 mod sse;
+mod traffic;
 mod watch;
 mod workers;
 
@@ -25,6 +26,7 @@
 pub use reply::Reply;
 pub use respond::{code, events, json, raw};
 pub use sse::SseLines;
+pub use traffic::Traffic;
 pub use workers::{Workers, spawn};
 
 pub use http_types::{Body, Method, Request, Response, StatusCode, Url};
--- a/crates/rw-http/src/listen.rs
+++ b/crates/rw-http/src/listen.rs
@@ -1,6 +1,6 @@
 //! A listener that bounds what a slow or silent peer can hold.
 
-use crate::{Limits, Workers, conn::Conn, exchange::serve_conn, registry::Registry};
+use crate::{Limits, Traffic, Workers, conn::Conn, exchange::serve_conn, registry::Registry};
 use http_types::{Request, Response, StatusCode};
 use smol::{Async, Timer, future, io::AsyncReadExt as _, net::TcpListener};
 use std::{
@@ -25,6 +25,7 @@
     limits: Limits,
     workers: Workers,
     open: Arc<Registry>,
+    traffic: Traffic,
 }
 
 impl Listener {
@@ -43,6 +44,7 @@
             limits,
             workers: Workers::default(),
             open: Arc::default(),
+            traffic: Traffic::default(),
         })
     }
 
@@ -62,6 +64,12 @@
         self.tcp.local_addr()
     }
 
+    /// The requests that this listener is busy with.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.clone()
+    }
+
     /// Serves every connection with `handler` until the future is dropped; connections then end
     /// with their tasks.
     pub async fn run<H, F>(&self, handler: H)
@@ -97,9 +105,10 @@
                 continue;
             }
             conn.begin();
-            let (open, handler) = (self.open.clone(), handler.clone());
+            let (open, handler, traffic) =
+                (self.open.clone(), handler.clone(), self.traffic.clone());
             let serving = async move {
-                serve_conn(conn, handler).await;
+                serve_conn(conn, handler, traffic).await;
                 open.remove(id);
             };
             self.workers.spawn(serving).detach();
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod completion;
 mod config_sync;
 mod drive;
+mod handover;
 mod history;
 mod loops;
 mod metrics;
@@ -22,10 +23,15 @@
 mod plain;
 mod plan_rows;
 mod plans;
+mod request_calls;
+mod resend;
 mod rpc;
 mod serve;
 mod settings;
 mod shell;
+mod suspects;
+mod tickets;
+mod watch;
 
 pub use accounts::Accounts;
 pub use burn::{
