--- a/crates/rw-cli/src/lib.rs
+++ b/crates/rw-cli/src/lib.rs
@@ -6,8 +6,10 @@
 mod logs;
 mod operator;
 mod run;
+mod scale;
 mod settings;
 mod stop;
+mod time;
 
 pub use error::CliError;
 pub use run::run;
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,9 @@
 //! The node's state and its one entry point.
 
-use crate::{Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{
+    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects,
+    Targets, TicketRuns, Unsettled, Wish,
+};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -18,6 +21,11 @@
     pub(crate) sync: ConfigSync,
     pub(crate) authority: Authority,
     pub(crate) leaving: bool,
+    pub(crate) closing: bool,
+    pub(crate) unsettled: Unsettled,
+    pub(crate) tickets: TicketRuns,
+    pub(crate) suspects: Suspects,
+    pub(crate) budget: RetryBudget,
     next_attempt: u64,
 }
 
@@ -25,6 +33,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
+        let budget = RetryBudget::new(settings.retries);
         let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
@@ -36,6 +45,11 @@
             sync,
             authority: Authority::default(),
             leaving: false,
+            closing: false,
+            unsettled: Unsettled::default(),
+            tickets: TicketRuns::default(),
+            suspects: Suspects::default(),
+            budget,
             next_attempt: 1,
         }
     }
@@ -52,10 +66,19 @@
             Event::CallerGone { id } => self.drop_caller(id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.targets.report(now, &target, report),
+            Event::ClaimStanding { id, standing } => {
+                self.claim_standing(now, id, standing, &mut effects)
+            }
+            Event::ClaimSettled { id } => self.unsettled.remove(id),
+            Event::Forwarded { id, answered } => self.forwarded(id, answered, &mut effects),
+            Event::HandoverRead { id, handover } => self.handover_read(id, handover, &mut effects),
+            Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
+            Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
-            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
+            Event::Close => self.closing = true,
         }
         effects
     }
@@ -114,5 +137,6 @@
         self.targets.apply(&config);
         self.authority.outdated = true;
         self.config = config;
+        self.choose_targets();
     }
 }
--- a/crates/rw-core/src/target_state.rs
+++ b/crates/rw-core/src/target_state.rs
@@ -96,6 +96,12 @@
         &mut self.list[index]
     }
 
+    /// Takes over which targets are watched, by their positions.
+    pub(crate) fn watch(&mut self, watched: &[bool]) {
+        let pairs = self.list.iter_mut().zip(watched);
+        pairs.for_each(|(target, watched)| target.watched = *watched);
+    }
+
     /// Marks exactly the targets `away`, sorted by name, as taken away by an order.
     pub fn mark_ordered(&mut self, away: &[&str]) {
         for target in &mut self.list {
--- a/crates/rw-fakes/src/lib.rs
+++ b/crates/rw-fakes/src/lib.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod service;
 mod table_state;
+mod wire;
 
 pub use engine::{EngineSettings, FakeEngine, Generate};
 pub use fault::{Armed, Fault, Faults};
--- a/crates/rw-http/src/exchange.rs
+++ b/crates/rw-http/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Requests and answers on one connection.
 
-use crate::{conn::Conn, guard::Guarded, json};
+use crate::{Traffic, conn::Conn, guard::Guarded, json};
 use async_h1::server::{Encoder, decode};
 use http_types::{Method, Request, Response};
 use smol::io::{self, AsyncReadExt as _, AsyncWriteExt as _};
@@ -10,7 +10,7 @@
 const ONE_PIECE: usize = 64 << 10;
 
 /// Serves one connection to its end.
-pub(crate) async fn serve_conn<H, F>(conn: Arc<Conn>, handler: H)
+pub(crate) async fn serve_conn<H, F>(conn: Arc<Conn>, handler: H, traffic: Traffic)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
@@ -22,7 +22,7 @@
             return;
         }
         // Boxed, so that an idle connection doesn't hold the space of a busy one.
-        let exchanged = Box::pin(exchange(&conn, &stream, &handler)).await;
+        let exchanged = Box::pin(exchange(&conn, &stream, &handler, &traffic)).await;
         // A connection that breaks is the peer's matter; the handler has counted what it ran.
         if !matches!(exchanged, Ok(true)) {
             return;
@@ -31,7 +31,12 @@
 }
 
 /// Takes one request and answers it; true if another may follow.
-async fn exchange<H, F>(conn: &Conn, stream: &Guarded, handler: &H) -> io::Result<bool>
+async fn exchange<H, F>(
+    conn: &Conn,
+    stream: &Guarded,
+    handler: &H,
+    traffic: &Traffic,
+) -> io::Result<bool>
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
@@ -41,9 +46,14 @@
         Ok(None) => return Ok(false),
         Err(_) => return reject(conn, stream.clone()).await,
     };
+    // Counted until the last byte of the answer is written.
+    let _entered = traffic.enter();
     let method = request.method();
     let mut keep = !says_close(request.header("connection"));
-    let response = handler(request).await;
+    let mut response = handler(request).await;
+    if traffic.is_closing() {
+        response.insert_header("connection", "close");
+    }
     keep &= !says_close(response.header("connection"));
     conn.answer();
     write_answer(response, method, stream.clone()).await?;
--- a/crates/rw-http/src/listen.rs
+++ b/crates/rw-http/src/listen.rs
@@ -1,6 +1,6 @@
 //! A listener that bounds what a slow or silent peer can hold.
 
-use crate::{Limits, Workers, conn::Conn, exchange::serve_conn, registry::Registry};
+use crate::{Limits, Traffic, Workers, conn::Conn, exchange::serve_conn, registry::Registry};
 use http_types::{Request, Response, StatusCode};
 use smol::{Async, Timer, future, io::AsyncReadExt as _, net::TcpListener};
 use std::{
@@ -11,6 +11,8 @@
     time::{Duration, Instant},
 };
 
+/// Connections that wait to be accepted; the kernel's own limit may be lower.
+const BACKLOG: i32 = 4_096;
 /// Pause between looks at whether a limit has run out.
 const SWEEP: Duration = Duration::from_millis(200);
 /// Pause after an accept that failed for want of descriptors.
@@ -23,6 +25,7 @@
     limits: Limits,
     workers: Workers,
     open: Arc<Registry>,
+    traffic: Traffic,
 }
 
 impl Listener {
@@ -32,12 +35,16 @@
     ///
     /// The error of the operating system, for example that the port is in use.
     pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
-        let tcp = Async::<std::net::TcpListener>::bind(addr)?.into();
+        let tcp = Async::<std::net::TcpListener>::bind(addr)?;
+        // The standard library's 128 would drop part of a burst, whose callers then wait a second.
+        rustix::net::listen(&tcp, BACKLOG)?;
+        let tcp = tcp.into();
         Ok(Self {
             tcp,
             limits,
             workers: Workers::default(),
             open: Arc::default(),
+            traffic: Traffic::default(),
         })
     }
 
@@ -57,6 +64,12 @@
         self.tcp.local_addr()
     }
 
+    /// The requests that this listener is busy with.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.clone()
+    }
+
     /// Serves every connection with `handler` until the future is dropped; connections then end
     /// with their tasks.
     pub async fn run<H, F>(&self, handler: H)
@@ -92,9 +105,10 @@
                 continue;
             }
             conn.begin();
-            let (open, handler) = (self.open.clone(), handler.clone());
+            let (open, handler, traffic) =
+                (self.open.clone(), handler.clone(), self.traffic.clone());
             let serving = async move {
-                serve_conn(conn, handler).await;
+                serve_conn(conn, handler, traffic).await;
                 open.remove(id);
             };
             self.workers.spawn(serving).detach();
--- a/crates/rw-node/src/config_sync.rs
+++ b/crates/rw-node/src/config_sync.rs
@@ -1,6 +1,6 @@
 //! Runs the reducer's effects that keep the configuration in force.
 
-use crate::{RpcError, Shell, call_rpc, changes::Changes};
+use crate::{RpcError, Shell, call_rpc, changes::Changes, history::unix_now};
 use rw_core::{Effect, Event, SyncEffect, SyncEvent};
 use rw_platform::{PlatformError, VmList as _, read_changes, read_config, read_head};
 use rw_types::{Change, Config, Digest, Version};
@@ -20,10 +20,25 @@
         loop {
             let effects = self.step(Event::Sync(SyncEvent::Tick));
             self.run_sync(effects);
+            self.step_sync(SyncEvent::Burning(self.burns_fast()));
+            self.note_states();
             smol::Timer::after(self.settings.poll).await;
         }
     }
 
+    /// Keeps what has changed of this node's state.
+    fn note_states(&self) {
+        let now = self.now();
+        let (offered, paused) = {
+            let node = self.lock();
+            (node.is_offered(now), node.sync().is_burning(now))
+        };
+        let (at, vm) = (unix_now(), &self.settings.vm);
+        let mut burn = self.burn();
+        burn.note_offered(at, vm, offered);
+        burn.note_paused(at, vm, paused);
+    }
+
     /// Reads the VM list, forever.
     pub(crate) async fn poll_vms(self: Arc<Self>) {
         loop {
@@ -47,7 +62,7 @@
     fn run_sync(self: &Arc<Self>, effects: Vec<Effect>) {
         for effect in effects {
             if let Effect::Sync(effect) = effect {
-                smol::spawn(self.clone().run_one(effect)).detach();
+                rw_http::spawn(self.clone().run_one(effect)).detach();
             }
         }
     }
@@ -58,6 +73,8 @@
             SyncEffect::ReadHead => {
                 let read = read_head(&self.platform).await;
                 self.count_platform("head", read.is_ok());
+                self.burn()
+                    .note_table(unix_now(), &self.settings.vm, read.is_ok());
                 let head = read.ok().map(|(version, _)| version);
                 SyncEvent::HeadRead { asked, head }
             }
@@ -145,6 +162,7 @@
 
     /// This node's digest.
     pub(crate) fn digest(&self) -> Digest {
+        let burning = self.burns_fast();
         let node = self.lock();
         let now = self.now();
         Digest {
@@ -153,6 +171,7 @@
             version: node.config().version,
             age_ms: node.sync().age(now),
             ready: node.is_offered(now),
+            burning,
             suspects: Vec::new(),
         }
     }
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -3,12 +3,15 @@
 mod accounts;
 mod attempt;
 mod authority;
+mod burn;
+mod burn_calls;
 mod callers;
 mod changes;
 mod claims;
 mod completion;
 mod config_sync;
 mod drive;
+mod handover;
 mod history;
 mod loops;
 mod metrics;
@@ -20,11 +23,20 @@
 mod plain;
 mod plan_rows;
 mod plans;
+mod request_calls;
+mod resend;
 mod rpc;
 mod serve;
 mod settings;
 mod shell;
+mod suspects;
+mod tickets;
+mod watch;
 
+pub use accounts::Accounts;
+pub use burn::{
+    Burn, BurnCounts, BurnReport, Cause, Counts, StateChange, WINDOW_SHARES, WINDOWS, burn_rate,
+};
 pub use changes::{Changes, RecentChanges};
 pub use history::{History, HistoryEntry, step_words};
 pub use metrics::Metrics;
