--- a/crates/rw-core/src/lease.rs
+++ b/crates/rw-core/src/lease.rs
@@ -7,6 +7,9 @@
 const BEATS: u64 = 3;
 /// Reads of a watched lease within one lease time.
 const WATCHES: u64 = 4;
+/// Longest pause between reads of a watched lease, in milliseconds, so that a lease given up is
+/// taken soon however long it would have run.
+const WATCH_MAX: u64 = 2_500;
 /// Tries of a failed call within one lease time.
 const RETRIES: u64 = 10;
 /// Turns of the candidates for a free lease within one lease time.
@@ -169,7 +172,7 @@
         if self.end(number).is_none() {
             return;
         }
-        self.next = now.plus(s.lease_ms / WATCHES);
+        self.next = now.plus((s.lease_ms / WATCHES).min(WATCH_MAX));
         let found = rows.and_then(|rows| rows.iter().find(|r| r.group == self.group));
         let Some(found) = found else {
             self.next = now.plus(s.lease_ms / RETRIES);
