The engine stand-in batches continuously, as a state machine on a clock from outside

Cause: with prefill and decode as plain sleeps no routing or role decision could be told good or bad. Ruled out: a service time a request drawn at random; it hides interference, which roles exist for. Change: iterations cost a fixed time, a time a prompt token and a time a decoding stream; slots and chunk differ by role; KV cache in pieces with a least-recently-used prefix cache; priorities; drain and absence at a role change; lagging reports with backlog by priority and cache events; speed factor. The state machine has no clock, so the server and virtual-time experiments run the same code. Tests: crates/rw-fakes/tests/batch.rs, each role best at its own shape among them.

--- a/crates/rw-cli/src/commands/fake.rs
+++ b/crates/rw-cli/src/commands/fake.rs
@@ -58,6 +58,16 @@
                 ))
                 .arg(number("slots", "64", "Streams taken at once"))
                 .arg(number("change-ms", "2000", "Time that an order takes, ms"))
+                .arg(number("pieces", "1000", "KV cache, pieces of 1000 tokens"))
+                .arg(number("lag-ms", "0", "Lag of the load reports, ms"))
+                .arg(number("speed", "1", "Factor by which its time runs faster"))
+                .arg(
+                    Arg::new("role")
+                        .long("role")
+                        .default_value("mixed")
+                        .value_parser(["mixed", "prefill", "decode"])
+                        .help("Role at the start"),
+                )
                 .arg(
                     Arg::new("ignores-fence")
                         .long("ignores-fence")
@@ -120,18 +130,29 @@
     let settings = EngineSettings {
         listen,
         models,
-        role: Role::Mixed,
+        role: role(matches)?,
         prefill_rate: parse(matches, "prefill-rate", "a whole number")?,
         decode_rate: parse(matches, "decode-rate", "a whole number")?,
         slots: parse(matches, "slots", "a whole number")?,
         checks_fence: !matches.get_flag("ignores-fence"),
         change_ms: parse(matches, "change-ms", "a whole number")?,
+        pieces: parse(matches, "pieces", "a whole number")?,
+        lag_ms: parse(matches, "lag-ms", "a whole number")?,
+        speed: parse(matches, "speed", "a number")?,
     };
     text(matches, "listen")?;
     let engine = FakeEngine::bind(settings).map_err(CliError::Bind)?;
     announce(engine.addr().map_err(CliError::Bind)?, engine.run())
 }
 
+fn role(matches: &ArgMatches) -> Result<Role, CliError> {
+    Ok(match text(matches, "role")? {
+        "prefill" => Role::Prefill,
+        "decode" => Role::Decode,
+        _ => Role::Mixed,
+    })
+}
+
 fn announce(addr: SocketAddr, serving: impl Future<Output = ()>) -> Result<(), CliError> {
     println!("listening {addr}");
     let stop = stop_signal()?;
--- a/crates/rw-cli/src/dev_fleet.rs
+++ b/crates/rw-cli/src/dev_fleet.rs
@@ -69,12 +69,8 @@
     let settings = EngineSettings {
         listen: ANY,
         models: vec!["small".to_owned()],
-        role: Role::Mixed,
-        prefill_rate: 100_000,
-        decode_rate: 1_000,
-        slots: 64,
-        checks_fence: true,
         change_ms: 500,
+        ..EngineSettings::default()
     };
     let engine = FakeEngine::bind(settings).map_err(CliError::Bind)?;
     let addr = engine.addr().map_err(CliError::Bind)?;
--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -1,18 +1,25 @@
-//! The engine stand-in: prefill and decode at set speeds, with orders and load reports.
+//! The engine stand-in: continuous batching in real time, with orders and load reports.
 
-use crate::{Armed, Fault, Faults, OrderBook};
+use crate::{Armed, Batch, BatchSettings, Emitted, Fault, Faults, Job, OrderBook};
 use rw_http::{Limits, Listener, Method, Request, Response, events, json, raw, read_body};
-use rw_types::{LoadReport, Order, OrderKind, Role};
+use rw_types::{LoadReport, Order, OrderKind, Role, prefix_hashes};
 use serde::{Deserialize, Serialize};
 use std::{
+    collections::VecDeque,
     io,
-    net::SocketAddr,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Largest request body taken, in bytes.
 const MAX_BODY: u64 = 64 << 20;
+/// Reports kept, from which a lagging one is chosen.
+const REPORTS: usize = 256;
+/// Prompt tokens in one iteration of a mixed engine.
+const CHUNK: u64 = 1_024;
+/// Part of an iteration's fixed time that each decoding stream adds.
+const STREAM_PART: f64 = 0.006;
 /// Seconds between looks at whether a drain has ended.
 const DRAIN_PAUSE: f64 = 0.005;
 
@@ -25,16 +32,56 @@
     pub models: Vec<String>,
     /// Role at the start.
     pub role: Role,
-    /// Prefill speed, tokens a second.
+    /// Prefill speed without other work, tokens a second.
     pub prefill_rate: u64,
-    /// Decode speed of one stream, tokens a second.
+    /// Decode speed of a stream that runs alone, tokens a second.
     pub decode_rate: u64,
-    /// Streams taken at once.
+    /// Streams taken at once in the mixed role.
     pub slots: u32,
+    /// KV cache, in pieces of about a thousand tokens.
+    pub pieces: u32,
     /// Whether it refuses an order with an old fencing token.
     pub checks_fence: bool,
     /// Milliseconds that a role change takes it away.
     pub change_ms: u64,
+    /// Milliseconds by which load reports lag.
+    pub lag_ms: u64,
+    /// Factor by which its time runs faster than the clock.
+    pub speed: f64,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
+            models: Vec::new(),
+            role: Role::Mixed,
+            prefill_rate: 100_000,
+            decode_rate: 1_000,
+            slots: 64,
+            pieces: 1_000,
+            checks_fence: true,
+            change_ms: 2_000,
+            lag_ms: 0,
+            speed: 1.0,
+        }
+    }
+}
+
+impl EngineSettings {
+    fn batch(&self) -> BatchSettings {
+        let base_us = 1e6 / self.decode_rate.max(1) as f64;
+        BatchSettings {
+            role: self.role,
+            base_us,
+            token_us: 1e6 / self.prefill_rate.max(1) as f64,
+            stream_us: base_us * STREAM_PART,
+            slots: self.slots,
+            chunk: CHUNK,
+            pieces: self.pieces,
+            change_us: self.change_ms * 1_000,
+        }
+    }
 }
 
 /// A request to an engine.
@@ -54,15 +101,21 @@
     pub resume: u64,
     /// Higher goes first.
     pub priority: u8,
+    /// Engine that holds the KV cache of the prompt, which is then moved instead of computed.
+    #[serde(default)]
+    pub import: Option<String>,
 }
 
 #[derive(Debug)]
 struct State {
     models: Vec<String>,
-    role: Role,
-    queued: u64,
-    running: u32,
+    batch: Batch,
     book: OrderBook,
+    /// Open streams, sorted by job.
+    streams: Vec<(u64, async_channel::Sender<Emitted>)>,
+    next_job: u64,
+    /// Reports with the engine's time of each, oldest first.
+    reports: VecDeque<(u64, LoadReport)>,
 }
 
 /// The engine stand-in, bound but not yet serving.
@@ -77,6 +130,9 @@
     settings: EngineSettings,
     state: Mutex<State>,
     faults: Faults,
+    started: Instant,
+    wake: async_channel::Sender<()>,
+    woken: async_channel::Receiver<()>,
 }
 
 impl FakeEngine {
@@ -89,15 +145,20 @@
         let listener = Listener::bind(settings.listen, Limits::default())?;
         let state = State {
             models: settings.models.clone(),
-            role: settings.role,
-            queued: 0,
-            running: 0,
+            batch: Batch::new(settings.batch()),
             book: OrderBook::new(settings.checks_fence),
+            streams: Vec::new(),
+            next_job: 1,
+            reports: VecDeque::new(),
         };
+        let (wake, woken) = async_channel::bounded(1);
         let inner = Inner {
             settings,
             state: Mutex::new(state),
             faults: Faults::default(),
+            started: Instant::now(),
+            wake,
+            woken,
         };
         Ok(Self {
             listener,
@@ -116,13 +177,12 @@
 
     /// Serves until the future is dropped.
     pub async fn run(self) {
-        let inner = self.inner;
-        self.listener
-            .run(move |request| {
-                let inner = inner.clone();
-                async move { inner.answer(request).await }
-            })
-            .await;
+        let inner = self.inner.clone();
+        let serving = self.listener.run(move |request| {
+            let inner = inner.clone();
+            async move { inner.answer(request).await }
+        });
+        smol::future::or(serving, self.inner.iterate()).await;
     }
 }
 
@@ -171,24 +231,70 @@
         }
     }
 
+    /// Time of the engine, in microseconds.
+    fn now(&self) -> u64 {
+        (self.started.elapsed().as_secs_f64() * self.settings.speed * 1e6) as u64
+    }
+
+    /// Runs iterations as they fall due, forever.
+    async fn iterate(&self) {
+        loop {
+            let now = self.now();
+            let due = {
+                let mut state = self.lock();
+                for emitted in state.batch.advance(now) {
+                    state.pass_on(emitted);
+                }
+                state.batch.due()
+            };
+            match due {
+                Some(due) => {
+                    let wait = due.saturating_sub(now) as f64 / 1e6 / self.settings.speed;
+                    let timer = pause(wait);
+                    smol::future::or(timer, self.woken()).await;
+                }
+                None => self.woken().await,
+            }
+        }
+    }
+
+    async fn woken(&self) {
+        let _ = self.woken.recv().await;
+    }
+
     fn generate(self: Arc<Self>, generate: Generate, struck: Vec<Fault>) -> Response {
-        {
+        let now = self.now();
+        let (job, tokens) = {
             let mut state = self.lock();
             let holds = state.models.binary_search(&generate.model).is_ok();
-            if !holds || state.book.closed() || state.running >= self.settings.slots {
+            let id = state.next_job;
+            let job = Job {
+                id,
+                prompt: generate.prompt,
+                output: generate.output,
+                resume: generate.resume,
+                priority: generate.priority,
+                pieces: prefix_hashes(&generate.text),
+                imported: generate.import.is_some(),
+            };
+            if !holds || state.book.closed() || !state.batch.submit(now, job) {
                 drop(state);
                 let mut answer = raw(503, Vec::new(), "text/plain");
                 answer.insert_header("x-outcome", "not-run");
                 return answer;
             }
-            state.running += 1;
-            state.queued += generate.prompt;
-        }
+            state.next_job += 1;
+            let (tx, rx) = async_channel::unbounded();
+            state.streams.push((id, tx));
+            (id, rx)
+        };
+        let _ = self.wake.try_send(());
         let (tx, rx) = async_channel::bounded(64);
         smol::spawn(async move {
-            self.stream(&generate, &struck, &tx).await;
+            self.stream(&generate, &struck, &tokens, &tx).await;
             let mut state = self.lock();
-            state.running -= 1;
+            state.batch.cancel(job);
+            state.streams.retain(|s| s.0 != job);
         })
         .detach();
         events(rx)
@@ -198,78 +304,110 @@
         &self,
         generate: &Generate,
         struck: &[Fault],
+        tokens: &async_channel::Receiver<Emitted>,
         tx: &async_channel::Sender<io::Result<Vec<u8>>>,
     ) {
-        let prefill = generate.prompt as f64 / self.settings.prefill_rate.max(1) as f64;
-        pause(prefill).await;
-        self.lock().queued -= generate.prompt;
         let crossed = u64::from(struck.contains(&Fault::CrossAnswer));
         let attempt = generate.attempt + crossed;
         let seed = rw_types::fingerprint(generate.text.as_bytes());
         let cut = struck
             .iter()
             .any(|f| matches!(f, Fault::CutAnswer | Fault::LoseAnswer));
-        for n in generate.resume..generate.output {
+        while let Ok(Emitted { n, end, .. }) = tokens.recv().await {
             if cut && n >= generate.output / 2 {
                 let _ = tx.send(Err(io::ErrorKind::ConnectionReset.into())).await;
                 return;
             }
-            pause(1.0 / self.settings.decode_rate.max(1) as f64).await;
             if n >= generate.output / 2 && struck.contains(&Fault::Stall) {
                 std::future::pending::<()>().await;
             }
-            let n = Faults::number(struck, n, generate.output);
-            let token = seed.wrapping_add(n) % 1_000;
-            let event =
-                format!("data: {{\"attempt\":{attempt},\"n\":{n},\"text\":\"t{token} \"}}\n\n");
-            if tx.send(Ok(event.into_bytes())).await.is_err() {
+            let event = if end {
+                format!("data: {{\"attempt\":{attempt},\"n\":{n},\"end\":true}}\n\n")
+            } else {
+                let n = Faults::number(struck, n, generate.output);
+                let token = seed.wrapping_add(n) % 1_000;
+                format!("data: {{\"attempt\":{attempt},\"n\":{n},\"text\":\"t{token} \"}}\n\n")
+            };
+            if tx.send(Ok(event.into_bytes())).await.is_err() || end {
                 return;
             }
         }
-        let total = generate.output;
-        let end = format!("data: {{\"attempt\":{attempt},\"n\":{total},\"end\":true}}\n\n");
-        let _ = tx.send(Ok(end.into_bytes())).await;
     }
 
+    /// The newest report that is old enough.
     fn load(&self) -> LoadReport {
-        let state = self.lock();
-        LoadReport {
-            queued: state.queued,
-            running: state.running,
-            slots: self.settings.slots,
-            pieces: 0,
-            role: state.role,
+        let now = self.now();
+        let lag = (self.settings.lag_ms as f64 * 1e3 * self.settings.speed) as u64;
+        let mut state = self.lock();
+        let report = LoadReport {
             models: state.models.clone(),
-            prefill_rate: self.settings.prefill_rate,
-            decode_rate: self.settings.decode_rate,
-            age_ms: 0,
             draining: state.book.closed(),
             loads: state.book.loads().to_vec(),
+            ..state.batch.report()
+        };
+        if state.reports.len() == REPORTS {
+            state.reports.pop_front();
+        }
+        state.reports.push_back((now, report));
+        let old = state.reports.iter().rev().find(|r| r.0 + lag <= now);
+        let Some((made, report)) = old.or(state.reports.front()) else {
+            return LoadReport::default();
+        };
+        let age = (now - made) as f64 / 1e3 / self.settings.speed;
+        LoadReport {
+            age_ms: age as u64,
+            ..report.clone()
         }
     }
 
     fn order(self: Arc<Self>, order: Order) -> Response {
+        let now = self.now();
         let mut state = self.lock();
-        let streams = state.running;
+        let streams = state.batch.open() as u32;
         let (reply, begin) = state.book.take(&order, streams);
+        if let (true, OrderKind::Role { role }) = (begin, &order.kind) {
+            state.batch.change_role(now, *role);
+        }
         drop(state);
         if begin {
+            let _ = self.wake.try_send(());
             smol::spawn(async move { self.carry_out(order).await }).detach();
         }
         json(200, &reply)
     }
 
     async fn carry_out(&self, order: Order) {
-        pause(self.settings.change_ms as f64 / 1_000.0).await;
+        match order.kind {
+            OrderKind::Role { .. } => {
+                // The streams taken end first; then the engine is away.
+                while !self.lock().batch.is_up() {
+                    pause(DRAIN_PAUSE).await;
+                }
+            }
+            _ => pause(self.settings.change_ms as f64 / 1e3 / self.settings.speed).await,
+        }
         // A drain ends with the last stream.
-        while order.kind == OrderKind::Drain && self.lock().running > 0 {
+        while order.kind == OrderKind::Drain && self.lock().batch.open() > 0 {
             pause(DRAIN_PAUSE).await;
         }
         let mut state = self.lock();
-        let State {
-            models, role, book, ..
-        } = &mut *state;
-        book.finish(order, models, role);
+        let mut role = state.batch.role();
+        let State { models, book, .. } = &mut *state;
+        book.finish(order, models, &mut role);
+    }
+}
+
+impl State {
+    /// Hands a token to its stream.
+    fn pass_on(&mut self, emitted: Emitted) {
+        let Ok(i) = self.streams.binary_search_by_key(&emitted.id, |s| s.0) else {
+            return;
+        };
+        // The channel has no bound; it is closed only once the caller is gone.
+        let _ = self.streams[i].1.try_send(emitted);
+        if emitted.end {
+            self.streams.remove(i);
+        }
     }
 }
 
--- a/crates/rw-fakes/src/lib.rs
+++ b/crates/rw-fakes/src/lib.rs
@@ -3,17 +3,21 @@
 //! They take faults by a control call, `POST /fault`, and tell what was really run and held by
 //! `GET /held`, so that tests count on the target's side.
 
+mod batch;
 mod engine;
 mod fault;
 mod order_state;
 mod platform;
+mod prefix;
 mod service;
 mod table_state;
 mod wire;
 
+pub use batch::{Batch, BatchSettings, Emitted, Job};
 pub use engine::{EngineSettings, FakeEngine, Generate};
 pub use fault::{Armed, Fault, Faults};
 pub use order_state::{HeldOrder, OrderBook};
 pub use platform::{FakePlatform, PlatformSettings};
+pub use prefix::PrefixCache;
 pub use service::{FakeService, Held};
 pub use table_state::TableState;
--- a/crates/rw-node/src/parse.rs
+++ b/crates/rw-node/src/parse.rs
@@ -4,13 +4,11 @@
 use displaydoc::Display;
 use rw_core::{Call, Work};
 use rw_http::{Method, Request};
-use rw_types::{Config, Millis, fingerprint};
+use rw_types::{Config, Millis, fingerprint, prefix_hashes};
 use serde::Deserialize;
 
 /// Bytes of text taken for one token.
 const TOKEN_BYTES: usize = 4;
-/// Bytes of text in one piece of the prefix cache, about a thousand tokens.
-const PIECE_BYTES: usize = 4_000;
 /// Tokens generated if the request names no limit.
 const DEFAULT_OUTPUT: u64 = 16;
 /// Most tokens of one output.
@@ -84,7 +82,7 @@
         model: parsed.model,
         prompt: text.len().div_ceil(TOKEN_BYTES) as u64,
         output,
-        pieces: pieces(&text),
+        pieces: prefix_hashes(&text),
     };
     let call = call(request, body, work, caller, config, now)?;
     let payload = Payload::Generate {
@@ -179,17 +177,3 @@
         .map(|m| format!("{}: {}\n", m.role, m.content));
     lines.collect()
 }
-
-/// Hashes of the text's prefixes, one per whole piece.
-fn pieces(text: &str) -> Vec<u64> {
-    let bytes = text.as_bytes();
-    let ends = (1..=bytes.len() / PIECE_BYTES).map(|n| n * PIECE_BYTES);
-    let mut last = 0_u64;
-    ends.map(|end| {
-        let mut part = last.to_le_bytes().to_vec();
-        part.extend_from_slice(&bytes[end - PIECE_BYTES..end]);
-        last = fingerprint(&part);
-        last
-    })
-    .collect()
-}
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -13,10 +13,10 @@
 
 pub use account::{Account, hash_key};
 pub use config::{Config, Model, Role, Service, ServiceKind, WorkKind};
-pub use digest::fingerprint;
+pub use digest::{fingerprint, prefix_hashes};
 pub use ids::{AttemptId, BootId, Fence, Millis, RequestId, Version};
 pub use intent::{ConfigError, check_config};
-pub use load::{CacheEvent, LoadReport, ModelLoad};
+pub use load::{Backlog, CacheEvent, LoadReport, ModelLoad};
 pub use order::{Order, OrderKind, OrderReply, OrderState};
 pub use outcome::{Outcome, Refusal, RefusalKind};
 pub use target::{Target, TargetKind};
--- a/crates/rw-types/src/load.rs
+++ b/crates/rw-types/src/load.rs
@@ -30,6 +30,12 @@
     /// Versions and adapters held, sorted by model; models it can't tell of are left out.
     #[serde(default)]
     pub loads: Vec<ModelLoad>,
+    /// Work that waits or is in prefill, by priority, highest first.
+    #[serde(default)]
+    pub backlog: Vec<Backlog>,
+    /// Latest changes of the prefix cache, oldest first; late and with gaps.
+    #[serde(default)]
+    pub cache: Vec<CacheEvent>,
 }
 
 /// One model as an engine holds it.
@@ -43,6 +49,17 @@
     pub adapters: Vec<String>,
 }
 
+/// Work of one priority that has no first token yet.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backlog {
+    /// Higher goes first.
+    pub priority: u8,
+    /// Prompt tokens that are not cached.
+    pub tokens: u64,
+    /// Streams that wait for a slot.
+    pub streams: u32,
+}
+
 /// A change of an engine's prefix cache; events come late and with gaps.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvent {
