Decisions in the reducer and a load command that compares them

Change: estimates of the first token and the whole answer from lagging reports, this node's own work, a prefix view that ages and the engine's costs; an index by model; admission with a true time to come back; limits that open by degrees; shares; a role planner by capacity over demand. Conclusion: the instrument works; each decision is measured next.

--- /dev/null
+++ b/crates/rw-cli/src/commands/load.rs
@@ -0,0 +1,137 @@
+//! `load`: seeded load on a fleet of stand-ins, and comparisons of decisions.
+
+use super::CommandSpec;
+use crate::{
+    CliError,
+    settings::{parse, text},
+};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use rw_load::{
+    Comparison, Experiment, Fault, FaultAt, Profile, Variant, compare, html, run_virtual, table,
+};
+use std::path::Path;
+
+/// The command.
+pub fn spec() -> CommandSpec {
+    CommandSpec {
+        name: "load",
+        build,
+        run,
+    }
+}
+
+fn build() -> Command {
+    Command::new("load")
+        .about("Measures the decisions under a user's load, with a seed, on a fleet of stand-ins")
+        .arg(
+            Arg::new("profile")
+                .long("profile")
+                .default_value("nilebell")
+                .value_parser(["nilebell", "khabar-saar"])
+                .help("Fleet and work"),
+        )
+        .arg(number("load", "1.2", "Times the profile's rates; 1 fills the fleet"))
+        .arg(number("seed", "1", "Seed of the arrivals"))
+        .arg(number("lag-ms", "500", "Lag of the load reports, ms"))
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .action(ArgAction::Append)
+                .help("SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; may be repeated"),
+        )
+        .arg(flag("compare", "Runs the baselines and ours with one part off at a time"))
+        .arg(Arg::new("only").long("only").help("With --compare: variants whose name contains this, and ours"))
+        .arg(Arg::new("json").long("json").help("File for the results as JSON"))
+        .arg(Arg::new("html").long("html").help("File for the results as a page"))
+        .after_help("Example:\n  redwingweir load --profile khabar-saar --compare --fault 90:withdraw=3")
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let experiment = experiment(matches)?;
+    let mut variants = Variant::all(&experiment);
+    if let Some(only) = matches.get_one::<String>("only") {
+        variants.retain(|v| v.name == "ours" || v.name.contains(only.as_str()));
+    }
+    let comparison = if matches.get_flag("compare") {
+        compare(&experiment, &variants)
+    } else {
+        let mut run = run_virtual(&experiment);
+        run.name = "ours".to_owned();
+        println!("{}", table(&run));
+        Comparison {
+            profile: experiment.profile.name.to_owned(),
+            load: experiment.load,
+            seed: experiment.seed,
+            runs: vec![run],
+            best: 0,
+        }
+    };
+    if matches.get_flag("compare") {
+        println!("{}", table(&comparison.runs[0]));
+        println!("{}", comparison.ratios());
+    }
+    if let Some(file) = matches.get_one::<String>("json") {
+        let bytes =
+            serde_json::to_vec_pretty(&comparison).map_err(|e| CliError::Failed(e.to_string()))?;
+        write(file, &bytes)?;
+    }
+    if let Some(file) = matches.get_one::<String>("html") {
+        write(file, html(&comparison).as_bytes())?;
+    }
+    Ok(())
+}
+
+fn experiment(matches: &ArgMatches) -> Result<Experiment, CliError> {
+    let name = text(matches, "profile")?;
+    let profile =
+        Profile::named(name).ok_or_else(|| CliError::NoSetting("--profile".to_owned()))?;
+    let load = parse(matches, "load", "a number")?;
+    let seed = parse(matches, "seed", "a whole number")?;
+    let faults: Result<Vec<FaultAt>, CliError> = matches
+        .get_many::<String>("fault")
+        .unwrap_or_default()
+        .map(|text| fault(text))
+        .collect();
+    Ok(Experiment {
+        lag_ms: parse(matches, "lag-ms", "a whole number")?,
+        faults: faults?,
+        ..Experiment::new(profile, load, seed)
+    })
+}
+
+fn fault(text: &str) -> Result<FaultAt, CliError> {
+    let bad = || CliError::BadSetting {
+        name: "fault".to_owned(),
+        value: text.to_owned(),
+        wanted: "SECONDS:withdraw=N, kill=N, lag=MS, table=down or table=up",
+    };
+    let (at, rest) = text.split_once(':').ok_or_else(bad)?;
+    let (what, value) = rest.split_once('=').ok_or_else(bad)?;
+    let fault = match (what, value) {
+        ("withdraw", n) => Fault::Withdraw(n.parse().map_err(|_| bad())?),
+        ("kill", n) => Fault::Kill(n.parse().map_err(|_| bad())?),
+        ("lag", ms) => Fault::Lag(ms.parse().map_err(|_| bad())?),
+        ("table", "down") => Fault::TableOutage(true),
+        ("table", "up") => Fault::TableOutage(false),
+        _ => return Err(bad()),
+    };
+    Ok(FaultAt {
+        at: at.parse().map_err(|_| bad())?,
+        fault,
+    })
+}
+
+fn write(file: &str, bytes: &[u8]) -> Result<(), CliError> {
+    std::fs::write(Path::new(file), bytes).map_err(|e| CliError::Failed(format!("{file}: {e}")))
+}
--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod dev;
 mod fake;
+mod load;
 mod serve;
 mod status;
 
@@ -27,6 +28,7 @@
         check::spec(),
         dev::spec(),
         fake::spec(),
+        load::spec(),
         serve::spec(),
         status::spec(),
     ]
--- /dev/null
+++ b/crates/rw-core/src/admit.rs
@@ -0,0 +1,208 @@
+//! Admission: a request is sent where it is expected in time, or turned away at once.
+
+use crate::{
+    AttemptEnd, Call, Demand, Node, Plans, Sent, Shares, Work,
+    route::{Choice, NoChoice, Wanted, choose},
+};
+use rw_types::{Millis, RefusalKind, RequestId};
+
+/// Weight of the newest decision in the part turned away.
+const NEWEST: f64 = 0.02;
+/// Part turned away from which callers are held to their shares.
+const CONTENDED: f64 = 0.05;
+/// Bounds of the time to come back, in milliseconds.
+const RETRY_MS: (f64, f64) = (100.0, 30_000.0);
+
+/// What decisions remember from one request to the next.
+#[derive(Debug)]
+pub(crate) struct Decisions {
+    rng: fastrand::Rng,
+    turn: u64,
+    /// Part of the requests turned away lately.
+    turned: f64,
+    shares: Shares,
+    pub(crate) demand: Demand,
+    pub(crate) plans: Plans,
+}
+
+impl Decisions {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            turn: 0,
+            turned: 0.0,
+            shares: Shares::default(),
+            demand: Demand::default(),
+            plans: Plans::default(),
+        }
+    }
+
+    fn note(&mut self, turned: bool) {
+        self.turned += NEWEST * (f64::from(u8::from(turned)) - self.turned);
+    }
+}
+
+/// Why a request is turned away, and when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Turned {
+    pub(crate) kind: RefusalKind,
+    pub(crate) retry_ms: u64,
+}
+
+impl Node {
+    /// Chooses a target for the request at position `i`, or turns the request away.
+    pub(crate) fn choose(&mut self, now: Millis, i: usize) -> Result<Choice, Turned> {
+        let request = &self.requests[i];
+        let first = request.attempts == 0;
+        let wanted = Wanted {
+            work: &request.call.work,
+            resume: request.tokens,
+            priority: self
+                .config
+                .kind(&request.call.kind)
+                .map_or(0, |k| k.priority),
+            tried: &request.tried,
+            left: request.call.deadline.since(now) as f64,
+            centre: &self.settings.centre,
+        };
+        let policy = &self.settings.policy;
+        let decisions = &mut self.decisions;
+        decisions.turn += 1;
+        let (turn, rng) = (decisions.turn, &mut decisions.rng);
+        let chosen = choose(&self.targets, &wanted, policy, now, turn, |n| {
+            rng.usize(..n)
+        });
+        if first {
+            count_demand(
+                &mut decisions.demand,
+                now,
+                policy.window_ms,
+                &request.call,
+                &chosen,
+            );
+        }
+        let retry_ms = self.settings.retry_ms;
+        let result = match chosen {
+            Err(NoChoice::Unserved) => {
+                let kind = match request.call.work {
+                    Work::Generate { .. } => RefusalKind::UnknownModel,
+                    Work::Service { .. } => RefusalKind::NoTarget,
+                };
+                Err(Turned { kind, retry_ms: 0 })
+            }
+            Err(NoChoice::Closed) => Err(Turned {
+                kind: RefusalKind::NoTarget,
+                retry_ms,
+            }),
+            Err(NoChoice::Full) => Err(Turned {
+                kind: RefusalKind::Overloaded,
+                retry_ms,
+            }),
+            // What has begun is finished even if it is late.
+            Ok(choice) if policy.admit && !choice.timely && wanted.resume == 0 => {
+                let late = choice.estimate.map_or(0.0, |e| e.whole) - wanted.left;
+                let retry_ms = late.clamp(RETRY_MS.0, RETRY_MS.1) as u64;
+                Err(Turned {
+                    kind: RefusalKind::TooLate,
+                    retry_ms,
+                })
+            }
+            Ok(choice) if policy.shares && first && decisions.turned > CONTENDED => {
+                if decisions.shares.over(now, &request.call.caller) {
+                    Err(Turned {
+                        kind: RefusalKind::Overloaded,
+                        retry_ms,
+                    })
+                } else {
+                    Ok(choice)
+                }
+            }
+            Ok(choice) => Ok(choice),
+        };
+        decisions.note(result.is_err());
+        result
+    }
+
+    /// The request at position `i` goes to the target chosen.
+    pub(crate) fn note_sent(&mut self, now: Millis, i: usize, choice: &Choice) {
+        let call = &self.requests[i].call;
+        let priority = self.config.kind(&call.kind).map_or(0, |k| k.priority);
+        let sent = Sent {
+            id: self.requests[i].id,
+            at: now,
+            priority,
+            fill: choice.estimate.map_or(0, |e| e.fill),
+            whole: choice.estimate.map_or(0.0, |e| e.whole),
+        };
+        let target = self.targets.at_mut(choice.index);
+        target.running += 1;
+        if let Err(at) = target.sent.binary_search_by_key(&sent.id, |s| s.id) {
+            target.sent.insert(at, sent);
+        }
+        if let Work::Generate { pieces, .. } = &call.work {
+            target.view.sent(now, pieces);
+        }
+        if let Some(estimate) = choice.estimate {
+            let share = self.config.accounts.iter().find(|a| a.name == call.caller);
+            let share = share.map_or(1, |a| a.share);
+            self.decisions
+                .shares
+                .charge(now, &call.caller, share, estimate.cost);
+        }
+    }
+
+    /// A request no longer runs on the target of that name; `end` is absent if its caller left.
+    pub(crate) fn note_ended(
+        &mut self,
+        now: Millis,
+        name: &str,
+        id: RequestId,
+        end: Option<&AttemptEnd>,
+    ) {
+        let rest = self.settings.rest_ms;
+        let limits = self.settings.policy.limits;
+        let Some(target) = self.targets.find_mut(name) else {
+            return;
+        };
+        let running = target.running;
+        target.running = running.saturating_sub(1);
+        let Ok(i) = target.sent.binary_search_by_key(&id, |s| s.id) else {
+            return;
+        };
+        let sent = target.sent.remove(i);
+        match end {
+            Some(AttemptEnd::Whole { .. }) if limits && sent.whole > 0.0 => {
+                let took = now.since(sent.at) as f64;
+                target.limit.answered(took, sent.whole, running);
+            }
+            Some(AttemptEnd::Unsent | AttemptEnd::Broken { .. }) => {
+                let factor = target.limit.failed();
+                target.resting = now.plus(rest * factor);
+            }
+            // It closes without a failure, for example before a role change.
+            Some(AttemptEnd::Declined) => target.resting = now.plus(rest / 2),
+            _ => {}
+        }
+    }
+}
+
+fn count_demand(
+    demand: &mut Demand,
+    now: Millis,
+    window: u64,
+    call: &Call,
+    chosen: &Result<Choice, NoChoice>,
+) {
+    let Work::Generate {
+        model,
+        prompt,
+        output,
+        ..
+    } = &call.work
+    else {
+        return;
+    };
+    let estimate = chosen.as_ref().ok().and_then(|c| c.estimate);
+    let fill = estimate.map_or(*prompt, |e| e.fill);
+    demand.count(now, window, model, &call.kind, fill, *output);
+}
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -3,26 +3,46 @@
 //! Nothing here reads a clock, draws an unseeded random number or does I/O. The running node, the
 //! property tests and the exhaustive exploration all drive the same [`Node::step`].
 
+mod admit;
+mod cache_view;
 mod call;
+mod capacity;
 mod claim;
+mod demand;
 mod effect;
+mod estimate;
 mod event;
+mod limit;
 mod member;
+mod model_index;
 mod node;
+mod policy;
 mod request;
 mod request_flow;
+mod role_plan;
 mod route;
 mod settings;
+mod share;
 mod target_state;
 mod wish;
 
+pub use cache_view::CacheView;
 pub use call::{Call, Work};
+pub use capacity::{Split, by_shape, served};
 pub use claim::{Answer, Claim, ClaimRead, ClaimState, claim_key};
+pub use demand::{Demand, KindDemand};
 pub use effect::Effect;
+pub use estimate::{Ask, Estimate, engine_time, estimate};
 pub use event::{AttemptEnd, Event};
+pub use limit::Limit;
 pub use member::Members;
+pub use model_index::ModelIndex;
 pub use node::Node;
+pub use policy::{Pick, Policy};
 pub use request::{Phase, Request};
+pub(crate) use role_plan::Plans;
+pub use route::{Choice, NoChoice, Wanted, choose};
 pub use settings::CoreSettings;
-pub use target_state::{TargetState, Targets};
+pub use share::Shares;
+pub use target_state::{Sent, TargetState, Targets};
 pub use wish::Wish;
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,6 @@
 //! The node's state and its one entry point.
 
-use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish, admit::Decisions};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -16,6 +16,7 @@
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
     pub(crate) leaving: bool,
+    pub(crate) decisions: Decisions,
     next_attempt: u64,
 }
 
@@ -23,6 +24,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
+        let decisions = Decisions::new(settings.seed);
         Self {
             settings,
             config: Arc::default(),
@@ -31,6 +33,7 @@
             requests: Vec::new(),
             wishes: Vec::new(),
             leaving: false,
+            decisions,
             next_attempt: 1,
         }
     }
@@ -44,9 +47,9 @@
             Event::Ended { id, attempt, end } => {
                 self.end_attempt(now, id, attempt, end, &mut effects)
             }
-            Event::CallerGone { id } => self.drop_caller(id, &mut effects),
+            Event::CallerGone { id } => self.drop_caller(now, id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
-            Event::Reported { target, report } => self.targets.report(now, &target, report),
+            Event::Reported { target, report } => self.reported(now, &target, report),
             Event::VmsRead(vms) => self.members.replace(vms),
             Event::Leave => self.leaving = true,
         }
--- a/crates/rw-core/src/request_flow.rs
+++ b/crates/rw-core/src/request_flow.rs
@@ -2,8 +2,7 @@
 
 use crate::{
     Answer, AttemptEnd, Call, Claim, ClaimRead, ClaimState, Effect, Node, Phase, Request, Work,
-    claim_key,
-    route::{pick_target, serves},
+    admit::Turned, claim_key,
 };
 use rw_types::{AttemptId, Millis, Outcome, Refusal, RefusalKind, RequestId, Version};
 
@@ -150,26 +149,16 @@
         let Some(i) = self.request_index(id) else {
             return;
         };
-        let request = &self.requests[i];
-        let picked = pick_target(
-            &self.targets,
-            &request.call.work,
-            &self.settings.centre,
-            &request.tried,
-            now,
-        );
-        let Some(index) = picked else {
-            return self.give_up(now, id, claim, out);
+        let choice = match self.choose(now, i) {
+            Ok(choice) => choice,
+            Err(turned) => return self.turn_away(id, claim, turned, out),
         };
         let attempt = self.new_attempt();
-        let request = &mut self.requests[i];
-        let target = self.targets.at_mut(index);
-        target.running += 1;
-        if let Work::Generate { prompt, .. } = request.call.work {
-            target.unreported += prompt;
-        }
+        self.note_sent(now, i, &choice);
+        let target = self.targets.at_mut(choice.index);
         let name = target.spec.name.clone();
         let addr = target.spec.addr.clone();
+        let request = &mut self.requests[i];
         request.attempts += 1;
         request.tried.push(name.clone());
         request.phase = Phase::Running {
@@ -187,31 +176,30 @@
         });
     }
 
-    /// No target is open: nothing of this dispatch has run.
-    fn give_up(
+    /// Ends a request that is not dispatched, or not once more.
+    fn turn_away(
         &mut self,
-        _now: Millis,
         id: RequestId,
         claim: Option<(Claim, Version)>,
+        turned: Turned,
         out: &mut Vec<Effect>,
     ) {
         let Some(i) = self.request_index(id) else {
             return;
         };
-        let call = &self.requests[i].call;
-        let served = self.targets.all().iter().any(|t| serves(t, &call.work));
-        let kind = match (served, &call.work) {
-            (false, Work::Generate { .. }) => RefusalKind::UnknownModel,
-            _ => RefusalKind::NoTarget,
-        };
-        let ran = self.requests[i].tokens > 0;
-        let outcome = if ran {
+        let outcome = if self.requests[i].tokens > 0 {
             Outcome::Unknown
         } else {
             Outcome::NotRun
         };
         self.settle(id, claim, ClaimState::Released, out);
-        self.finish(id, kind, outcome, out);
+        self.take_request(id);
+        let refusal = Refusal {
+            kind: turned.kind,
+            outcome,
+            retry_ms: turned.retry_ms,
+        };
+        out.push(Effect::Refuse { id, refusal });
     }
 
     pub(crate) fn end_attempt(
@@ -237,7 +225,7 @@
             return;
         }
         let (target, claim) = (target.clone(), claim.clone());
-        self.release_target(now, &target, &end);
+        self.note_ended(now, &target, id, Some(&end));
         match end {
             AttemptEnd::Whole { status, body } => {
                 self.settle(id, claim, ClaimState::Done(Answer { status, body }), out);
@@ -268,23 +256,16 @@
             return;
         };
         if self.requests[i].attempts >= self.settings.attempts {
-            return self.give_up(now, id, claim, out);
+            let turned = Turned {
+                kind: RefusalKind::NoTarget,
+                retry_ms: self.settings.retry_ms,
+            };
+            return self.turn_away(id, claim, turned, out);
         }
         self.dispatch(now, id, claim, out);
     }
 
-    fn release_target(&mut self, now: Millis, name: &str, end: &AttemptEnd) {
-        let rest = now.plus(self.settings.rest_ms);
-        let Some(target) = self.targets.find_mut(name) else {
-            return;
-        };
-        target.running = target.running.saturating_sub(1);
-        if matches!(end, AttemptEnd::Unsent | AttemptEnd::Broken { .. }) {
-            target.resting = rest;
-        }
-    }
-
-    pub(crate) fn drop_caller(&mut self, id: RequestId, out: &mut Vec<Effect>) {
+    pub(crate) fn drop_caller(&mut self, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
         let Some(i) = self.request_index(id) else {
             return;
         };
@@ -298,9 +279,7 @@
         else {
             return;
         };
-        if let Some(target) = self.targets.find_mut(&target) {
-            target.running = target.running.saturating_sub(1);
-        }
+        self.note_ended(now, &target, id, None);
         self.take_request(id);
         out.push(Effect::Cancel { id, attempt });
     }
--- a/crates/rw-core/src/settings.rs
+++ b/crates/rw-core/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the reducer.
 
+use crate::Policy;
 use rw_types::BootId;
 
 /// What a node knows of itself and the limits it decides by. Times in milliseconds.
@@ -19,6 +20,8 @@
     pub retry_ms: u64,
     /// How long a target that failed gets no new work.
     pub rest_ms: u64,
+    /// Decisions in force.
+    pub policy: Policy,
 }
 
 impl Default for CoreSettings {
@@ -31,6 +34,7 @@
             attempts: 3,
             retry_ms: 1_000,
             rest_ms: 1_000,
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/rw-core/src/target_state.rs
+++ b/crates/rw-core/src/target_state.rs
@@ -1,6 +1,22 @@
 //! What a node knows of each target.
 
-use rw_types::{Config, LoadReport, Millis, Target};
+use crate::{CacheView, Limit, ModelIndex, Work};
+use rw_types::{Config, LoadReport, Millis, RequestId, Target};
+
+/// A request of this node that runs on a target.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// Request.
+    pub id: RequestId,
+    /// When it was sent.
+    pub at: Millis,
+    /// Its priority.
+    pub priority: u8,
+    /// Prompt tokens to fill.
+    pub fill: u64,
+    /// Estimated milliseconds until its whole answer; zero for none.
+    pub whole: f64,
+}
 
 /// One target with its latest report and this node's own work on it.
 #[derive(Debug, Clone)]
@@ -15,8 +31,12 @@
     pub reported: Millis,
     /// Requests of this node that run on it.
     pub running: u32,
-    /// Prompt tokens this node sent since the report was made.
-    pub unreported: u64,
+    /// What runs of this node, sorted by request.
+    pub sent: Vec<Sent>,
+    /// What its prefix cache is believed to hold.
+    pub view: CacheView,
+    /// How many requests of this node it may have.
+    pub limit: Limit,
     /// No new work before this time, after a failure.
     pub resting: Millis,
     /// Whether an order that takes it away is unresolved, as far as this node knows.
@@ -36,7 +56,9 @@
             report,
             reported: Millis(0),
             running: 0,
-            unreported: 0,
+            sent: Vec::new(),
+            view: CacheView::default(),
+            limit: Limit::default(),
             resting: Millis(0),
             ordered: false,
         }
@@ -54,6 +76,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Targets {
     list: Vec<TargetState>,
+    index: ModelIndex,
 }
 
 impl Targets {
@@ -71,6 +94,18 @@
                 None => TargetState::new(spec.clone()),
             })
             .collect();
+        self.reindex();
+    }
+
+    /// Brings the index up to date after a change of what is watched or held.
+    pub fn reindex(&mut self) {
+        self.index = ModelIndex::of(&self.list);
+    }
+
+    /// Positions in [`Targets::all`] of the watched targets that can run `work`.
+    #[must_use]
+    pub fn serving(&self, work: &Work) -> &[u32] {
+        self.index.find(work)
     }
 
     /// All targets.
@@ -102,8 +137,12 @@
             return;
         };
         target.reported = Millis(now.0.saturating_sub(report.age_ms));
-        target.unreported = 0;
+        target.view.take(now, &report.cache);
+        let changed = target.report.models != report.models;
         target.report = report;
+        if changed {
+            self.reindex();
+        }
     }
 }
 
--- a/crates/rw-fakes/src/batch.rs
+++ b/crates/rw-fakes/src/batch.rs
@@ -4,7 +4,7 @@
 //! that decodes in it. A prompt chunk therefore delays all streams that decode beside it.
 
 use crate::PrefixCache;
-use rw_types::{Backlog, LoadReport, Role};
+use rw_types::{Backlog, Costs, LoadReport, Role, RoleLimit};
 
 /// Tokens in one piece of KV cache.
 const PIECE: u64 = 1_000;
@@ -101,6 +101,7 @@
     /// Prompt work in the iteration under way.
     taken: f64,
     next: u64,
+    begun: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -124,6 +125,7 @@
     until: Option<u64>,
     token_us: f64,
     iteration_us: f64,
+    slot_us: f64,
     /// Prompt tokens found in the cache.
     pub hits: u64,
     /// Prompt tokens looked up.
@@ -147,6 +149,7 @@
             until: None,
             token_us: 0.0,
             iteration_us: 0.0,
+            slot_us: 0.0,
             hits: 0,
             looked: 0,
             emitted: 0,
@@ -220,7 +223,7 @@
             self.reset_rates();
         }
         if self.until.is_some_and(|until| until <= now) {
-            self.finish(&mut out);
+            self.finish(now, &mut out);
             self.begin(now);
         }
         out
@@ -262,6 +265,19 @@
             prefill_rate: (1e6 / self.token_us) as u64,
             decode_rate: (1e6 / self.iteration_us).max(1.0) as u64,
             draining: !self.is_up(),
+            slot_ms: (self.slot_us / 1e3) as u64,
+            costs: Costs {
+                base_us: self.settings.base_us,
+                token_us: self.settings.token_us,
+                stream_us: self.settings.stream_us,
+            },
+            limits: [Role::Mixed, Role::Prefill, Role::Decode]
+                .map(|role| RoleLimit {
+                    role,
+                    slots: self.settings.slots_of(role),
+                    chunk: self.settings.chunk_of(role),
+                })
+                .to_vec(),
             backlog,
             cache: self.cache.events().to_vec(),
             ..LoadReport::default()
@@ -279,7 +295,7 @@
         if job.imported { left * TRANSFER } else { left }
     }
 
-    fn finish(&mut self, out: &mut Vec<Emitted>) {
+    fn finish(&mut self, now: u64, out: &mut Vec<Emitted>) {
         self.until = None;
         let room = self.room();
         let mut kept = Vec::with_capacity(self.streams.len());
@@ -305,6 +321,8 @@
                 self.emitted += 1;
             }
             if stream.next >= stream.job.output {
+                let held = (now - stream.begun) as f64;
+                self.slot_us += NEWEST * (held - self.slot_us);
                 out.push(Emitted {
                     id,
                     n: stream.job.output,
@@ -318,7 +336,7 @@
     }
 
     fn begin(&mut self, now: u64) {
-        self.admit();
+        self.admit(now);
         if self.streams.is_empty() {
             if let Phase::Draining(role) = self.phase {
                 self.phase = Phase::Away(role, now + self.settings.change_us);
@@ -352,7 +370,7 @@
         }
     }
 
-    fn admit(&mut self) {
+    fn admit(&mut self, now: u64) {
         let slots = self.settings.slots_of(self.role) as usize;
         while self.streams.len() < slots && !self.queue.is_empty() {
             let need = pieces(&self.queue[0]);
@@ -376,6 +394,7 @@
                     left,
                     taken: 0.0,
                     next,
+                    begun: now,
                 },
             );
             let room = self.room();
@@ -395,6 +414,7 @@
         let chunk = self.settings.chunk_of(self.role) as f64;
         self.token_us = self.settings.cost(chunk, 0) / chunk;
         self.iteration_us = self.settings.cost(0.0, 1);
+        self.slot_us = 0.0;
     }
 }
 
--- /dev/null
+++ b/crates/rw-load/src/arrival.rs
@@ -0,0 +1,112 @@
+//! Arrivals of an open loop, drawn once from a seed so that every variant gets the same ones.
+
+use crate::{Profile, Shape};
+
+/// Callers of a profile.
+pub(crate) const CALLERS: usize = 8;
+/// Seconds of one swing of the load.
+const SWING: f64 = 23.0;
+/// Part by which the load swings.
+const BURST: f64 = 0.25;
+/// Seconds over which one mix gives way to the next.
+const RAMP: f64 = 8.0;
+
+/// One request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// Microseconds from the start.
+    pub at: u64,
+    /// Position in the kinds of work.
+    pub kind: usize,
+    /// Caller.
+    pub caller: usize,
+    /// Random number that picks the node it reaches.
+    pub node: u64,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Output tokens.
+    pub output: u64,
+    /// Hashes of the prompt's prefixes, one per piece.
+    pub pieces: Vec<u64>,
+}
+
+/// All arrivals of `profile` at `load` times its rates, in order of time.
+#[must_use]
+pub fn arrivals(profile: &Profile, load: f64, seed: u64) -> Vec<Arrival> {
+    let mut list = Vec::new();
+    for kind in 0..profile.kinds.len() {
+        // A generator a kind, so that a change of one leaves the others as they are.
+        let mut rng = fastrand::Rng::with_seed(seed ^ (kind as u64 + 1).wrapping_mul(0x9e37_79b9));
+        let most = profile
+            .phases
+            .iter()
+            .map(|p| p.rates[kind])
+            .fold(0.0, f64::max);
+        let peak = most * load * (1.0 + BURST);
+        let mut at = 0.0;
+        loop {
+            at += -(1.0 - rng.f64()).ln() / peak.max(1e-9);
+            if at >= profile.seconds() {
+                break;
+            }
+            let swing = 1.0 + BURST * (at / SWING * std::f64::consts::TAU).sin();
+            if rng.f64() * peak < rate(profile, kind, at) * load * swing {
+                list.push(draw(profile, kind, at, &mut rng));
+            }
+        }
+    }
+    list.sort_by_key(|a| a.at);
+    list
+}
+
+fn rate(profile: &Profile, kind: usize, at: f64) -> f64 {
+    let mut start = 0.0;
+    let mut before = profile.phases[0].rates[kind];
+    for phase in &profile.phases {
+        if at < start + phase.seconds {
+            let part = ((at - start) / RAMP).min(1.0);
+            return before + (phase.rates[kind] - before) * part;
+        }
+        start += phase.seconds;
+        before = phase.rates[kind];
+    }
+    before
+}
+
+fn draw(profile: &Profile, kind: usize, at: f64, rng: &mut fastrand::Rng) -> Arrival {
+    let mut arrival = Arrival {
+        at: (at * 1e6) as u64,
+        kind,
+        // Squaring makes some callers busier than others.
+        caller: (rng.f64().powi(2) * CALLERS as f64) as usize,
+        node: rng.u64(..),
+        prompt: 0,
+        output: 0,
+        pieces: Vec::new(),
+    };
+    if let Shape::Generate {
+        prompt,
+        output,
+        prefixes,
+        shared,
+    } = &profile.kinds[kind].shape
+    {
+        arrival.prompt = rng.u64(prompt.0..=prompt.1);
+        arrival.output = rng.u64(output.0..=output.1);
+        let common = match prefixes {
+            0 => 0,
+            n => 1 + (rng.f64().powi(2) * *n as f64) as u64,
+        };
+        let own = rng.u64(..);
+        arrival.pieces = (0..arrival.prompt / 1_000)
+            .map(|n| {
+                if common > 0 && n < *shared {
+                    common << 32 | n
+                } else {
+                    own ^ n
+                }
+            })
+            .collect();
+    }
+    arrival
+}
--- /dev/null
+++ b/crates/rw-load/src/compare.rs
@@ -0,0 +1,136 @@
+//! The same arrivals under different decisions.
+
+use crate::{Experiment, Hand, RunResult, run_virtual};
+use rw_core::{Pick, Policy, Split};
+use serde::Serialize;
+
+/// Threads that run variants.
+const THREADS: usize = 3;
+
+/// One way to decide.
+#[derive(Debug, Clone)]
+pub struct Variant {
+    /// Name in reports.
+    pub name: String,
+    /// Decisions.
+    pub policy: Policy,
+    /// Roles at the start.
+    pub split: Split,
+    /// Whether roles are set by hand.
+    pub hand: Hand,
+    /// Whether it is a baseline with static roles.
+    pub fixed: bool,
+}
+
+/// Runs of all variants, ours first.
+#[derive(Debug, Clone, Serialize)]
+pub struct Comparison {
+    /// Profile.
+    pub profile: String,
+    /// Times the profile's rates.
+    pub load: f64,
+    /// Seed.
+    pub seed: u64,
+    /// Runs.
+    pub runs: Vec<RunResult>,
+    /// Position of the best static baseline.
+    pub best: usize,
+}
+
+impl Variant {
+    fn ours(experiment: &Experiment, name: &str, change: impl FnOnce(&mut Policy)) -> Self {
+        let mut policy = Policy::default();
+        change(&mut policy);
+        Self {
+            name: name.to_owned(),
+            policy,
+            split: experiment.split,
+            hand: Hand::Off,
+            fixed: false,
+        }
+    }
+
+    fn fixed(name: &str, pick: Pick, split: Split) -> Self {
+        let Split {
+            prefill,
+            mixed,
+            decode,
+        } = split;
+        Self {
+            name: format!("{name}, static {prefill}p {mixed}m {decode}d"),
+            policy: Policy::bare(pick),
+            split,
+            hand: Hand::Off,
+            fixed: true,
+        }
+    }
+
+    /// Ours, the hand-set roles, ours with one part off at a time, and the static baselines.
+    #[must_use]
+    pub fn all(experiment: &Experiment) -> Vec<Self> {
+        let ours = |name: &str, change: fn(&mut Policy)| Self::ours(experiment, name, change);
+        let mut list = vec![
+            ours("ours", |_| {}),
+            Self {
+                hand: Hand::EachPhase,
+                ..ours("ours, roles by hand", |p| p.plan = false)
+            },
+            ours("without role changes", |p| p.plan = false),
+            ours("without admission", |p| p.admit = false),
+            ours("without priorities", |p| p.priorities = false),
+            ours("without prefix view", |p| p.cache = false),
+            ours("without own work", |p| p.own = false),
+            ours("without limits", |p| p.limits = false),
+            ours("without shares", |p| p.shares = false),
+            ours("without thrift", |p| p.thrift = 0.0),
+            ours("by first token", |p| p.pick = Pick::FirstToken),
+            ours("best of 2", |p| (p.sample, p.scan) = (2, 0)),
+            ours("best of 3", |p| (p.sample, p.scan) = (3, 0)),
+        ];
+        for split in experiment.profile.splits() {
+            list.push(Self::fixed("round robin", Pick::RoundRobin, split));
+            list.push(Self::fixed("least load", Pick::LeastLoad, split));
+        }
+        list
+    }
+}
+
+/// Runs every variant on the arrivals of `experiment`.
+#[must_use]
+pub fn compare(experiment: &Experiment, variants: &[Variant]) -> Comparison {
+    let run = |variant: &Variant| {
+        let one = Experiment {
+            policy: variant.policy.clone(),
+            split: variant.split,
+            hand: variant.hand,
+            ..experiment.clone()
+        };
+        RunResult {
+            name: variant.name.clone(),
+            ..run_virtual(&one)
+        }
+    };
+    let mut runs: Vec<Option<RunResult>> = vec![None; variants.len()];
+    std::thread::scope(|scope| {
+        let part = variants.len().div_ceil(THREADS).max(1);
+        for (variants, runs) in variants.chunks(part).zip(runs.chunks_mut(part)) {
+            scope.spawn(move || {
+                for (variant, slot) in variants.iter().zip(runs) {
+                    *slot = Some(run(variant));
+                }
+            });
+        }
+    });
+    let runs: Vec<RunResult> = runs.into_iter().flatten().collect();
+    let fixed = variants.iter().enumerate().filter(|(_, v)| v.fixed);
+    let best = fixed
+        .max_by_key(|(i, _)| runs[*i].total.good)
+        .map_or(0, |(i, _)| i);
+    Comparison {
+        profile: experiment.profile.name.to_owned(),
+        load: experiment.load,
+        seed: experiment.seed,
+        runs,
+        best,
+    }
+}
--- /dev/null
+++ b/crates/rw-load/src/lib.rs
@@ -0,0 +1,17 @@
+//! Load and experiments: what the decisions are worth, measured by one command with one seed.
+
+mod arrival;
+mod compare;
+mod experiment;
+mod profile;
+mod report;
+mod result;
+mod virtual_fleet;
+
+pub use arrival::{Arrival, arrivals};
+pub use compare::{Comparison, Variant, compare};
+pub use experiment::{Experiment, Fault, FaultAt, Hand};
+pub use profile::{KindProfile, PhaseProfile, Profile, Shape};
+pub use report::{html, table};
+pub use result::{KindResult, RunResult, Spread};
+pub use virtual_fleet::run_virtual;
--- /dev/null
+++ b/crates/rw-load/src/profile.rs
@@ -0,0 +1,246 @@
+//! The two users' workloads and fleets.
+
+use rw_core::Split;
+use rw_fakes::BatchSettings;
+use rw_types::{Role, WorkKind};
+
+/// What a request of one kind looks like.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Shape {
+    /// Generated text.
+    Generate {
+        /// Fewest and most prompt tokens.
+        prompt: (u64, u64),
+        /// Fewest and most output tokens.
+        output: (u64, u64),
+        /// Prefixes that prompts share; zero for none.
+        prefixes: u64,
+        /// Pieces of a shared prefix.
+        shared: u64,
+    },
+    /// A call of the plain service.
+    Call {
+        /// Whether running it twice equals running it once.
+        idempotent: bool,
+    },
+}
+
+/// One kind of work of a user.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KindProfile {
+    /// Name, priority, deadline and objective.
+    pub kind: WorkKind,
+    /// What its requests look like.
+    pub shape: Shape,
+}
+
+/// A time with one mix.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PhaseProfile {
+    /// Seconds.
+    pub seconds: f64,
+    /// Requests a second, by position in the kinds.
+    pub rates: Vec<f64>,
+    /// Split of the engines that fits this mix best, found by trying.
+    pub right: Split,
+}
+
+/// A user's fleet and work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Profile {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+    /// Data centres.
+    pub centres: usize,
+    /// Milliseconds one way between data centres.
+    pub hop_ms: f64,
+    /// Cost of a role change, in seconds of one engine's goodput.
+    pub change_weight: f64,
+    /// Kinds of work.
+    pub kinds: Vec<KindProfile>,
+    /// Mixes, one after the other.
+    pub phases: Vec<PhaseProfile>,
+}
+
+impl Profile {
+    /// The profile of that name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "nilebell" => Some(nilebell()),
+            "khabar-saar" => Some(khabar_saar()),
+            _ => None,
+        }
+    }
+
+    /// An engine of this fleet, before its role is set.
+    #[must_use]
+    pub fn engine(&self) -> BatchSettings {
+        BatchSettings {
+            role: Role::Mixed,
+            base_us: 40_000.0,
+            token_us: 50.0,
+            stream_us: 250.0,
+            slots: 16,
+            chunk: 1_024,
+            pieces: 256,
+            change_us: 4_000_000,
+        }
+    }
+
+    /// Seconds of all phases.
+    #[must_use]
+    pub fn seconds(&self) -> f64 {
+        self.phases.iter().map(|p| p.seconds).sum()
+    }
+
+    /// Splits that a static configuration may have.
+    #[must_use]
+    pub fn splits(&self) -> Vec<Split> {
+        let n = self.engines as u32;
+        let parts = [
+            (0, 0),
+            (1, 1),
+            (2, 2),
+            (3, 1),
+            (1, 3),
+            (4, 0),
+            (0, 4),
+            (2, 0),
+            (0, 2),
+        ];
+        parts
+            .iter()
+            .map(|(prefill, decode)| Split {
+                prefill: n * prefill / 4,
+                decode: n * decode / 4,
+                mixed: n - n * prefill / 4 - n * decode / 4,
+            })
+            .collect()
+    }
+}
+
+/// The roles of a split, prefill engines first.
+pub(crate) fn roles(split: &Split) -> Vec<Role> {
+    [Role::Prefill, Role::Mixed, Role::Decode]
+        .into_iter()
+        .flat_map(|r| std::iter::repeat_n(r, split.of(r) as usize))
+        .collect()
+}
+
+fn generate(
+    name: &str,
+    priority: u8,
+    deadline_ms: u64,
+    prompt: (u64, u64),
+    output: (u64, u64),
+) -> KindProfile {
+    KindProfile {
+        kind: kind(name, priority, deadline_ms),
+        shape: Shape::Generate {
+            prompt,
+            output,
+            prefixes: 0,
+            shared: 0,
+        },
+    }
+}
+
+fn shared(mut profile: KindProfile, many: u64, pieces: u64) -> KindProfile {
+    if let Shape::Generate {
+        prefixes, shared, ..
+    } = &mut profile.shape
+    {
+        *prefixes = many;
+        *shared = pieces;
+    }
+    profile
+}
+
+fn call(name: &str, priority: u8, idempotent: bool) -> KindProfile {
+    KindProfile {
+        kind: kind(name, priority, 2_000),
+        shape: Shape::Call { idempotent },
+    }
+}
+
+fn kind(name: &str, priority: u8, deadline_ms: u64) -> WorkKind {
+    WorkKind {
+        name: name.to_owned(),
+        priority,
+        deadline_ms,
+        objective: 0.99,
+    }
+}
+
+fn phase(seconds: f64, rates: &[f64], right: (u32, u32, u32)) -> PhaseProfile {
+    let (prefill, mixed, decode) = right;
+    PhaseProfile {
+        seconds,
+        rates: rates.to_vec(),
+        right: Split {
+            prefill,
+            mixed,
+            decode,
+        },
+    }
+}
+
+fn nilebell() -> Profile {
+    Profile {
+        name: "nilebell",
+        engines: 12,
+        services: 3,
+        centres: 3,
+        hop_ms: 1.5,
+        change_weight: 1.0,
+        kinds: vec![
+            shared(
+                generate("full-score", 3, 15_000, (8_000, 24_000), (12, 28)),
+                60,
+                6,
+            ),
+            generate("listing", 2, 30_000, (1_000, 3_000), (200, 400)),
+            generate("quick", 7, 2_500, (300, 900), (2, 6)),
+            call("reservation", 8, false),
+            call("trade", 8, false),
+        ],
+        phases: vec![
+            phase(60.0, &[9.0, 2.0, 20.0, 4.0, 2.0], (9, 0, 3)),
+            phase(60.0, &[1.5, 16.0, 20.0, 4.0, 2.0], (1, 3, 8)),
+            phase(60.0, &[9.0, 2.0, 20.0, 4.0, 2.0], (9, 0, 3)),
+        ],
+    }
+}
+
+fn khabar_saar() -> Profile {
+    Profile {
+        name: "khabar-saar",
+        engines: 20,
+        services: 3,
+        centres: 3,
+        hop_ms: 0.5,
+        change_weight: 20.0,
+        kinds: vec![
+            shared(
+                generate("dossier", 2, 120_000, (12_000, 28_000), (300, 500)),
+                40,
+                4,
+            ),
+            generate("summary", 4, 40_000, (2_000, 4_000), (150, 350)),
+            generate("headline", 8, 6_000, (800, 1_600), (40, 60)),
+            generate("tagging", 1, 20_000, (600, 1_200), (4, 12)),
+            call("alert", 8, false),
+            call("lookup", 5, true),
+        ],
+        phases: vec![
+            phase(60.0, &[5.0, 3.0, 15.0, 40.0, 6.0, 20.0], (4, 16, 0)),
+            phase(60.0, &[1.0, 16.0, 25.0, 20.0, 6.0, 20.0], (0, 10, 10)),
+            phase(60.0, &[5.0, 3.0, 15.0, 40.0, 6.0, 20.0], (4, 16, 0)),
+        ],
+    }
+}
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -16,7 +16,7 @@
 pub use digest::{fingerprint, prefix_hashes};
 pub use ids::{AttemptId, BootId, Fence, Millis, RequestId, Version};
 pub use intent::{ConfigError, check_config};
-pub use load::{Backlog, CacheEvent, LoadReport, ModelLoad};
+pub use load::{Backlog, CacheEvent, Costs, LoadReport, ModelLoad, RoleLimit};
 pub use order::{Order, OrderKind, OrderReply, OrderState};
 pub use outcome::{Outcome, Refusal, RefusalKind};
 pub use target::{Target, TargetKind};
--- a/crates/rw-types/src/load.rs
+++ b/crates/rw-types/src/load.rs
@@ -30,6 +30,15 @@
     /// Versions and adapters held, sorted by model; models it can't tell of are left out.
     #[serde(default)]
     pub loads: Vec<ModelLoad>,
+    /// Mean time that a stream holds its slot, in milliseconds.
+    #[serde(default)]
+    pub slot_ms: u64,
+    /// What an iteration costs.
+    #[serde(default)]
+    pub costs: Costs,
+    /// What the engine takes in each role; empty if it can't tell.
+    #[serde(default)]
+    pub limits: Vec<RoleLimit>,
     /// Work that waits or is in prefill, by priority, highest first.
     #[serde(default)]
     pub backlog: Vec<Backlog>,
@@ -49,6 +58,28 @@
     pub adapters: Vec<String>,
 }
 
+/// What one iteration of an engine costs, in microseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Costs {
+    /// Fixed time.
+    pub base_us: f64,
+    /// Each prompt token.
+    pub token_us: f64,
+    /// Each decoding stream.
+    pub stream_us: f64,
+}
+
+/// What an engine takes in a role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoleLimit {
+    /// Role.
+    pub role: Role,
+    /// Streams at once.
+    pub slots: u32,
+    /// Prompt tokens in one iteration.
+    pub chunk: u64,
+}
+
 /// Work of one priority that has no first token yet.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backlog {
