Estimates count KV memory, full iterations and what comes later with a higher priority

Cause: work was admitted that then starved: the estimate saw an idle iteration where a full one was to come, no KV memory, and no later arrivals of higher priority. Ruled out: a wider margin alone; the errors were factors of three and more for long outputs. Change: iteration time no shorter than a full one of that role, waits for KV pieces, an engine share left by this node's own flow of higher priority, an eighth of slots and memory kept for urgent work.

--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -107,7 +107,8 @@
         lag_ms: parse(matches, "lag-ms", "a whole number")?,
         faults: faults?,
         ..Experiment::new(profile, load, seed)
-    })
+    }
+    .find_right())
 }
 
 fn fault(text: &str) -> Result<FaultAt, CliError> {
--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     AttemptEnd, Call, Demand, Node, Plans, Sent, Shares, Work,
+    estimate::pieces,
     route::{Choice, NoChoice, Wanted, choose},
 };
 use rw_types::{Millis, RefusalKind, RequestId};
@@ -10,6 +11,8 @@
 const NEWEST: f64 = 0.02;
 /// Part turned away from which callers are held to their shares.
 const CONTENDED: f64 = 0.05;
+/// Part of its time that a caller over its share may fill.
+const OVER_PART: f64 = 0.5;
 /// Bounds of the time to come back, in milliseconds.
 const RETRY_MS: (f64, f64) = (100.0, 30_000.0);
 
@@ -21,6 +24,8 @@
     /// Part of the requests turned away lately.
     turned: f64,
     shares: Shares,
+    /// Highest priority seen of generated text.
+    top: u8,
     pub(crate) demand: Demand,
     pub(crate) plans: Plans,
 }
@@ -32,6 +37,7 @@
             turn: 0,
             turned: 0.0,
             shares: Shares::default(),
+            top: 0,
             demand: Demand::default(),
             plans: Plans::default(),
         }
@@ -54,19 +60,25 @@
     pub(crate) fn choose(&mut self, now: Millis, i: usize) -> Result<Choice, Turned> {
         let request = &self.requests[i];
         let first = request.attempts == 0;
+        let priority = self
+            .config
+            .kind(&request.call.kind)
+            .map_or(0, |k| k.priority);
         let wanted = Wanted {
             work: &request.call.work,
             resume: request.tokens,
-            priority: self
-                .config
-                .kind(&request.call.kind)
-                .map_or(0, |k| k.priority),
+            priority,
             tried: &request.tried,
             left: request.call.deadline.since(now) as f64,
             centre: &self.settings.centre,
+            urgent: self.urgent(priority),
+            nodes: self.members.present(),
         };
         let policy = &self.settings.policy;
         let decisions = &mut self.decisions;
+        if matches!(request.call.work, Work::Generate { .. }) {
+            decisions.top = decisions.top.max(priority);
+        }
         decisions.turn += 1;
         let (turn, rng) = (decisions.turn, &mut decisions.rng);
         let chosen = choose(&self.targets, &wanted, policy, now, turn, |n| {
@@ -82,6 +94,7 @@
             );
         }
         let retry_ms = self.settings.retry_ms;
+        let mut shared = false;
         let result = match chosen {
             Err(NoChoice::Unserved) => {
                 let kind = match request.call.work {
@@ -107,22 +120,35 @@
                     retry_ms,
                 })
             }
-            Ok(choice) if policy.shares && first && decisions.turned > CONTENDED => {
-                if decisions.shares.over(now, &request.call.caller) {
-                    Err(Turned {
-                        kind: RefusalKind::Overloaded,
-                        retry_ms,
-                    })
-                } else {
-                    Ok(choice)
-                }
+            // Under contention a caller over its share leaves the last of the room to others.
+            Ok(choice)
+                if policy.shares
+                    && first
+                    && decisions.turned > CONTENDED
+                    && choice
+                        .estimate
+                        .is_some_and(|e| e.whole > wanted.left * OVER_PART)
+                    && decisions.shares.over(now, &request.call.caller) =>
+            {
+                shared = true;
+                Err(Turned {
+                    kind: RefusalKind::Overloaded,
+                    retry_ms,
+                })
             }
             Ok(choice) => Ok(choice),
         };
-        decisions.note(result.is_err());
+        if !shared {
+            decisions.note(result.is_err());
+        }
         result
     }
 
+    /// Whether no kind of generated text has a higher priority.
+    fn urgent(&self, priority: u8) -> bool {
+        priority >= self.decisions.top
+    }
+
     /// The request at position `i` goes to the target chosen.
     pub(crate) fn note_sent(&mut self, now: Millis, i: usize, choice: &Choice) {
         let call = &self.requests[i].call;
@@ -132,6 +158,10 @@
             at: now,
             priority,
             fill: choice.estimate.map_or(0, |e| e.fill),
+            pieces: match call.work {
+                Work::Generate { prompt, output, .. } => pieces(prompt, output),
+                Work::Service { .. } => 0,
+            },
             whole: choice.estimate.map_or(0.0, |e| e.whole),
         };
         let target = self.targets.at_mut(choice.index);
@@ -143,6 +173,7 @@
             target.view.sent(now, pieces);
         }
         if let Some(estimate) = choice.estimate {
+            target.flow.add(now, priority, estimate.cost);
             let share = self.config.accounts.iter().find(|a| a.name == call.caller);
             let share = share.map_or(1, |a| a.share);
             self.decisions
--- a/crates/rw-core/src/estimate.rs
+++ b/crates/rw-core/src/estimate.rs
@@ -10,6 +10,11 @@
 /// Decode speed assumed of an engine that has not reported one, in tokens a second.
 const DECODE_RATE: f64 = 25.0;
 
+/// Part of the slots and of the KV cache that is kept for urgent work.
+const KEPT: f64 = 0.125;
+/// Least part of an engine that is left for work below the highest priority.
+const LEAST_SHARE: f64 = 0.05;
+
 /// A generation request as estimates need it.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -21,6 +26,10 @@
     pub pieces: &'a [u64],
     /// Higher goes first.
     pub priority: u8,
+    /// Whether no kind of work has a higher priority; the others leave some slots free.
+    pub urgent: bool,
+    /// Entry nodes, which send as much as this one.
+    pub nodes: f64,
 }
 
 /// What one target is expected to do with a request.
@@ -47,17 +56,37 @@
     };
     let fill = ask.prompt.saturating_sub(hits as u64 * PIECE).max(1);
     let rate = or(report.prefill_rate as f64, PREFILL_RATE) / 1e3;
-    let iteration = 1e3 / or(report.decode_rate as f64, DECODE_RATE);
+    let iteration = iteration(report);
     let decode = ask.output as f64 * iteration;
     let age = now.since(target.reported) as f64;
     let ahead = ahead(target, ask.priority, policy);
     let tokens = (ahead.tokens as f64 - rate * age).max(0.0);
-    let slots = f64::from(report.slots).max(1.0);
     let slot = or(report.slot_ms as f64, decode);
-    let freed = if slot > 0.0 { age * slots / slot } else { 0.0 };
-    let taken = f64::from(report.running + ahead.streams) - freed;
-    let wait = (taken + 1.0 - slots).max(0.0) * slot / slots;
-    let first = wait.max(tokens / rate) + fill as f64 / rate + iteration;
+    let slots = usable(f64::from(report.slots), ask, policy);
+    let taken = f64::from(report.running + ahead.streams);
+    let wait = wait(taken + 1.0, slots, f64::from(report.running), slot, age);
+    let room = usable(f64::from(report.pieces_max), ask, policy);
+    let held = f64::from(report.pieces + ahead.pieces);
+    let need = pieces(ask.prompt, ask.output);
+    let memory = match report.pieces_max {
+        0 => 0.0,
+        _ => self::wait(
+            held + f64::from(need),
+            room,
+            f64::from(report.pieces),
+            slot,
+            age,
+        ),
+    };
+    // What arrives later with a higher priority goes first too.
+    let above = target.flow.above(now, ask.priority) * ask.nodes;
+    let share = if policy.priorities {
+        (1.0 - above).max(LEAST_SHARE)
+    } else {
+        1.0
+    };
+    let queue = wait.max(memory).max(tokens / rate);
+    let first = (queue + fill as f64 / rate) / share + iteration;
     Estimate {
         first,
         whole: first + decode,
@@ -66,6 +95,19 @@
     }
 }
 
+/// Milliseconds of one iteration when the engine is full, as it will be while an answer runs.
+fn iteration(report: &LoadReport) -> f64 {
+    let seen = 1e3 / or(report.decode_rate as f64, DECODE_RATE);
+    let limit = report.limits.iter().find(|l| l.role == report.role);
+    let full = limit.map_or(0.0, |l| {
+        let costs = &report.costs;
+        let us =
+            costs.base_us + costs.token_us * l.chunk as f64 + costs.stream_us * f64::from(l.slots);
+        us / 1e3
+    });
+    seen.max(full)
+}
+
 /// Milliseconds of an engine of `role` that filling and decoding so many tokens take from others.
 #[must_use]
 pub fn engine_time(report: &LoadReport, role: Role, fill: f64, output: f64) -> f64 {
@@ -79,9 +121,31 @@
     us / 1e3
 }
 
+/// KV cache pieces that a request holds.
+#[must_use]
+pub fn pieces(prompt: u64, output: u64) -> u32 {
+    (prompt + output).div_ceil(PIECE) as u32
+}
+
+/// The part of `all` that `ask` may use; the last is kept for urgent work.
+fn usable(all: f64, ask: &Ask<'_>, policy: &Policy) -> f64 {
+    if ask.urgent || !policy.priorities {
+        all.max(1.0)
+    } else {
+        (all * (1.0 - KEPT)).floor().max(1.0)
+    }
+}
+
+/// Milliseconds until `wanted` of `all` can be had, when `used` are given back once in `hold`.
+fn wait(wanted: f64, all: f64, used: f64, hold: f64, age: f64) -> f64 {
+    let rate = used.max(1.0) / hold.max(1.0);
+    ((wanted - all) / rate - age).max(0.0)
+}
+
 struct Ahead {
     tokens: u64,
     streams: u32,
+    pieces: u32,
 }
 
 /// Work that an engine does before a request of `priority`.
@@ -90,16 +154,19 @@
     let mut ahead = Ahead {
         tokens: 0,
         streams: 0,
+        pieces: 0,
     };
     for waiting in target.report.backlog.iter().filter(|b| first(b.priority)) {
         ahead.tokens += waiting.tokens;
         ahead.streams += waiting.streams;
+        ahead.pieces += waiting.pieces;
     }
     if policy.own {
         let unreported = target.sent.iter().filter(|s| s.at > target.reported);
         for sent in unreported.filter(|s| first(s.priority)) {
             ahead.tokens += sent.fill;
             ahead.streams += 1;
+            ahead.pieces += sent.pieces;
         }
     }
     ahead
--- a/crates/rw-core/src/member.rs
+++ b/crates/rw-core/src/member.rs
@@ -21,6 +21,13 @@
         &self.vms
     }
 
+    /// Number of VMs that are not leaving, at least one.
+    #[must_use]
+    pub fn present(&self) -> f64 {
+        let present = self.vms.iter().filter(|v| !v.leaving).count();
+        present.max(1) as f64
+    }
+
     /// The VM of that name.
     #[must_use]
     pub fn find(&self, name: &str) -> Option<&Vm> {
--- a/crates/rw-core/src/policy.rs
+++ b/crates/rw-core/src/policy.rs
@@ -71,7 +71,7 @@
 }
 
 impl Policy {
-    /// Routing without any of the other decisions.
+    /// Routing without any of the other decisions; priorities are still passed on to engines.
     #[must_use]
     pub fn bare(pick: Pick) -> Self {
         Self {
@@ -81,7 +81,6 @@
             own: false,
             cache: false,
             admit: false,
-            priorities: false,
             shares: false,
             limits: false,
             plan: false,
--- a/crates/rw-core/src/role_plan.rs
+++ b/crates/rw-core/src/role_plan.rs
@@ -1,7 +1,7 @@
 //! Role changes: made only where the gain over the horizon is worth the cost.
 
 use crate::{
-    Members, Node, Wish,
+    Node, Wish,
     capacity::{Split, by_shape, served},
 };
 use rw_types::{LoadReport, Millis, OrderKind, Role};
@@ -109,7 +109,7 @@
         let window = self.settings.policy.window_ms;
         let mut demand = self.decisions.demand.of(now, window, model);
         // Callers reach this node as often as any other.
-        let nodes = nodes(&self.members);
+        let nodes = self.members.present();
         for kind in &mut demand {
             kind.rate *= nodes;
             kind.fill *= nodes;
@@ -230,7 +230,3 @@
         first.is_none_or(|v| v.name == self.settings.vm)
     }
 }
-
-fn nodes(members: &Members) -> f64 {
-    members.all().iter().filter(|v| !v.leaving).count().max(1) as f64
-}
--- a/crates/rw-core/src/route.rs
+++ b/crates/rw-core/src/route.rs
@@ -25,6 +25,10 @@
     pub left: f64,
     /// Data centre of this VM.
     pub centre: &'a str,
+    /// Whether no kind of work has a higher priority.
+    pub urgent: bool,
+    /// Entry nodes.
+    pub nodes: f64,
 }
 
 /// The best target found.
@@ -143,6 +147,8 @@
             output: output.saturating_sub(wanted.resume),
             pieces,
             priority: wanted.priority,
+            urgent: wanted.urgent,
+            nodes: wanted.nodes,
         }),
     }
 }
--- a/crates/rw-core/src/target_state.rs
+++ b/crates/rw-core/src/target_state.rs
@@ -1,6 +1,6 @@
 //! What a node knows of each target.
 
-use crate::{CacheView, Limit, ModelIndex, Work};
+use crate::{CacheView, Flow, Limit, ModelIndex, Work};
 use rw_types::{Config, LoadReport, Millis, RequestId, Target};
 
 /// A request of this node that runs on a target.
@@ -14,6 +14,8 @@
     pub priority: u8,
     /// Prompt tokens to fill.
     pub fill: u64,
+    /// KV cache pieces it will hold.
+    pub pieces: u32,
     /// Estimated milliseconds until its whole answer; zero for none.
     pub whole: f64,
 }
@@ -35,6 +37,8 @@
     pub sent: Vec<Sent>,
     /// What its prefix cache is believed to hold.
     pub view: CacheView,
+    /// What this node sends to it.
+    pub flow: Flow,
     /// How many requests of this node it may have.
     pub limit: Limit,
     /// No new work before this time, after a failure.
@@ -58,6 +62,7 @@
             running: 0,
             sent: Vec::new(),
             view: CacheView::default(),
+            flow: Flow::default(),
             limit: Limit::default(),
             resting: Millis(0),
             ordered: false,
--- a/crates/rw-load/src/experiment.rs
+++ b/crates/rw-load/src/experiment.rs
@@ -1,8 +1,11 @@
 //! What one run is made of.
 
-use crate::Profile;
+use crate::{Profile, run_virtual};
 use rw_core::{Policy, Split};
 
+/// Seconds for which each split is tried on a phase.
+const TRIAL: f64 = 60.0;
+
 /// Something that goes wrong.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -30,7 +33,7 @@
 pub enum Hand {
     /// They stay as they begin, but for what the policy orders.
     Off,
-    /// They are set to what fits best at the start of each phase.
+    /// They are set at the start of each phase to the best split found for it by trying.
     EachPhase,
 }
 
@@ -53,6 +56,8 @@
     pub split: Split,
     /// Whether roles are set by hand.
     pub hand: Hand,
+    /// Best split of each phase; see [`Experiment::find_right`].
+    pub right: Vec<Split>,
     /// Decisions in force.
     pub policy: Policy,
     /// What goes wrong, in order of time.
@@ -64,7 +69,10 @@
     #[must_use]
     pub fn new(profile: Profile, load: f64, seed: u64) -> Self {
         Self {
-            split: profile.phases[0].right,
+            split: Split {
+                mixed: profile.engines as u32,
+                ..Split::default()
+            },
             profile,
             load,
             seed,
@@ -72,8 +80,40 @@
             lag_ms: 500,
             poll_ms: 200,
             hand: Hand::Off,
+            right: Vec::new(),
             policy: Policy::default(),
             faults: Vec::new(),
         }
     }
+
+    /// Tries every split on each phase alone, without role changes, and keeps the best ones. The
+    /// run begins with the first phase's.
+    #[must_use]
+    pub fn find_right(mut self) -> Self {
+        let phases = 0..self.profile.phases.len();
+        self.right = phases.map(|i| self.best_split(i)).collect();
+        self.split = self.right[0];
+        self
+    }
+
+    fn best_split(&self, phase: usize) -> Split {
+        let mut profile = self.profile.only(phase);
+        profile.phases[0].seconds = TRIAL;
+        let tried = profile.splits().into_iter().map(|split| {
+            let one = Self {
+                profile: profile.clone(),
+                split,
+                hand: Hand::Off,
+                faults: Vec::new(),
+                policy: Policy {
+                    plan: false,
+                    ..self.policy.clone()
+                },
+                ..self.clone()
+            };
+            (run_virtual(&one).total.good, split)
+        });
+        let best = tried.max_by_key(|(good, _)| *good);
+        best.map_or(self.split, |(_, split)| split)
+    }
 }
--- a/crates/rw-load/src/profile.rs
+++ b/crates/rw-load/src/profile.rs
@@ -4,6 +4,9 @@
 use rw_fakes::BatchSettings;
 use rw_types::{Role, WorkKind};
 
+/// Steps in which splits of the fleet over the roles are tried.
+const STEPS: u32 = 4;
+
 /// What a request of one kind looks like.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Shape {
@@ -41,8 +44,6 @@
     pub seconds: f64,
     /// Requests a second, by position in the kinds.
     pub rates: Vec<f64>,
-    /// Split of the engines that fits this mix best, found by trying.
-    pub right: Split,
 }
 
 /// A user's fleet and work.
@@ -98,30 +99,32 @@
         self.phases.iter().map(|p| p.seconds).sum()
     }
 
-    /// Splits that a static configuration may have.
+    /// Splits in steps of a quarter of the fleet.
     #[must_use]
     pub fn splits(&self) -> Vec<Split> {
         let n = self.engines as u32;
-        let parts = [
-            (0, 0),
-            (1, 1),
-            (2, 2),
-            (3, 1),
-            (1, 3),
-            (4, 0),
-            (0, 4),
-            (2, 0),
-            (0, 2),
-        ];
-        parts
-            .iter()
-            .map(|(prefill, decode)| Split {
-                prefill: n * prefill / 4,
-                decode: n * decode / 4,
-                mixed: n - n * prefill / 4 - n * decode / 4,
+        let pairs = (0..=STEPS).flat_map(|p| (0..=STEPS - p).map(move |d| (p, d)));
+        pairs
+            .map(|(p, d)| {
+                let prefill = n * p / STEPS;
+                let decode = n * d / STEPS;
+                Split {
+                    prefill,
+                    mixed: n - prefill - decode,
+                    decode,
+                }
             })
             .collect()
     }
+
+    /// The profile with the mix of one phase only.
+    #[must_use]
+    pub fn only(&self, phase: usize) -> Self {
+        Self {
+            phases: vec![self.phases[phase].clone()],
+            ..self.clone()
+        }
+    }
 }
 
 /// The roles of a split, prefill engines first.
@@ -177,16 +180,10 @@
     }
 }
 
-fn phase(seconds: f64, rates: &[f64], right: (u32, u32, u32)) -> PhaseProfile {
-    let (prefill, mixed, decode) = right;
+fn phase(seconds: f64, rates: &[f64]) -> PhaseProfile {
     PhaseProfile {
         seconds,
         rates: rates.to_vec(),
-        right: Split {
-            prefill,
-            mixed,
-            decode,
-        },
     }
 }
 
@@ -204,15 +201,15 @@
                 60,
                 6,
             ),
-            generate("listing", 2, 30_000, (1_000, 3_000), (200, 400)),
+            generate("listing", 3, 30_000, (1_000, 3_000), (200, 400)),
             generate("quick", 7, 2_500, (300, 900), (2, 6)),
             call("reservation", 8, false),
             call("trade", 8, false),
         ],
         phases: vec![
-            phase(60.0, &[9.0, 2.0, 20.0, 4.0, 2.0], (9, 0, 3)),
-            phase(60.0, &[1.5, 16.0, 20.0, 4.0, 2.0], (1, 3, 8)),
-            phase(60.0, &[9.0, 2.0, 20.0, 4.0, 2.0], (9, 0, 3)),
+            phase(120.0, &[9.0, 2.0, 20.0, 4.0, 2.0]),
+            phase(120.0, &[1.5, 16.0, 20.0, 4.0, 2.0]),
+            phase(120.0, &[9.0, 2.0, 20.0, 4.0, 2.0]),
         ],
     }
 }
@@ -227,20 +224,19 @@
         change_weight: 20.0,
         kinds: vec![
             shared(
-                generate("dossier", 2, 120_000, (12_000, 28_000), (300, 500)),
+                generate("dossier", 3, 120_000, (12_000, 28_000), (300, 500)),
                 40,
                 4,
             ),
-            generate("summary", 4, 40_000, (2_000, 4_000), (150, 350)),
-            generate("headline", 8, 6_000, (800, 1_600), (40, 60)),
-            generate("tagging", 1, 20_000, (600, 1_200), (4, 12)),
+            generate("headline", 8, 15_000, (800, 1_600), (60, 120)),
+            generate("tagging", 3, 20_000, (600, 1_200), (4, 12)),
             call("alert", 8, false),
             call("lookup", 5, true),
         ],
         phases: vec![
-            phase(60.0, &[5.0, 3.0, 15.0, 40.0, 6.0, 20.0], (4, 16, 0)),
-            phase(60.0, &[1.0, 16.0, 25.0, 20.0, 6.0, 20.0], (0, 10, 10)),
-            phase(60.0, &[5.0, 3.0, 15.0, 40.0, 6.0, 20.0], (4, 16, 0)),
+            phase(120.0, &[6.0, 8.0, 40.0, 6.0, 20.0]),
+            phase(120.0, &[1.5, 45.0, 30.0, 6.0, 20.0]),
+            phase(120.0, &[6.0, 8.0, 40.0, 6.0, 20.0]),
         ],
     }
 }
--- a/crates/rw-load/src/virtual_fleet.rs
+++ b/crates/rw-load/src/virtual_fleet.rs
@@ -561,7 +561,7 @@
         if self.experiment.hand == Hand::Off || i == 0 {
             return;
         }
-        let mut wanted = self.experiment.profile.phases[i].right;
+        let mut wanted = self.experiment.right[i];
         // Those that have a wanted role keep it; the others take what is left.
         let mut rest = Vec::new();
         for engine in 0..self.engines.len() {
--- a/crates/rw-types/src/load.rs
+++ b/crates/rw-types/src/load.rs
@@ -12,8 +12,11 @@
     pub running: u32,
     /// Streams the engine takes at most.
     pub slots: u32,
-    /// KV cache pieces in use, of about a thousand tokens each.
+    /// KV cache pieces that streams hold, of about a thousand tokens each.
     pub pieces: u32,
+    /// KV cache pieces in all; zero if the engine can't tell.
+    #[serde(default)]
+    pub pieces_max: u32,
     /// Role in force.
     pub role: Role,
     /// Models held, sorted.
@@ -89,6 +92,9 @@
     pub tokens: u64,
     /// Streams that wait for a slot.
     pub streams: u32,
+    /// KV cache pieces that they will hold.
+    #[serde(default)]
+    pub pieces: u32,
 }
 
 /// A change of an engine's prefix cache; events come late and with gaps.
