An answer's cost in engine time weighs eight times its time

Cause: the earliest whole answer took engines from work that others could not do and spread prefixes. Conclusion: weight 8.

--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -40,6 +40,10 @@
                 .help("SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; may be repeated"),
         )
         .arg(flag("compare", "Runs the baselines and ours with one part off at a time"))
+        .arg(flag(
+            "find-splits",
+            "Tries every split on each phase and takes the best in place of the profile's",
+        ))
         .arg(Arg::new("only").long("only").help("With --compare: variants whose name contains this, and ours"))
         .arg(Arg::new("json").long("json").help("File for the results as JSON"))
         .arg(Arg::new("html").long("html").help("File for the results as a page"))
@@ -103,12 +107,18 @@
         .unwrap_or_default()
         .map(|text| fault(text))
         .collect();
-    Ok(Experiment {
+    let experiment = Experiment {
         lag_ms: parse(matches, "lag-ms", "a whole number")?,
         faults: faults?,
         ..Experiment::new(profile, load, seed)
-    }
-    .find_right())
+    };
+    Ok(if matches.get_flag("find-splits") {
+        let found = experiment.find_right();
+        println!("best split of each phase: {:?}", found.right);
+        found
+    } else {
+        experiment
+    })
 }
 
 fn fault(text: &str) -> Result<FaultAt, CliError> {
--- a/crates/rw-core/src/capacity.rs
+++ b/crates/rw-core/src/capacity.rs
@@ -6,7 +6,7 @@
 /// Halvings of the search for the part served.
 const STEPS: u32 = 16;
 /// Multiple of the demand above which more room is worth nothing.
-const ENOUGH: f64 = 1.5;
+const ENOUGH: f64 = 1.15;
 
 /// Engines by role.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -49,7 +49,7 @@
     }
 }
 
-/// The largest multiple of `demand` that `split` can serve, up to 1.5.
+/// The largest multiple of `demand` that `split` can serve, up to 1.15.
 ///
 /// Kinds of work are given to engines from the longest outputs to the longest prompts. `demand`
 /// must be sorted that way, by [`by_shape`].
--- a/crates/rw-core/src/policy.rs
+++ b/crates/rw-core/src/policy.rs
@@ -56,7 +56,7 @@
             scan: 64,
             own: true,
             cache: true,
-            thrift: 1.0,
+            thrift: 8.0,
             admit: true,
             margin: 0.9,
             priorities: true,
--- a/crates/rw-load/src/experiment.rs
+++ b/crates/rw-load/src/experiment.rs
@@ -69,10 +69,8 @@
     #[must_use]
     pub fn new(profile: Profile, load: f64, seed: u64) -> Self {
         Self {
-            split: Split {
-                mixed: profile.engines as u32,
-                ..Split::default()
-            },
+            split: profile.phases[0].right,
+            right: profile.phases.iter().map(|p| p.right).collect(),
             profile,
             load,
             seed,
@@ -80,7 +78,6 @@
             lag_ms: 500,
             poll_ms: 200,
             hand: Hand::Off,
-            right: Vec::new(),
             policy: Policy::default(),
             faults: Vec::new(),
         }
--- a/crates/rw-load/src/profile.rs
+++ b/crates/rw-load/src/profile.rs
@@ -44,6 +44,8 @@
     pub seconds: f64,
     /// Requests a second, by position in the kinds.
     pub rates: Vec<f64>,
+    /// Split found best for this mix by trying, as `load --find-splits` does.
+    pub right: Split,
 }
 
 /// A user's fleet and work.
@@ -180,10 +182,16 @@
     }
 }
 
-fn phase(seconds: f64, rates: &[f64]) -> PhaseProfile {
+fn phase(seconds: f64, rates: &[f64], right: (u32, u32, u32)) -> PhaseProfile {
+    let (prefill, mixed, decode) = right;
     PhaseProfile {
         seconds,
         rates: rates.to_vec(),
+        right: Split {
+            prefill,
+            mixed,
+            decode,
+        },
     }
 }
 
@@ -207,9 +215,9 @@
             call("trade", 8, false),
         ],
         phases: vec![
-            phase(120.0, &[9.0, 2.0, 20.0, 4.0, 2.0]),
-            phase(120.0, &[1.5, 16.0, 20.0, 4.0, 2.0]),
-            phase(120.0, &[9.0, 2.0, 20.0, 4.0, 2.0]),
+            phase(120.0, &[9.0, 2.0, 20.0, 4.0, 2.0], (6, 6, 0)),
+            phase(120.0, &[1.5, 16.0, 20.0, 4.0, 2.0], (0, 3, 9)),
+            phase(120.0, &[9.0, 2.0, 20.0, 4.0, 2.0], (6, 6, 0)),
         ],
     }
 }
@@ -234,9 +242,9 @@
             call("lookup", 5, true),
         ],
         phases: vec![
-            phase(120.0, &[6.0, 8.0, 40.0, 6.0, 20.0]),
-            phase(120.0, &[1.5, 45.0, 30.0, 6.0, 20.0]),
-            phase(120.0, &[6.0, 8.0, 40.0, 6.0, 20.0]),
+            phase(120.0, &[6.0, 8.0, 40.0, 6.0, 20.0], (5, 15, 0)),
+            phase(120.0, &[1.5, 45.0, 30.0, 6.0, 20.0], (5, 0, 15)),
+            phase(120.0, &[6.0, 8.0, 40.0, 6.0, 20.0], (5, 15, 0)),
         ],
     }
 }
