A caller over its share is turned away for its wait, not for its answer's length

Cause: under contention, headlines on mixed engines were refused because decoding alone took half of their time.

--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -6,6 +6,7 @@
     settings::{parse, text},
 };
 use clap::{Arg, ArgAction, ArgMatches, Command};
+use rw_core::Split;
 use rw_load::{
     Comparison, Experiment, Fault, FaultAt, Profile, Variant, compare, html, run_virtual, table,
 };
@@ -40,6 +41,11 @@
                 .help("SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; may be repeated"),
         )
         .arg(flag("compare", "Runs the baselines and ours with one part off at a time"))
+        .arg(
+            Arg::new("split")
+                .long("split")
+                .help("Roles at the start: prefill,mixed,decode engines; the first phase's best if absent"),
+        )
         .arg(flag(
             "find-splits",
             "Tries every split on each phase and takes the best in place of the profile's",
@@ -107,11 +113,14 @@
         .unwrap_or_default()
         .map(|text| fault(text))
         .collect();
-    let experiment = Experiment {
+    let mut experiment = Experiment {
         lag_ms: parse(matches, "lag-ms", "a whole number")?,
         faults: faults?,
         ..Experiment::new(profile, load, seed)
     };
+    if let Some(text) = matches.get_one::<String>("split") {
+        experiment.split = split(text, experiment.profile.engines)?;
+    }
     Ok(if matches.get_flag("find-splits") {
         let found = experiment.find_right();
         println!("best split of each phase: {:?}", found.right);
@@ -121,6 +130,25 @@
     })
 }
 
+fn split(text: &str, engines: usize) -> Result<Split, CliError> {
+    let bad = || CliError::BadSetting {
+        name: "split".to_owned(),
+        value: text.to_owned(),
+        wanted: "PREFILL,MIXED,DECODE with the profile's number of engines in all",
+    };
+    let parts: Result<Vec<u32>, _> = text.split(',').map(str::parse).collect();
+    match parts.as_deref() {
+        Ok(&[prefill, mixed, decode]) if (prefill + mixed + decode) as usize == engines => {
+            Ok(Split {
+                prefill,
+                mixed,
+                decode,
+            })
+        }
+        _ => Err(bad()),
+    }
+}
+
 fn fault(text: &str) -> Result<FaultAt, CliError> {
     let bad = || CliError::BadSetting {
         name: "fault".to_owned(),
--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -11,7 +11,7 @@
 const NEWEST: f64 = 0.02;
 /// Part turned away from which callers are held to their shares.
 const CONTENDED: f64 = 0.05;
-/// Part of its time that a caller over its share may fill.
+/// Part of the time to spare that a caller over its share may wait.
 const OVER_PART: f64 = 0.5;
 /// Bounds of the time to come back, in milliseconds.
 const RETRY_MS: (f64, f64) = (100.0, 30_000.0);
@@ -127,7 +127,7 @@
                     && decisions.turned > CONTENDED
                     && choice
                         .estimate
-                        .is_some_and(|e| e.whole > wanted.left * OVER_PART)
+                        .is_some_and(|e| e.first > OVER_PART * e.slack(wanted.left))
                     && decisions.shares.over(now, &request.call.caller) =>
             {
                 shared = true;
--- a/crates/rw-core/src/estimate.rs
+++ b/crates/rw-core/src/estimate.rs
@@ -45,6 +45,14 @@
     pub fill: u64,
 }
 
+impl Estimate {
+    /// Latest first token, in milliseconds, after which `left` is not met.
+    #[must_use]
+    pub fn slack(&self, left: f64) -> f64 {
+        left - (self.whole - self.first)
+    }
+}
+
 /// Estimates `ask` at `target`.
 #[must_use]
 pub fn estimate(target: &TargetState, ask: &Ask<'_>, policy: &Policy, now: Millis) -> Estimate {
