--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -1,9 +1,12 @@
 //! All commands.
 
 mod check;
+mod confirm;
 mod dev;
 mod fake;
+mod key;
 mod load;
+mod plan;
 mod serve;
 mod status;
 
@@ -26,9 +29,12 @@
 pub fn all() -> Vec<CommandSpec> {
     vec![
         check::spec(),
+        confirm::spec(),
         dev::spec(),
         fake::spec(),
+        key::spec(),
         load::spec(),
+        plan::spec(),
         serve::spec(),
         status::spec(),
     ]
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,9 @@
 //! The node's state and its one entry point.
 
-use crate::{CoreSettings, Effect, Event, Members, Request, Targets, Wish, admit::Decisions};
+use crate::{
+    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish,
+    admit::Decisions,
+};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -15,6 +18,8 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    pub(crate) sync: ConfigSync,
+    pub(crate) authority: Authority,
     pub(crate) leaving: bool,
     pub(crate) decisions: Decisions,
     next_attempt: u64,
@@ -25,6 +30,7 @@
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
         let decisions = Decisions::new(settings.seed);
+        let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
             config: Arc::default(),
@@ -32,6 +38,8 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            sync,
+            authority: Authority::default(),
             leaving: false,
             decisions,
             next_attempt: 1,
@@ -50,7 +58,9 @@
             Event::CallerGone { id } => self.drop_caller(now, id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
             Event::Reported { target, report } => self.reported(now, &target, report),
-            Event::VmsRead(vms) => self.members.replace(vms),
+            Event::Sync(event) => self.sync_step(now, event, &mut effects),
+            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
         }
         effects
@@ -108,6 +118,7 @@
             return;
         }
         self.targets.apply(&config);
+        self.authority.outdated = true;
         self.config = config;
     }
 }
--- a/crates/rw-core/src/policy.rs
+++ b/crates/rw-core/src/policy.rs
@@ -40,6 +40,8 @@
     pub limits: bool,
     /// Whether roles are planned.
     pub plan: bool,
+    /// Whether roles are planned without the lease of the group, where one node alone is obeyed.
+    pub plan_alone: bool,
     /// Pause between plans, in milliseconds.
     pub plan_ms: u64,
     /// Time over which a role change must pay, in milliseconds.
@@ -63,6 +65,7 @@
             shares: true,
             limits: true,
             plan: true,
+            plan_alone: false,
             plan_ms: 1_000,
             horizon_ms: 30_000,
             window_ms: 5_000,
--- a/crates/rw-core/src/role_plan.rs
+++ b/crates/rw-core/src/role_plan.rs
@@ -223,10 +223,7 @@
     }
 
     /// Whether this node may order targets of `group`.
-    ///
-    /// Until leases decide it, the first VM of the list does.
-    fn may_order(&self, _now: Millis, _group: &str) -> bool {
-        let first = self.members.all().first();
-        first.is_none_or(|v| v.name == self.settings.vm)
+    fn may_order(&self, now: Millis, group: &str) -> bool {
+        self.settings.policy.plan_alone || self.holds(group, now)
     }
 }
--- a/crates/rw-core/src/settings.rs
+++ b/crates/rw-core/src/settings.rs
@@ -22,6 +22,14 @@
     pub rest_ms: u64,
     /// Decisions in force.
     pub policy: Policy,
+    /// How long a lease runs from before its renewal was sent.
+    pub lease_ms: u64,
+    /// Most by which the clocks of two VMs drift apart within one lease.
+    pub drift_ms: u64,
+    /// Longest life of an order on its way to its target.
+    pub order_ms: u64,
+    /// Age from which a report is no longer planned on.
+    pub stale_ms: u64,
 }
 
 impl Default for CoreSettings {
@@ -35,6 +43,10 @@
             retry_ms: 1_000,
             rest_ms: 1_000,
             policy: Policy::default(),
+            lease_ms: 10_000,
+            drift_ms: 500,
+            order_ms: 2_000,
+            stale_ms: 5_000,
         }
     }
 }
--- a/crates/rw-load/src/virtual_fleet.rs
+++ b/crates/rw-load/src/virtual_fleet.rs
@@ -7,7 +7,7 @@
     Arrival, Experiment, Fault, Hand, KindResult, Profile, RunResult, Shape, arrival::CALLERS,
     arrivals, profile::roles,
 };
-use rw_core::{AttemptEnd, Call, ClaimRead, CoreSettings, Effect, Event, Node, Work};
+use rw_core::{AttemptEnd, Call, ClaimRead, CoreSettings, Effect, Event, Node, Policy, Work};
 use rw_fakes::{Batch, Emitted, Job};
 use rw_types::{
     Account, AttemptId, BootId, Config, LoadReport, Millis, Model, OrderKind, Outcome, RequestId,
@@ -144,7 +144,11 @@
                 boot: BootId(n as u64),
                 centre: vm.centre.clone(),
                 seed: self.experiment.seed + n as u64,
-                policy: self.experiment.policy.clone(),
+                // There is no table to hold leases in; the orders of the first node are obeyed.
+                policy: Policy {
+                    plan_alone: n == 0,
+                    ..self.experiment.policy.clone()
+                },
                 ..CoreSettings::default()
             };
             let mut node = Node::new(settings);
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -2,25 +2,35 @@
 
 mod accounts;
 mod attempt;
+mod authority;
 mod callers;
+mod changes;
 mod claims;
 mod completion;
+mod config_sync;
 mod drive;
+mod history;
 mod loops;
 mod metrics;
+mod operator_error;
 mod operators;
 mod parse;
 mod payload;
 mod peers;
 mod plain;
+mod plan_rows;
+mod plans;
 mod rpc;
 mod serve;
 mod settings;
 mod shell;
 
+pub use changes::{Changes, RecentChanges};
+pub use history::{History, HistoryEntry, step_words};
 pub use metrics::Metrics;
+pub use operator_error::OperatorError;
 pub use operators::{Status, VmStatus};
-pub use peers::Digest;
+pub use plans::{ConfirmAsk, Confirmed, PlanAsk};
 pub use rpc::{RpcError, call_rpc};
 pub use serve::{Bound, ServeError};
 pub use settings::NodeSettings;
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -5,7 +5,7 @@
 };
 use displaydoc::Display;
 use rw_core::{CoreSettings, Event};
-use rw_http::{Limits, Listener};
+use rw_http::{Limits, Listener, Workers};
 use rw_types::BootId;
 use smol::future;
 use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
@@ -27,6 +27,8 @@
         /// Error of the operating system.
         error: io::Error,
     },
+    /// --threads can't be started: {0}; give fewer
+    Threads(io::Error),
     /// the operating system gave no random numbers; check that the VM has a random source
     Random,
     /// a metric or method is registered twice: {0}; this is a fault of the program
@@ -42,6 +44,7 @@
     callers: Listener,
     peers: Listener,
     operators: Listener,
+    workers: Workers,
 }
 
 impl Bound {
@@ -51,15 +54,21 @@
     ///
     /// Any [`ServeError`].
     pub fn bind(settings: NodeSettings) -> Result<Self, ServeError> {
-        let callers = bind("--listen", settings.listen)?;
-        let peers = bind("--peer-listen", settings.peer_listen)?;
-        let operators = bind("--operator-listen", settings.operator_listen)?;
+        let workers = Workers::start(settings.threads).map_err(ServeError::Threads)?;
+        let limits = Limits::default();
+        let callers = bind("--listen", settings.listen, settings.limits)?.on(workers.clone());
+        let peers = bind("--peer-listen", settings.peer_listen, limits)?;
+        let operators = bind("--operator-listen", settings.operator_listen, limits)?;
         let boot = getrandom::u64().map_err(|_| ServeError::Random)?;
         let core = CoreSettings {
             vm: settings.vm.clone(),
             boot: BootId(boot),
             centre: settings.centre.clone(),
             seed: boot,
+            lease_ms: settings.lease.as_millis() as u64,
+            drift_ms: settings.drift.as_millis() as u64,
+            order_ms: settings.order_life.as_millis() as u64,
+            stale_ms: settings.stale.as_millis() as u64,
             ..CoreSettings::default()
         };
         let metrics = Metrics::new().map_err(|e| ServeError::Registered(e.to_string()))?;
@@ -69,6 +78,7 @@
             callers,
             peers,
             operators,
+            workers,
         })
     }
 
@@ -85,6 +95,19 @@
         ])
     }
 
+    /// Runs the node on its own threads, as [`Bound::run`] says.
+    ///
+    /// # Errors
+    ///
+    /// [`ServeError::Registered`].
+    pub fn run_blocking(
+        self,
+        stop: impl Future<Output = ()> + Send + 'static,
+    ) -> Result<(), ServeError> {
+        let workers = self.workers.clone();
+        workers.block_on(self.run(stop))
+    }
+
     /// The node's shell.
     #[must_use]
     pub fn shell(&self) -> &Arc<Shell> {
@@ -115,10 +138,12 @@
             let (shell, calls) = (shell.clone(), operator_calls.clone());
             async move { answer_rpc(&shell, &calls, request).await }
         });
-        let loops = future::zip(
-            self.shell.clone().poll_platform(),
-            self.shell.clone().poll_loads(),
+        let platform = future::zip(
+            self.shell.clone().poll_vms(),
+            self.shell.clone().sync_config(),
         );
+        let loops = future::zip(platform, self.shell.clone().poll_loads());
+        let loops = future::zip(loops, self.shell.clone().run_authority());
         let serving = async {
             future::zip(future::zip(callers, peers), future::zip(operators, loops)).await;
         };
@@ -141,8 +166,8 @@
     log::info!("left: every request has its answer");
 }
 
-fn bind(setting: &'static str, addr: SocketAddr) -> Result<Listener, ServeError> {
-    Listener::bind(addr, Limits::default()).map_err(|error| ServeError::Bind {
+fn bind(setting: &'static str, addr: SocketAddr, limits: Limits) -> Result<Listener, ServeError> {
+    Listener::bind(addr, limits).map_err(|error| ServeError::Bind {
         setting,
         addr,
         error,
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node process.
 
+use rw_http::Limits;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
@@ -37,6 +38,20 @@
     pub poll: Duration,
     /// Pause between reads of a target's load.
     pub report_poll: Duration,
+    /// Bytes a second that the platform's weight store gives out, for plans.
+    pub weight_rate: u64,
+    /// Time that a lease runs from before its renewal was sent.
+    pub lease: Duration,
+    /// Most by which the clocks of two VMs drift apart within one lease.
+    pub drift: Duration,
+    /// Longest life of an order on its way to its target.
+    pub order_life: Duration,
+    /// Age from which a target's report is no longer planned on.
+    pub stale: Duration,
+    /// Limits of the callers' listener.
+    pub limits: Limits,
+    /// Threads that serve callers, each with an executor of its own; none for the global executor.
+    pub threads: usize,
 }
 
 impl NodeSettings {
@@ -57,6 +72,13 @@
             silence: Duration::from_secs(5),
             poll: Duration::from_millis(200),
             report_poll: Duration::from_millis(200),
+            weight_rate: 1 << 30,
+            lease: Duration::from_secs(2),
+            drift: Duration::from_millis(100),
+            order_life: Duration::from_millis(500),
+            stale: Duration::from_secs(2),
+            limits: Limits::default(),
+            threads: 0,
         }
     }
 }
--- a/crates/rw-node/src/shell.rs
+++ b/crates/rw-node/src/shell.rs
@@ -1,6 +1,6 @@
 //! One node process: the reducer behind a short lock, with what it needs to act.
 
-use crate::{Metrics, NodeSettings, accounts::Accounts};
+use crate::{Metrics, NodeSettings, RecentChanges, accounts::Accounts};
 use rw_core::{CoreSettings, Effect, Event, Node};
 use rw_http::Client;
 use rw_platform::HttpPlatform;
@@ -10,7 +10,7 @@
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Shared by all tasks of a node.
@@ -23,6 +23,7 @@
     pub(crate) core: CoreSettings,
     node: Mutex<Node>,
     accounts: RwLock<Arc<Accounts>>,
+    changes: Mutex<RecentChanges>,
     started: Instant,
     next_request: AtomicU64,
 }
@@ -40,6 +41,7 @@
         Self {
             node: Mutex::new(Node::new(core.clone())),
             accounts: RwLock::default(),
+            changes: Mutex::default(),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             settings,
@@ -56,6 +58,11 @@
         Millis(self.started.elapsed().as_millis() as u64)
     }
 
+    /// The instant of a time of this process's clock.
+    pub(crate) fn instant(&self, at: Millis) -> Instant {
+        self.started + Duration::from_millis(at.0)
+    }
+
     /// Feeds one event to the reducer.
     pub(crate) fn step(&self, event: Event) -> Vec<Effect> {
         // The clock is read under the lock, so that the reducer's time never goes back.
@@ -87,13 +94,22 @@
         if Arc::ptr_eq(&self.config(), &config) {
             log::info!("configuration {} in force", config.version);
             let index = Arc::new(Accounts::index(&config));
-            *self
+            let mut held = self
                 .accounts
                 .write()
-                .unwrap_or_else(PoisonError::into_inner) = index;
+                .unwrap_or_else(PoisonError::into_inner);
+            // Another thread may have indexed a higher version meanwhile.
+            if held.version < index.version {
+                *held = index;
+            }
         }
     }
 
+    /// The changes kept for peers.
+    pub(crate) fn recent_changes(&self) -> MutexGuard<'_, RecentChanges> {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn accounts(&self) -> Arc<Accounts> {
         self.accounts
             .read()
