load runs over sockets too, and agrees with virtual time

Cause: figures of virtual time need a confirmation with real nodes, tables, leases and orders. Found by it: the engine stand-in reported its rates by its own faster clock, so that nodes refused a third; it now reports by its readers' clock. Prefix hits are not read over sockets.

--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -8,7 +8,8 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use rw_core::Split;
 use rw_load::{
-    Comparison, Experiment, Fault, FaultAt, Profile, Variant, compare, html, run_virtual, table,
+    Comparison, Experiment, Fault, FaultAt, Profile, Variant, compare, html, run_sockets,
+    run_virtual, table,
 };
 use std::path::Path;
 
@@ -50,6 +51,13 @@
             "find-splits",
             "Tries every split on each phase and takes the best in place of the profile's",
         ))
+        .arg(flag("sockets", "Runs over sockets on loopback, not on virtual time; ours, or ours and --only one"))
+        .arg(number("speed", "4", "With --sockets: factor by which time runs faster"))
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .help("Seconds of each phase, in place of the profile's"),
+        )
         .arg(Arg::new("only").long("only").help("With --compare: variants whose name contains this, and ours"))
         .arg(Arg::new("json").long("json").help("File for the results as JSON"))
         .arg(Arg::new("html").long("html").help("File for the results as a page"))
@@ -73,7 +81,11 @@
     if let Some(only) = matches.get_one::<String>("only") {
         variants.retain(|v| v.name == "ours" || v.name.contains(only.as_str()));
     }
-    let comparison = if matches.get_flag("compare") {
+    let comparison = if matches.get_flag("sockets") {
+        let all = matches.get_flag("compare") || matches.contains_id("only");
+        variants.truncate(if all { variants.len() } else { 1 });
+        over_sockets(&experiment, &variants, parse(matches, "speed", "a number")?)?
+    } else if matches.get_flag("compare") {
         compare(&experiment, &variants)
     } else {
         let mut run = run_virtual(&experiment);
@@ -87,7 +99,7 @@
             best: 0,
         }
     };
-    if matches.get_flag("compare") {
+    if matches.get_flag("compare") && !matches.get_flag("sockets") {
         println!("{}", table(&comparison.runs[0]));
         println!("{}", comparison.ratios());
     }
@@ -102,10 +114,37 @@
     Ok(())
 }
 
+fn over_sockets(
+    experiment: &Experiment,
+    variants: &[Variant],
+    speed: f64,
+) -> Result<Comparison, CliError> {
+    let mut runs = Vec::new();
+    for variant in variants {
+        let one = variant.applied(experiment);
+        let run = smol::block_on(run_sockets(&one, speed));
+        let mut run = run.map_err(|e| CliError::Failed(e.to_string()))?;
+        run.name = variant.name.clone();
+        println!("{}\n{}", run.name, table(&run));
+        runs.push(run);
+    }
+    Ok(Comparison {
+        profile: experiment.profile.name.to_owned(),
+        load: experiment.load,
+        seed: experiment.seed,
+        runs,
+        best: 0,
+    })
+}
+
 fn experiment(matches: &ArgMatches) -> Result<Experiment, CliError> {
     let name = text(matches, "profile")?;
-    let profile =
+    let mut profile =
         Profile::named(name).ok_or_else(|| CliError::NoSetting("--profile".to_owned()))?;
+    if matches.contains_id("seconds") {
+        let seconds = parse(matches, "seconds", "a number")?;
+        profile.phases.iter_mut().for_each(|p| p.seconds = seconds);
+    }
     let load = parse(matches, "load", "a number")?;
     let seed = parse(matches, "seed", "a whole number")?;
     let faults: Result<Vec<FaultAt>, CliError> = matches
--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::CliError;
 use clap::{Arg, ArgMatches, Command, parser::ValueSource};
+use rw_core::Policy;
 use rw_http::Limits;
 use rw_node::NodeSettings;
 use std::{str::FromStr, time::Duration};
@@ -281,6 +282,7 @@
         stale: Duration::from_millis(ms("stale-ms")?),
         limits: limits(matches)?,
         threads: within(matches, "threads", 1, 64, "1 to 64")?,
+        policy: Policy::default(),
     })
 }
 
--- a/crates/rw-core/src/policy.rs
+++ b/crates/rw-core/src/policy.rs
@@ -46,6 +46,8 @@
     pub plan_ms: u64,
     /// Time over which a role change must pay, in milliseconds.
     pub horizon_ms: u64,
+    /// Time that a change takes an engine away, its drain included, in milliseconds.
+    pub away_ms: u64,
     /// Time over which demand is averaged, in milliseconds.
     pub window_ms: u64,
 }
@@ -68,6 +70,7 @@
             plan_alone: false,
             plan_ms: 1_000,
             horizon_ms: 30_000,
+            away_ms: 5_000,
             window_ms: 5_000,
         }
     }
--- a/crates/rw-core/src/role_plan.rs
+++ b/crates/rw-core/src/role_plan.rs
@@ -6,8 +6,6 @@
 };
 use rw_types::{LoadReport, Millis, OrderKind, Role};
 
-/// Seconds that a change takes an engine away, its drain included.
-const AWAY: f64 = 5.0;
 /// Times its cost that a change must gain, so that small swings move nothing.
 const HYSTERESIS: f64 = 1.2;
 /// Time after which a wish that was not carried out is dropped, in milliseconds.
@@ -131,7 +129,8 @@
         let best = gains.max_by(|a, b| a.0.total_cmp(&b.0));
         let engines = scene.engines.len() as f64;
         let horizon = self.settings.policy.horizon_ms as f64 / 1e3;
-        let cost = (self.config.change_weight + AWAY) * HYSTERESIS;
+        let away = self.settings.policy.away_ms as f64 / 1e3;
+        let cost = (self.config.change_weight + away) * HYSTERESIS;
         let worth = best.filter(|(gain, ..)| gain * engines * horizon > cost * base.min(1.0));
         let plan = &mut self.decisions.plans.list[i];
         let Some((gain, from, to)) = worth else {
--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::{Armed, Batch, BatchSettings, Emitted, Fault, Faults, Job, OrderBook};
 use rw_http::{Limits, Listener, Method, Request, Response, events, json, raw, read_body};
-use rw_types::{LoadReport, Order, OrderKind, Role, prefix_hashes};
+use rw_types::{Costs, LoadReport, Order, OrderKind, Role, prefix_hashes};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::VecDeque,
@@ -334,17 +334,32 @@
         }
     }
 
+    /// The load now, by the clock of its readers.
+    fn report(&self, state: &State) -> LoadReport {
+        let speed = self.settings.speed;
+        let report = state.batch.report();
+        LoadReport {
+            models: state.models.clone(),
+            draining: report.draining || state.book.closed(),
+            loads: state.book.loads().to_vec(),
+            prefill_rate: (report.prefill_rate as f64 * speed) as u64,
+            decode_rate: (report.decode_rate as f64 * speed) as u64,
+            slot_ms: (report.slot_ms as f64 / speed) as u64,
+            costs: Costs {
+                base_us: report.costs.base_us / speed,
+                token_us: report.costs.token_us / speed,
+                stream_us: report.costs.stream_us / speed,
+            },
+            ..report
+        }
+    }
+
     /// The newest report that is old enough.
     fn load(&self) -> LoadReport {
         let now = self.now();
         let lag = (self.settings.lag_ms as f64 * 1e3 * self.settings.speed) as u64;
         let mut state = self.lock();
-        let report = LoadReport {
-            models: state.models.clone(),
-            draining: state.book.closed(),
-            loads: state.book.loads().to_vec(),
-            ..state.batch.report()
-        };
+        let report = self.report(&state);
         if state.reports.len() == REPORTS {
             state.reports.pop_front();
         }
--- a/crates/rw-load/src/compare.rs
+++ b/crates/rw-load/src/compare.rs
@@ -65,6 +65,17 @@
         }
     }
 
+    /// The experiment with this variant's decisions and roles.
+    #[must_use]
+    pub fn applied(&self, experiment: &Experiment) -> Experiment {
+        Experiment {
+            policy: self.policy.clone(),
+            split: self.split,
+            hand: self.hand,
+            ..experiment.clone()
+        }
+    }
+
     /// Ours, the hand-set roles, ours with one part off at a time, and the static baselines.
     #[must_use]
     pub fn all(experiment: &Experiment) -> Vec<Self> {
@@ -98,17 +109,9 @@
 /// Runs every variant on the arrivals of `experiment`.
 #[must_use]
 pub fn compare(experiment: &Experiment, variants: &[Variant]) -> Comparison {
-    let run = |variant: &Variant| {
-        let one = Experiment {
-            policy: variant.policy.clone(),
-            split: variant.split,
-            hand: variant.hand,
-            ..experiment.clone()
-        };
-        RunResult {
-            name: variant.name.clone(),
-            ..run_virtual(&one)
-        }
+    let run = |variant: &Variant| RunResult {
+        name: variant.name.clone(),
+        ..run_virtual(&variant.applied(experiment))
     };
     let mut runs: Vec<Option<RunResult>> = vec![None; variants.len()];
     std::thread::scope(|scope| {
--- a/crates/rw-load/src/lib.rs
+++ b/crates/rw-load/src/lib.rs
@@ -6,6 +6,7 @@
 mod profile;
 mod report;
 mod result;
+mod socket_fleet;
 mod virtual_fleet;
 
 pub use arrival::{Arrival, arrivals};
@@ -14,4 +15,5 @@
 pub use profile::{KindProfile, PhaseProfile, Profile, Shape};
 pub use report::{html, table};
 pub use result::{KindResult, RunResult, Spread};
+pub use socket_fleet::{SocketError, run_sockets};
 pub use virtual_fleet::run_virtual;
--- /dev/null
+++ b/crates/rw-load/src/socket_fleet.rs
@@ -0,0 +1,417 @@
+//! A run over sockets: nodes, engines, services and the platform stand-in in one process, on
+//! loopback, faster than the clock by a factor.
+
+use crate::{
+    Arrival, Experiment, Fault, KindResult, RunResult, Shape, arrivals,
+    profile::roles,
+    virtual_fleet::{MODEL, config},
+};
+use displaydoc::Display;
+use http_types::{Method, Request, Url};
+use rw_core::Policy;
+use rw_fakes::{EngineSettings, FakeEngine, FakePlatform, FakeService, PlatformSettings};
+use rw_http::{Client, Pooling, SendError, post_json};
+use rw_node::{Bound, NodeSettings};
+use rw_platform::{HttpPlatform, PlatformError, accept_config, read_head};
+use rw_types::{Config, TargetKind, Version, Vm, hash_key};
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+/// Loopback with a port given by the kernel.
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Secret under which keys are hashed; this fleet keeps nothing.
+const SECRET: [u8; 32] = [7; 32];
+/// Time limit of a platform call.
+const PLATFORM_LIMIT: Duration = Duration::from_secs(2);
+/// Time for the nodes to read the configuration and take their leases.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Longest wait for what still runs after the last arrival.
+const TAIL: Duration = Duration::from_secs(20);
+/// Longest silence that a caller bears.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Bytes of text in a token and in a piece.
+const TOKEN_BYTES: u64 = 4;
+const PIECE_BYTES: usize = 4_000;
+
+/// Why a run over sockets could not be made.
+#[derive(Debug, Display)]
+pub enum SocketError {
+    /// a stand-in or node can't be bound: {0}; check the limit of open files
+    Bind(io::Error),
+    /// a node can't serve: {0}
+    Serve(rw_node::ServeError),
+    /// the platform stand-in took no configuration: {0}
+    Platform(PlatformError),
+    /// the platform stand-in did not answer: {0}
+    Send(SendError),
+}
+
+impl std::error::Error for SocketError {}
+
+struct Fleet {
+    platform: HttpPlatform,
+    config: Config,
+    callers: Vec<String>,
+    engines: Vec<(String, Option<smol::Task<()>>)>,
+}
+
+/// What a caller saw of its request; times in microseconds of the experiment.
+struct Seen {
+    kind: usize,
+    first: Option<u64>,
+    gaps: Vec<u64>,
+    took: u64,
+    end: End,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    Whole,
+    Refused,
+    Unknown,
+}
+
+/// Runs an experiment over sockets, `speed` times faster than the clock.
+///
+/// # Errors
+///
+/// Any [`SocketError`].
+pub async fn run_sockets(experiment: &Experiment, speed: f64) -> Result<RunResult, SocketError> {
+    let mut fleet = start(experiment, speed).await?;
+    smol::Timer::after(SETTLE).await;
+    let all = arrivals(&experiment.profile, experiment.load, experiment.seed);
+    let mut sent = vec![0; experiment.profile.kinds.len()];
+    let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+    let mut faults = experiment.faults.iter().peekable();
+    let start = Instant::now();
+    let mut tasks = Vec::with_capacity(all.len());
+    for (i, arrival) in all.into_iter().enumerate() {
+        while let Some(fault) = faults.next_if(|f| f.at * 1e6 <= arrival.at as f64) {
+            fleet.strike(fault.fault).await?;
+        }
+        let due = Duration::from_secs_f64(arrival.at as f64 / 1e6 / speed);
+        smol::Timer::after(due.saturating_sub(start.elapsed())).await;
+        sent[arrival.kind] += 1;
+        let addr = fleet.callers[(arrival.node % fleet.callers.len() as u64) as usize].clone();
+        let kind = experiment.profile.kinds[arrival.kind].clone();
+        let seen = seen.clone();
+        tasks.push(smol::spawn(async move {
+            let one = ask(i, &arrival, &kind, &addr, speed).await;
+            seen.lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(one);
+        }));
+    }
+    let all_done = async {
+        for task in &mut tasks {
+            task.await;
+        }
+    };
+    let late = async {
+        smol::Timer::after(TAIL).await;
+    };
+    smol::future::or(all_done, late).await;
+    let changes = fleet.changes().await;
+    let seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
+    Ok(sum_up(experiment, &sent, &seen, changes))
+}
+
+fn sum_up(experiment: &Experiment, sent: &[u64], seen: &[Seen], changes: u32) -> RunResult {
+    let mut result = RunResult {
+        changes,
+        ..RunResult::default()
+    };
+    for (i, kind) in experiment.profile.kinds.iter().enumerate() {
+        let mut one = KindResult {
+            kind: kind.kind.name.clone(),
+            sent: sent[i],
+            lost: sent[i],
+            ..KindResult::default()
+        };
+        for seen in seen.iter().filter(|s| s.kind == i) {
+            one.lost -= 1;
+            let timely = seen.took <= kind.kind.deadline_ms * 1_000;
+            match seen.end {
+                End::Whole if timely => one.good += 1,
+                End::Whole => one.late += 1,
+                End::Refused => one.refused += 1,
+                End::Unknown => one.unknown += 1,
+            }
+            seen.first.into_iter().for_each(|us| one.firsts.record(us));
+            seen.gaps.iter().for_each(|us| one.gaps.record(*us));
+        }
+        result.kinds.push(one);
+    }
+    result.sum_up();
+    result
+}
+
+async fn start(experiment: &Experiment, speed: f64) -> Result<Fleet, SocketError> {
+    let platform = FakePlatform::bind(PlatformSettings {
+        listen: ANY,
+        list_lag: 0,
+        weight_rate: 1 << 30,
+    })
+    .map_err(SocketError::Bind)?;
+    let addr = platform.addr().map_err(SocketError::Bind)?;
+    smol::spawn(platform.run()).detach();
+    let profile = &experiment.profile;
+    let mut config = config(profile, &roles(&experiment.split));
+    config.change_weight /= speed;
+    for kind in &mut config.kinds {
+        kind.deadline_ms = (kind.deadline_ms as f64 / speed) as u64;
+    }
+    for account in &mut config.accounts {
+        account.keys = vec![hash_key(&SECRET, &account.name)];
+    }
+    let mut engines = Vec::new();
+    engines.resize_with(profile.engines, || (String::new(), None));
+    for target in &mut config.targets {
+        if target.kind == TargetKind::Plain {
+            let service = FakeService::bind(ANY).map_err(SocketError::Bind)?;
+            target.addr = service.addr().map_err(SocketError::Bind)?.to_string();
+            smol::spawn(service.run()).detach();
+            continue;
+        }
+        let batch = profile.engine();
+        let engine = FakeEngine::bind(EngineSettings {
+            models: vec![MODEL.to_owned()],
+            role: target.role,
+            prefill_rate: (1e6 / batch.token_us) as u64,
+            decode_rate: (1e6 / batch.base_us) as u64,
+            slots: batch.slots,
+            pieces: batch.pieces,
+            checks_fence: target.checks_fence,
+            change_ms: batch.change_us / 1_000,
+            lag_ms: (experiment.lag_ms as f64 / speed) as u64,
+            speed,
+            ..EngineSettings::default()
+        })
+        .map_err(SocketError::Bind)?;
+        target.addr = engine.addr().map_err(SocketError::Bind)?.to_string();
+        let position = target
+            .name
+            .trim_start_matches("engine-")
+            .parse()
+            .unwrap_or(0);
+        let slot: &mut (String, Option<smol::Task<()>>) = &mut engines[position];
+        *slot = (target.addr.clone(), Some(smol::spawn(engine.run())));
+    }
+    let mut fleet = Fleet {
+        platform: HttpPlatform::new(Client::default(), addr.to_string(), PLATFORM_LIMIT),
+        config,
+        callers: Vec::new(),
+        engines,
+    };
+    fleet.accept().await?;
+    let vms = fleet.start_nodes(experiment, addr, speed)?;
+    put_vms(&addr.to_string(), &vms).await?;
+    Ok(fleet)
+}
+
+async fn put_vms(platform: &str, vms: &[Vm]) -> Result<(), SocketError> {
+    let send = SocketError::Send;
+    let url =
+        Url::parse(&format!("http://{platform}/vms")).map_err(|_| send(SendError::BadAddr))?;
+    let mut request = Request::new(Method::Put, url);
+    request.set_body(serde_json::to_vec(vms).unwrap_or_default());
+    let client = Client::default();
+    let sent = client
+        .send(platform, request, Pooling::Fresh, PLATFORM_LIMIT)
+        .await;
+    sent.map_err(send)?
+        .bytes(PLATFORM_LIMIT)
+        .await
+        .map_err(send)?;
+    Ok(())
+}
+
+impl Fleet {
+    fn start_nodes(
+        &mut self,
+        experiment: &Experiment,
+        platform: SocketAddr,
+        speed: f64,
+    ) -> Result<Vec<Vm>, SocketError> {
+        let scaled = |ms: u64| (ms as f64 / speed) as u64;
+        let policy = &experiment.policy;
+        let policy = Policy {
+            plan_ms: scaled(policy.plan_ms),
+            horizon_ms: scaled(policy.horizon_ms),
+            window_ms: scaled(policy.window_ms),
+            away_ms: scaled(policy.away_ms),
+            ..policy.clone()
+        };
+        let mut vms = Vec::new();
+        for n in 0..experiment.nodes {
+            let (name, centre) = (format!("vm-{n}"), format!("centre-{}", n % 3));
+            let settings = NodeSettings {
+                secret: SECRET,
+                // A stream is silent while it waits for its first token.
+                silence: PATIENCE,
+                report_poll: Duration::from_millis(scaled(experiment.poll_ms)),
+                policy: policy.clone(),
+                ..NodeSettings::loopback(&name, &centre, platform)
+            };
+            let bound = Bound::bind(settings).map_err(SocketError::Serve)?;
+            let [callers, peer, _] = bound.addrs().map_err(SocketError::Bind)?;
+            self.callers.push(callers.to_string());
+            vms.push(Vm {
+                name,
+                centre,
+                peer: peer.to_string(),
+                leaving: false,
+            });
+            smol::spawn(async move {
+                if let Err(error) = bound.run(std::future::pending()).await {
+                    log::error!("node ended: {error}");
+                }
+            })
+            .detach();
+        }
+        Ok(vms)
+    }
+
+    async fn accept(&mut self) -> Result<(), SocketError> {
+        let (version, head) = read_head(&self.platform)
+            .await
+            .map_err(SocketError::Platform)?;
+        self.config.version = Version(version.0 + 1);
+        let accepted = accept_config(&self.platform, &self.config, &head).await;
+        accepted.map_err(SocketError::Platform)?;
+        Ok(())
+    }
+
+    /// Withdrawals and kills; the other faults belong to runs on virtual time.
+    async fn strike(&mut self, fault: Fault) -> Result<(), SocketError> {
+        match fault {
+            Fault::Withdraw(n) => {
+                let name = format!("engine-{n}");
+                let targets = self.config.targets.iter_mut();
+                targets
+                    .filter(|t| t.name == name)
+                    .for_each(|t| t.leaving = true);
+                self.accept().await?;
+            }
+            Fault::Kill(n) => self.engines[n].1 = None,
+            Fault::Lag(_) | Fault::TableOutage(_) => {}
+        }
+        Ok(())
+    }
+
+    /// Orders to take a role that the engines held.
+    async fn changes(&self) -> u32 {
+        let mut changes = 0;
+        for (addr, _) in &self.engines {
+            let held = get(addr, "/held").await.unwrap_or_default();
+            changes += String::from_utf8_lossy(&held)
+                .matches("\"do\":\"role\"")
+                .count();
+        }
+        changes as u32
+    }
+}
+
+async fn get(addr: &str, path: &str) -> Result<Vec<u8>, SendError> {
+    let url = Url::parse(&format!("http://{addr}{path}")).map_err(|_| SendError::BadAddr)?;
+    let request = Request::new(Method::Get, url);
+    let client = Client::default();
+    let reply = client
+        .send(addr, request, Pooling::Fresh, PLATFORM_LIMIT)
+        .await?;
+    reply.bytes(PLATFORM_LIMIT).await
+}
+
+async fn ask(
+    i: usize,
+    arrival: &Arrival,
+    kind: &crate::KindProfile,
+    addr: &str,
+    speed: f64,
+) -> Seen {
+    let begun = Instant::now();
+    let mut seen = Seen {
+        kind: arrival.kind,
+        first: None,
+        gaps: Vec::new(),
+        took: 0,
+        end: End::Unknown,
+    };
+    let us = |from: Instant| (from.elapsed().as_secs_f64() * speed * 1e6) as u64;
+    seen.end = match exchange(i, arrival, kind, addr, begun, &us, &mut seen).await {
+        Ok(end) => end,
+        Err(_) => End::Unknown,
+    };
+    seen.took = us(begun);
+    seen
+}
+
+async fn exchange(
+    i: usize,
+    arrival: &Arrival,
+    kind: &crate::KindProfile,
+    addr: &str,
+    begun: Instant,
+    us: &impl Fn(Instant) -> u64,
+    seen: &mut Seen,
+) -> Result<End, SendError> {
+    let streamed = matches!(kind.shape, Shape::Generate { .. });
+    let mut request = if streamed {
+        let body = serde_json::json!({
+            "model": MODEL, "prompt": text(arrival), "max_tokens": arrival.output, "stream": true,
+        });
+        post_json(addr, "/v1/completions", body.to_string().into_bytes())?
+    } else {
+        let path = match kind.shape {
+            Shape::Call { idempotent: true } => "lookup",
+            _ => "record",
+        };
+        let body = format!("{{\"n\":{i}}}").into_bytes();
+        let mut request = post_json(addr, &format!("/services/calls/{path}"), body)?;
+        if path == "record" {
+            request.insert_header("idempotency-key", format!("key-{i}"));
+        }
+        request
+    };
+    request.insert_header("authorization", format!("Bearer caller-{}", arrival.caller));
+    request.insert_header("x-work-kind", kind.kind.name.as_str());
+    let client = Client::default();
+    let reply = client.send(addr, request, Pooling::Fresh, PATIENCE).await?;
+    if reply.status() != 200 {
+        return Ok(match reply.header("x-outcome") {
+            Some("not-run") => End::Refused,
+            _ => End::Unknown,
+        });
+    }
+    if !streamed {
+        reply.bytes(PATIENCE).await?;
+        return Ok(End::Whole);
+    }
+    let mut lines = reply.lines();
+    let mut last = begun;
+    while let Some(line) = lines.next(PATIENCE).await? {
+        if line == "[DONE]" {
+            return Ok(End::Whole);
+        }
+        let gap = us(last);
+        match seen.first {
+            None => seen.first = Some(gap),
+            Some(_) => seen.gaps.push(gap),
+        }
+        last = Instant::now();
+    }
+    Ok(End::Unknown)
+}
+
+/// A text with the arrival's prefixes and number of tokens.
+fn text(arrival: &Arrival) -> String {
+    let piece = |hash: &u64| format!("{hash:016x}").repeat(PIECE_BYTES / 16);
+    let mut text: String = arrival.pieces.iter().map(piece).collect();
+    let rest = (arrival.prompt * TOKEN_BYTES) as usize - text.len();
+    text.extend(std::iter::repeat_n('x', rest));
+    text
+}
--- a/crates/rw-node/src/serve.rs
+++ b/crates/rw-node/src/serve.rs
@@ -69,6 +69,7 @@
             drift_ms: settings.drift.as_millis() as u64,
             order_ms: settings.order_life.as_millis() as u64,
             stale_ms: settings.stale.as_millis() as u64,
+            policy: settings.policy.clone(),
             ..CoreSettings::default()
         };
         let metrics = Metrics::new().map_err(|e| ServeError::Registered(e.to_string()))?;
--- a/crates/rw-node/src/settings.rs
+++ b/crates/rw-node/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node process.
 
+use rw_core::Policy;
 use rw_http::Limits;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -52,6 +53,8 @@
     pub limits: Limits,
     /// Threads that serve callers, each with an executor of its own; none for the global executor.
     pub threads: usize,
+    /// Decisions in force.
+    pub policy: Policy,
 }
 
 impl NodeSettings {
@@ -79,6 +82,7 @@
             stale: Duration::from_secs(2),
             limits: Limits::default(),
             threads: 0,
+            policy: Policy::default(),
         }
     }
 }
