--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod dev;
 mod fake;
 mod key;
+mod load;
 mod plan;
 mod serve;
 mod slopes;
@@ -35,6 +36,7 @@
         dev::spec(),
         fake::spec(),
         key::spec(),
+        load::spec(),
         plan::spec(),
         serve::spec(),
         slopes::spec(),
--- a/crates/rw-core/src/request_flow.rs
+++ b/crates/rw-core/src/request_flow.rs
@@ -2,10 +2,9 @@
 
 use crate::{
     Answer, AttemptEnd, Call, Claim, ClaimState, Effect, Node, Phase, Request, Ticket, Work,
-    crash_flow::refuse,
-    route::{pick_target, serves},
+    admit::Turned, crash_flow::refuse,
 };
-use rw_types::{AttemptId, Millis, Outcome, RefusalKind, RequestId, Version};
+use rw_types::{AttemptId, Millis, Outcome, Refusal, RefusalKind, RequestId, Version};
 
 impl Node {
     pub(crate) fn arrive(&mut self, now: Millis, id: RequestId, call: Call, out: &mut Vec<Effect>) {
@@ -81,28 +80,19 @@
         let request = &self.requests[i];
         // A stream that has begun is finished even if it is late.
         if now >= request.call.deadline && request.tokens == 0 {
-            return self.give_up(now, id, claim, RefusalKind::TooLate, out);
+            let turned = self.turned(RefusalKind::TooLate);
+            return self.turn_away(now, id, claim, turned, out);
         }
-        let picked = pick_target(
-            &self.targets,
-            &request.call.work,
-            &self.settings.centre,
-            &request.tried,
-            now,
-        );
-        let Some(index) = picked else {
-            let kind = self.no_target(id);
-            return self.give_up(now, id, claim, kind, out);
+        let choice = match self.choose(now, i) {
+            Ok(choice) => choice,
+            Err(turned) => return self.turn_away(now, id, claim, turned, out),
         };
         let attempt = self.new_attempt();
-        let request = &mut self.requests[i];
-        let target = self.targets.at_mut(index);
-        target.running += 1;
-        if let Work::Generate { prompt, .. } = request.call.work {
-            target.unreported += prompt;
-        }
+        self.note_sent(now, i, &choice);
+        let target = self.targets.at_mut(choice.index);
         let name = target.spec.name.clone();
         let addr = target.spec.addr.clone();
+        let request = &mut self.requests[i];
         request.attempts += 1;
         request.tried.push(name.clone());
         request.phase = Phase::Running {
@@ -120,26 +110,19 @@
         });
     }
 
-    /// Why no target can be picked for a request.
-    fn no_target(&self, id: RequestId) -> RefusalKind {
-        let call = self.request_index(id).map(|i| &self.requests[i].call);
-        let served = call.is_some_and(|c| {
-            let mut targets = self.targets.all().iter();
-            targets.any(|t| serves(t, &c.work))
-        });
-        match call.map(|c| &c.work) {
-            Some(Work::Generate { .. }) if !served => RefusalKind::UnknownModel,
-            _ => RefusalKind::NoTarget,
-        }
+    /// A refusal after the usual time to come back.
+    fn turned(&self, kind: RefusalKind) -> Turned {
+        let retry_ms = self.settings.retry_ms;
+        Turned { kind, retry_ms }
     }
 
-    /// Ends a request that can't be dispatched, or not once more.
-    fn give_up(
+    /// Ends a request that is not dispatched, or not once more.
+    fn turn_away(
         &mut self,
         now: Millis,
         id: RequestId,
         claim: Option<(Claim, Version)>,
-        kind: RefusalKind,
+        turned: Turned,
         out: &mut Vec<Effect>,
     ) {
         let Some(i) = self.request_index(id) else {
@@ -151,7 +134,13 @@
             Outcome::NotRun
         };
         self.settle(now, id, claim, ClaimState::Released, out);
-        self.finish(id, kind, outcome, out);
+        self.take_request(id);
+        let refusal = Refusal {
+            kind: turned.kind,
+            outcome,
+            retry_ms: turned.retry_ms,
+        };
+        out.push(Effect::Refuse { id, refusal });
     }
 
     pub(crate) fn end_attempt(
@@ -177,7 +166,7 @@
             return;
         }
         let (target, claim) = (target.clone(), claim.clone());
-        self.release_target(now, &target, &end);
+        self.note_ended(now, &target, id, Some(&end));
         match end {
             AttemptEnd::Whole { status, kind, body } => {
                 self.budget.credit();
@@ -214,27 +203,18 @@
             return;
         };
         if self.requests[i].attempts >= self.settings.attempts {
-            return self.give_up(now, id, claim, RefusalKind::NoTarget, out);
+            let turned = self.turned(RefusalKind::NoTarget);
+            return self.turn_away(now, id, claim, turned, out);
         }
         // Without successes there is nothing to hope for from one more dispatch.
         if !self.budget.take() {
-            return self.give_up(now, id, claim, RefusalKind::Overloaded, out);
+            let turned = self.turned(RefusalKind::Overloaded);
+            return self.turn_away(now, id, claim, turned, out);
         }
         self.dispatch(now, id, claim, out);
     }
 
-    fn release_target(&mut self, now: Millis, name: &str, end: &AttemptEnd) {
-        let rest = now.plus(self.settings.rest_ms);
-        let Some(target) = self.targets.find_mut(name) else {
-            return;
-        };
-        target.running = target.running.saturating_sub(1);
-        if matches!(end, AttemptEnd::Unsent | AttemptEnd::Broken { .. }) {
-            target.resting = rest;
-        }
-    }
-
-    pub(crate) fn drop_caller(&mut self, id: RequestId, out: &mut Vec<Effect>) {
+    pub(crate) fn drop_caller(&mut self, now: Millis, id: RequestId, out: &mut Vec<Effect>) {
         let Some(i) = self.request_index(id) else {
             return;
         };
@@ -248,9 +228,7 @@
         else {
             return;
         };
-        if let Some(target) = self.targets.find_mut(&target) {
-            target.running = target.running.saturating_sub(1);
-        }
+        self.note_ended(now, &target, id, None);
         self.take_request(id);
         out.push(Effect::Cancel { id, attempt });
     }
