--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! All commands.
 
+mod burn;
 mod check;
 mod confirm;
 mod dev;
@@ -7,6 +8,7 @@
 mod key;
 mod plan;
 mod serve;
+mod slopes;
 mod status;
 
 use crate::CliError;
@@ -27,6 +29,7 @@
 #[must_use]
 pub fn all() -> Vec<CommandSpec> {
     vec![
+        burn::spec(),
         check::spec(),
         confirm::spec(),
         dev::spec(),
@@ -34,6 +37,7 @@
         key::spec(),
         plan::spec(),
         serve::spec(),
+        slopes::spec(),
         status::spec(),
     ]
 }
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! property tests and the exhaustive exploration all drive the same [`Node::step`].
 
 mod answer;
+mod aperture;
 mod authority;
 mod authority_effect;
 mod authority_event;
@@ -38,6 +39,7 @@
 mod wish_step;
 
 pub use answer::Answer;
+pub use aperture::Aperture;
 pub use authority::Authority;
 pub use authority_effect::AuthorityEffect;
 pub use authority_event::{AuthorityEvent, OrderRow, WriteEnd};
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -75,7 +75,7 @@
             Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
             Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
-            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
             Event::Close => self.closing = true,
@@ -137,5 +137,6 @@
         self.targets.apply(&config);
         self.authority.outdated = true;
         self.config = config;
+        self.choose_targets();
     }
 }
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -3,6 +3,8 @@
 mod accounts;
 mod attempt;
 mod authority;
+mod burn;
+mod burn_calls;
 mod callers;
 mod changes;
 mod claims;
@@ -31,6 +33,10 @@
 mod tickets;
 mod watch;
 
+pub use accounts::Accounts;
+pub use burn::{
+    Burn, BurnCounts, BurnReport, Cause, Counts, StateChange, WINDOW_SHARES, WINDOWS, burn_rate,
+};
 pub use changes::{Changes, RecentChanges};
 pub use history::{History, HistoryEntry, step_words};
 pub use metrics::Metrics;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -1,7 +1,8 @@
 //! Answers arrive whole or visibly not at all, on separate processes: cut, crossed, misnumbered
 //! and silent streams, bodies that crash their targets, and retries in an outage.
 
-use rw_test::{Answer, Fleet, FleetPlan, Process};
+use rw_http::Method;
+use rw_test::{Answer, Ask, Fleet, FleetPlan, KEY, Process, ask};
 use smol::Timer;
 use std::time::Duration;
 
@@ -185,6 +186,23 @@
     });
 }
 
+#[test]
+fn a_head_call_has_its_answer() {
+    smol::block_on(async {
+        let fleet = start(1).await;
+        let bearer = format!("Bearer {KEY}");
+        let sent = Ask {
+            method: Method::Head,
+            path: "/services/reservations/lookup",
+            body: "",
+            headers: &[("authorization", bearer.as_str())],
+        };
+        let answer = ask(&fleet.nodes[0].addr("callers"), sent).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, answer.outcome.as_str()), (200, "done"));
+    });
+}
+
 #[test]
 fn retries_stay_within_their_budget_in_an_outage() {
     smol::block_on(async {
