A fleet of the tests starts once its nodes know each other

Cause: tests/operators.rs (a_plan_changes_nothing_until_it_is_confirmed) failed in four of four runs of its file at this merge, and passed alone: the VM list is written after the nodes began to read it, and the test asked how many VMs have a configuration in force before the next read (in force on 1 of 1 VMs). Ruled out: a fault of the nodes; the list may lag by design. Change: Fleet::start waits until every node has read the list as it is; three copies of that wait in tests go. No check is changed.

--- a/crates/rw-test/src/counts.rs
+++ b/crates/rw-test/src/counts.rs
@@ -3,6 +3,13 @@
 use crate::{Answer, Ask, Fleet, KEY, Process, TOKEN, ask, get};
 use rw_http::{Method, SendError};
 use serde::{Deserialize, de::DeserializeOwned};
+use smol::Timer;
+use std::{io, time::Duration};
+
+/// Longest wait for the nodes to read the VM list.
+const KNOW_LIMIT: Duration = Duration::from_secs(30);
+/// Pause between looks.
+const PAUSE: Duration = Duration::from_millis(20);
 
 #[derive(Debug, Deserialize)]
 struct Held {
@@ -60,7 +67,7 @@
     }
 
     /// Reads of the VM list by node `n` so far.
-    pub async fn list_reads(&self, n: usize) -> u64 {
+    async fn list_reads(&self, n: usize) -> u64 {
         let metrics = get(&self.nodes[n].addr("callers"), "/metrics").await;
         let text = metrics.expect("the node answers its metrics").body;
         let name = r#"rw_platform_total{call="vms",end="ok"} "#;
@@ -68,6 +75,24 @@
         value.and_then(|v| v.parse().ok()).unwrap_or(0)
     }
 
+    /// Waits until every node has read the VM list as it is now.
+    ///
+    /// # Errors
+    ///
+    /// A time-out.
+    pub async fn know_vms(&self) -> io::Result<()> {
+        for n in 0..self.nodes.len() {
+            let first = self.list_reads(n).await;
+            let mut tries = KNOW_LIMIT.as_millis() / PAUSE.as_millis();
+            // A read that was under way may still bring the list as it was.
+            while self.list_reads(n).await < first + 2 {
+                tries = tries.checked_sub(1).ok_or(io::ErrorKind::TimedOut)?;
+                Timer::after(PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Whether every node takes every target for open.
     pub async fn is_open(&self) -> bool {
         for node in &self.nodes {
--- a/crates/rw-test/src/fleet.rs
+++ b/crates/rw-test/src/fleet.rs
@@ -66,7 +66,7 @@
 }
 
 impl Fleet {
-    /// Starts all processes and waits until every node is ready.
+    /// Starts all processes and waits until every node is ready and knows the others.
     ///
     /// # Errors
     ///
@@ -96,6 +96,7 @@
         for n in 0..fleet.nodes.len() {
             fleet.wait_ready(n).await?;
         }
+        fleet.know_vms().await?;
         Ok(fleet)
     }
 
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -152,7 +152,6 @@
 fn a_body_that_crashes_targets_ends_two_at_most() {
     smol::block_on(async {
         let mut fleet = start(5).await;
-        know_list(&fleet).await;
         arm_crash(&fleet).await;
         for n in [0, 1, 2, 0, 1, 2] {
             let answer = fleet.post(n, PATH, "", &body("poison", false)).await;
@@ -171,7 +170,6 @@
 fn nodes_that_meet_such_a_body_at_once_add_one_target_each() {
     smol::block_on(async {
         let mut fleet = start(8).await;
-        know_list(&fleet).await;
         arm_crash(&fleet).await;
         let poison = body("poison", false);
         for _ in 0..2 {
@@ -221,14 +219,3 @@
         assert!(dispatches <= requests + RETRIES, "{dispatches} dispatches");
     });
 }
-
-/// Waits until every node has read the VM list as it is now.
-async fn know_list(fleet: &Fleet) {
-    for n in 0..fleet.nodes.len() {
-        let first = fleet.list_reads(n).await;
-        until("the VM list is read", async || {
-            fleet.list_reads(n).await >= first + 2
-        })
-        .await;
-    }
-}
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -134,20 +134,7 @@
             .to_vec(),
         ..FleetPlan::default()
     };
-    let fleet = Fleet::start(BINARY, plan).await.expect("the fleet starts");
-    know_list(&fleet).await;
-    fleet
-}
-
-/// Waits until every node has read the VM list as it is now.
-async fn know_list(fleet: &Fleet) {
-    for n in 0..fleet.nodes.len() {
-        let first = fleet.list_reads(n).await;
-        until("the VM list is read", async || {
-            fleet.list_reads(n).await >= first + 2
-        })
-        .await;
-    }
+    Fleet::start(BINARY, plan).await.expect("the fleet starts")
 }
 
 async fn fail(fleet: &Fleet, service: &str, table: &str) {
@@ -307,7 +294,7 @@
         let next = fleet.start_node(1).expect("a node starts");
         fleet.nodes.insert(0, next);
         fleet.list_vms().await.expect("the list is written");
-        know_list(&fleet).await;
+        fleet.know_vms().await.expect("the list is read");
         for key in &keys {
             for n in 0..3 {
                 let answer = fleet.post(n, PATH, key, BODY).await.expect("an answer");
--- a/tests/two_faults.rs
+++ b/tests/two_faults.rs
@@ -72,13 +72,7 @@
 
 /// Waits until every node has read the VM list as it is and every target is open.
 async fn settle(fleet: &Fleet) {
-    for n in 0..fleet.nodes.len() {
-        let first = fleet.list_reads(n).await;
-        until("the VM list is read", async || {
-            fleet.list_reads(n).await >= first + 2
-        })
-        .await;
-    }
+    fleet.know_vms().await.expect("the list is read");
     until("all targets are open", async || fleet.is_open().await).await;
 }
 
