--- a/crates/rw-core/src/fleet_wishes.rs
+++ b/crates/rw-core/src/fleet_wishes.rs
@@ -19,6 +19,7 @@
             .iter()
             .flat_map(|model| loads(model, &engines, burning))
             .chain(engines.iter().flat_map(|t| self.unloads(t)))
+            .chain(self.role_wishes(now, &engines))
             .chain(self.wishes.iter().cloned())
             .filter(|w| in_group(&w.target))
             .collect();
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod claim;
 mod config_sync;
+mod declared_roles;
 mod effect;
 mod event;
 mod fleet_wishes;
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,6 +1,9 @@
 //! The node's state and its one entry point.
 
-use crate::{Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish};
+use crate::{
+    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish,
+    declared_roles::DeclaredRole,
+};
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
@@ -15,6 +18,8 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    /// Roles that operators changed and engines have not reported yet.
+    pub(crate) roles: Vec<DeclaredRole>,
     pub(crate) sync: ConfigSync,
     pub(crate) authority: Authority,
     pub(crate) leaving: bool,
@@ -33,6 +38,7 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            roles: Vec::new(),
             sync,
             authority: Authority::default(),
             leaving: false,
@@ -50,8 +56,11 @@
                 self.end_attempt(now, id, attempt, end, &mut effects)
             }
             Event::CallerGone { id } => self.drop_caller(id, &mut effects),
-            Event::ConfigRead(config) => self.apply_config(config),
-            Event::Reported { target, report } => self.targets.report(now, &target, report),
+            Event::ConfigRead(config) => self.apply_config(now, config),
+            Event::Reported { target, report } => {
+                self.role_reported(&target, &report);
+                self.targets.report(now, &target, report);
+            }
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
             Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
@@ -106,11 +115,12 @@
         self.requests.binary_search_by_key(&id, |r| r.id).ok()
     }
 
-    fn apply_config(&mut self, config: Arc<Config>) {
+    fn apply_config(&mut self, now: Millis, config: Arc<Config>) {
         // A version in force never gives way to a lower one, whoever sends it.
         if config.version <= self.config.version {
             return;
         }
+        self.note_roles(now, &config);
         self.targets.apply(&config);
         self.authority.outdated = true;
         self.config = config;
