--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod key;
 mod plan;
 mod serve;
+mod slopes;
 mod status;
 
 use crate::CliError;
@@ -36,6 +37,7 @@
         key::spec(),
         plan::spec(),
         serve::spec(),
+        slopes::spec(),
         status::spec(),
     ]
 }
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, draws an unseeded random number or does I/O. The running node, the
 //! property tests and the exhaustive exploration all drive the same [`Node::step`].
 
+mod aperture;
 mod authority;
 mod authority_effect;
 mod authority_event;
@@ -28,6 +29,7 @@
 mod wish;
 mod wish_step;
 
+pub use aperture::Aperture;
 pub use authority::Authority;
 pub use authority_effect::AuthorityEffect;
 pub use authority_event::{AuthorityEvent, OrderRow, WriteEnd};
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -62,7 +62,7 @@
                 self.targets.report(now, &target, report);
             }
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
-            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
         }
@@ -124,5 +124,6 @@
         self.targets.apply(&config);
         self.authority.outdated = true;
         self.config = config;
+        self.choose_targets();
     }
 }
