--- a/examples/config_slopes.rs
+++ b/examples/config_slopes.rs
@@ -6,12 +6,13 @@
 //! cargo run --release --example config_slopes
 //! ```
 
+use rw_core::{CoreSettings, Event, Node};
 use rw_fakes::{FakePlatform, PlatformSettings};
 use rw_http::Client;
 use rw_node::{Bound, NodeSettings, Shell};
 use rw_platform::{HttpPlatform, accept_config, read_head};
 use rw_test::{Ask, ask, get};
-use rw_types::{Account, Change, Config, Role, Target, TargetKind, Version, Vm};
+use rw_types::{Account, Change, Config, Millis, Role, Target, TargetKind, Version, Vm};
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr},
@@ -212,10 +213,12 @@
     let mut new = old.clone();
     new.accounts[accounts / 2].share = 2;
     let change = Change::between(&old, &new);
+    let before = resident();
     let start = Instant::now();
     let mut applied = old.clone();
     assert!(applied.apply(&change));
     let apply = start.elapsed();
+    let resident = resident().saturating_sub(before);
     let start = Instant::now();
     let same = old.targets == applied.targets && old.kinds == applied.kinds;
     let compared = start.elapsed();
@@ -224,12 +227,38 @@
     let index = rw_node::Accounts::index(&applied);
     let indexed = start.elapsed();
     assert!(index.find(&[0; 32], "none").is_none());
+    let step = step(&old, &applied);
     let sizes = [
         serde_json::to_vec(&change).expect("JSON").len(),
         serde_json::to_vec(&applied).expect("JSON").len(),
     ];
     println!(
-        "accounts {accounts}, targets {targets}: copy and apply {apply:?}, compare targets {compared:?}, index {indexed:?}; change {} bytes, whole {} bytes",
+        "accounts {accounts}, targets {targets}: copy and apply {apply:?}, compare targets {compared:?}, index {indexed:?}, step of the reducer {step:?}, one copy {resident} bytes; change {} bytes, whole {} bytes",
         sizes[0], sizes[1],
     );
 }
+
+/// Bytes of this process in memory.
+fn resident() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").expect("statm");
+    let pages = statm.split(' ').nth(1).and_then(|p| p.parse::<u64>().ok());
+    pages.expect("a number") * 4_096
+}
+
+/// Time for which the reducer is held by taking over a version.
+fn step(old: &Config, new: &Config) -> Duration {
+    let mut node = Node::new(CoreSettings::default());
+    let versions = [(1, old), (2, new)].map(|(version, config)| {
+        Event::ConfigRead(Arc::new(Config {
+            version: Version(version),
+            ..config.clone()
+        }))
+    });
+    let mut last = Duration::ZERO;
+    for event in versions {
+        let start = Instant::now();
+        node.step(Millis(0), event);
+        last = start.elapsed();
+    }
+    last
+}
