--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,8 +1,8 @@
 //! The node's state and its one entry point.
 
 use crate::{
-    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish,
-    declared_roles::DeclaredRole,
+    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects,
+    Targets, TicketRuns, Unsettled, Wish, declared_roles::DeclaredRole,
 };
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
@@ -23,6 +23,11 @@
     pub(crate) sync: ConfigSync,
     pub(crate) authority: Authority,
     pub(crate) leaving: bool,
+    pub(crate) closing: bool,
+    pub(crate) unsettled: Unsettled,
+    pub(crate) tickets: TicketRuns,
+    pub(crate) suspects: Suspects,
+    pub(crate) budget: RetryBudget,
     next_attempt: u64,
 }
 
@@ -30,6 +35,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
+        let budget = RetryBudget::new(settings.retries);
         let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
@@ -42,6 +48,11 @@
             sync,
             authority: Authority::default(),
             leaving: false,
+            closing: false,
+            unsettled: Unsettled::default(),
+            tickets: TicketRuns::default(),
+            suspects: Suspects::default(),
+            budget,
             next_attempt: 1,
         }
     }
@@ -61,10 +72,19 @@
                 self.role_reported(&target, &report);
                 self.targets.report(now, &target, report);
             }
+            Event::ClaimStanding { id, standing } => {
+                self.claim_standing(now, id, standing, &mut effects)
+            }
+            Event::ClaimSettled { id } => self.unsettled.remove(id),
+            Event::Forwarded { id, answered } => self.forwarded(id, answered, &mut effects),
+            Event::HandoverRead { id, handover } => self.handover_read(id, handover, &mut effects),
+            Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
+            Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
             Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
+            Event::Close => self.closing = true,
         }
         effects
     }
--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -144,6 +144,10 @@
             self.faults.set(armed);
             return json(200, &());
         }
+        if path == "/calls" {
+            return json(200, &self.faults.calls());
+        }
+        self.faults.crash_on(&body);
         let struck = self.faults.strike(&path);
         if struck.contains(&Fault::Refuse) {
             let mut answer = raw(503, Vec::new(), "text/plain");
@@ -201,7 +205,7 @@
         self.lock().queued -= generate.prompt;
         let crossed = u64::from(struck.contains(&Fault::CrossAnswer));
         let attempt = generate.attempt + crossed;
-        let seed = rw_types::fingerprint(generate.text.as_bytes());
+        let seed = rw_types::fingerprint(generate.text.as_bytes()).wrapping_add(crossed);
         let cut = struck
             .iter()
             .any(|f| matches!(f, Fault::CutAnswer | Fault::LoseAnswer));
@@ -211,6 +215,13 @@
                 return;
             }
             pause(1.0 / self.settings.decode_rate.max(1) as f64).await;
+            if n >= generate.output / 2 && struck.contains(&Fault::NoEnd) {
+                return;
+            }
+            if n >= generate.output / 2 && struck.contains(&Fault::Stall) {
+                std::future::pending::<()>().await;
+            }
+            let n = Faults::number(struck, n, generate.output);
             let token = seed.wrapping_add(n) % 1_000;
             let event =
                 format!("data: {{\"attempt\":{attempt},\"n\":{n},\"text\":\"t{token} \"}}\n\n");
--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -87,11 +87,29 @@
             None => open(addr, limit.min(CONNECT_LIMIT)).await?,
         };
         let answer = exchange(conn.stream.clone(), request);
-        let answer = conn.watch.within(limit, answer).await?;
-        let response = answer.map_err(|_| SendError::Broken)?;
+        let answer = conn.watch.within(limit, answer).await;
+        let answer = answer.and_then(|a| a.map_err(|_| SendError::Broken));
+        let Ok(response) = answer else {
+            self.drop_idle(addr);
+            return Err(answer.err().unwrap_or(SendError::Broken));
+        };
         Reply::check(response, conn, self.clone())
     }
 
+    /// Drops the idle connections to `addr`, which may have gone silent with one that did.
+    pub fn forget(&self, addr: &str) {
+        if let Ok(addr) = addr.parse() {
+            self.drop_idle(addr);
+        }
+    }
+
+    fn drop_idle(&self, addr: SocketAddr) {
+        let mut idle = self.lock();
+        if let Ok(i) = idle.binary_search_by_key(&addr, |e| e.addr) {
+            idle[i].conns.clear();
+        }
+    }
+
     /// Sends `request` on a new connection, unless `latest` has passed when its bytes go out.
     ///
     /// The clock is read directly before each write, on the thread that writes.
