Digests carry the latest suspects, at most 16

Suspects of bodies that crash targets ride on the digests too, so that a VM that missed the direct calls learns of them within seconds at a bounded size.

--- a/crates/rw-core/src/config_sync.rs
+++ b/crates/rw-core/src/config_sync.rs
@@ -1,7 +1,7 @@
 //! Keeping the configuration in force: whom to ask, when to read the head, when to be ready.
 
 use crate::{Effect, Node};
-use rw_types::{Digest, Millis, Version, Vm, fingerprint};
+use rw_types::{Digest, Millis, Suspect, Version, Vm, fingerprint};
 use std::collections::VecDeque;
 
 /// Peers asked at each tick.
@@ -20,6 +20,8 @@
 const ENOUGH_PEERS: usize = 3;
 /// One in this many peers that burn is enough to pause changes that take capacity away.
 const BURNING_PART: usize = 4;
+/// Most suspects in a digest.
+const DIGEST_SUSPECTS: usize = 16;
 /// Longest wait for a fetch before another source is tried, in milliseconds.
 const FETCH_MS: u64 = 3_000;
 
@@ -227,6 +229,15 @@
         self.is_ready() && self.sync.is_current(now, self.peers().count())
     }
 
+    /// The latest suspects, as many as a digest carries.
+    #[must_use]
+    pub fn digest_suspects(&self, now: Millis) -> Vec<Suspect> {
+        let mut suspects = self.suspects(now);
+        suspects.sort_by_key(|s| s.age_ms);
+        suspects.truncate(DIGEST_SUSPECTS);
+        suspects
+    }
+
     /// Peers that stay.
     fn peers(&self) -> impl Iterator<Item = &Vm> {
         let own = &self.settings.vm;
@@ -284,6 +295,9 @@
 
     fn take_digest(&mut self, now: Millis, digest: &Digest, addr: Option<String>) {
         self.hear(now, digest.version, addr);
+        if !digest.suspects.is_empty() {
+            self.merge_suspects(now, &digest.suspects);
+        }
     }
 
     fn hear(&mut self, now: Millis, version: Version, addr: Option<String>) {
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -59,9 +59,11 @@
 pub use request::{Phase, Request};
 pub use retry_budget::RetryBudget;
 pub use settings::CoreSettings;
-pub use suspect::{Suspect, Suspects};
+pub use suspect::Suspects;
 pub use target_state::{TargetState, Targets};
 pub use ticket::Ticket;
 pub use ticket_runs::{TicketRun, TicketRuns};
 pub use unsettled::Unsettled;
 pub use wish::Wish;
+
+pub use rw_types::Suspect;
--- a/crates/rw-core/src/suspect.rs
+++ b/crates/rw-core/src/suspect.rs
@@ -1,24 +1,12 @@
 //! Requests whose targets ended while running them.
 
-use rw_types::Millis;
-use serde::{Deserialize, Serialize};
+use rw_types::{Millis, Suspect};
 
 /// Different targets that a request must have crashed to be refused.
 const VERDICT: usize = 2;
 /// Most suspects kept; the oldest go first.
 const MAX_KEPT: usize = 1_000;
 
-/// A body and the targets that ended while running it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
-    /// Fingerprint of the body.
-    pub fingerprint: u64,
-    /// Names of the targets, sorted.
-    pub targets: Vec<String>,
-    /// Time since the last crash, in milliseconds.
-    pub age_ms: u64,
-}
-
 #[derive(Debug, Clone)]
 struct Known {
     fingerprint: u64,
--- a/crates/rw-core/tests/config_sync.rs
+++ b/crates/rw-core/tests/config_sync.rs
@@ -4,7 +4,7 @@
     CoreSettings, Effect, Event, FANOUT, IN_FORCE_MS, Node, READERS, SyncEffect, SyncEvent,
     head_rank,
 };
-use rw_types::{BootId, Config, Digest, Millis, Version, Vm};
+use rw_types::{BootId, Config, Digest, Millis, Suspect, Version, Vm};
 use std::sync::Arc;
 
 /// Most reads of the head a second for all nodes together, out of the table's two thousand.
@@ -540,3 +540,26 @@
         );
     }
 }
+
+#[test]
+fn a_digest_brings_the_latest_suspects() {
+    let mut node = node(0, &vms(3), 1);
+    let suspects = (0..40).map(|n| Suspect {
+        fingerprint: n,
+        targets: vec!["engine-1".to_owned(), "engine-2".to_owned()],
+        age_ms: n,
+    });
+    let digest = Digest {
+        suspects: suspects.collect(),
+        ..Digest::default()
+    };
+    let now = Millis(100_000);
+    node.step(now, Event::Sync(SyncEvent::Called(digest)));
+    assert_eq!(node.suspects(now).len(), 40);
+    let told: Vec<_> = node
+        .digest_suspects(now)
+        .iter()
+        .map(|s| s.fingerprint)
+        .collect();
+    assert_eq!(told, (0..16).collect::<Vec<_>>(), "the youngest, and few");
+}
--- a/crates/rw-node/src/config_sync.rs
+++ b/crates/rw-node/src/config_sync.rs
@@ -172,7 +172,7 @@
             age_ms: node.sync().age(now),
             ready: node.is_offered(now),
             burning,
-            suspects: Vec::new(),
+            suspects: node.digest_suspects(now),
         }
     }
 
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -12,6 +12,7 @@
 mod order;
 mod outcome;
 mod peer_digest;
+mod suspect;
 mod target;
 mod vm;
 
@@ -27,5 +28,6 @@
 pub use order::{Order, OrderKind, OrderReply, OrderState};
 pub use outcome::{Outcome, Refusal, RefusalKind};
 pub use peer_digest::Digest;
+pub use suspect::Suspect;
 pub use target::{Target, TargetKind};
 pub use vm::Vm;
--- a/crates/rw-types/src/peer_digest.rs
+++ b/crates/rw-types/src/peer_digest.rs
@@ -1,6 +1,6 @@
 //! What nodes tell each other of themselves.
 
-use crate::{BootId, Version};
+use crate::{BootId, Suspect, Version};
 use serde::{Deserialize, Serialize};
 
 /// A node's word on itself, exchanged between peers.
@@ -21,9 +21,9 @@
     /// Whether the objectives of its callers burn fast.
     #[serde(default, skip_serializing_if = "is_false")]
     pub burning: bool,
-    /// Fingerprints of requests suspected to end their targets, each with those targets' names.
+    /// Latest bodies suspected to end their targets; bounded, so that the digest stays small.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub suspects: Vec<(u64, Vec<String>)>,
+    pub suspects: Vec<Suspect>,
 }
 
 fn is_false(flag: &bool) -> bool {
