--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects,
-    Targets, TicketRuns, Unsettled, Wish,
+    Targets, TicketRuns, Unsettled, Wish, admit::Decisions, declared_roles::DeclaredRole,
 };
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
@@ -18,6 +18,8 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    /// Roles that operators changed and engines have not reported yet.
+    pub(crate) roles: Vec<DeclaredRole>,
     pub(crate) sync: ConfigSync,
     pub(crate) authority: Authority,
     pub(crate) leaving: bool,
@@ -26,6 +28,7 @@
     pub(crate) tickets: TicketRuns,
     pub(crate) suspects: Suspects,
     pub(crate) budget: RetryBudget,
+    pub(crate) decisions: Decisions,
     next_attempt: u64,
 }
 
@@ -34,6 +37,7 @@
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
         let budget = RetryBudget::new(settings.retries);
+        let decisions = Decisions::new(settings.seed);
         let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
@@ -42,6 +46,7 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            roles: Vec::new(),
             sync,
             authority: Authority::default(),
             leaving: false,
@@ -50,6 +55,7 @@
             tickets: TicketRuns::default(),
             suspects: Suspects::default(),
             budget,
+            decisions,
             next_attempt: 1,
         }
     }
@@ -63,9 +69,12 @@
             Event::Ended { id, attempt, end } => {
                 self.end_attempt(now, id, attempt, end, &mut effects)
             }
-            Event::CallerGone { id } => self.drop_caller(id, &mut effects),
-            Event::ConfigRead(config) => self.apply_config(config),
-            Event::Reported { target, report } => self.targets.report(now, &target, report),
+            Event::CallerGone { id } => self.drop_caller(now, id, &mut effects),
+            Event::ConfigRead(config) => self.apply_config(now, config),
+            Event::Reported { target, report } => {
+                self.role_reported(&target, &report);
+                self.reported(now, &target, report);
+            }
             Event::ClaimStanding { id, standing } => {
                 self.claim_standing(now, id, standing, &mut effects)
             }
@@ -129,11 +138,12 @@
         self.requests.binary_search_by_key(&id, |r| r.id).ok()
     }
 
-    fn apply_config(&mut self, config: Arc<Config>) {
+    fn apply_config(&mut self, now: Millis, config: Arc<Config>) {
         // A version in force never gives way to a lower one, whoever sends it.
         if config.version <= self.config.version {
             return;
         }
+        self.note_roles(now, &config);
         self.targets.apply(&config);
         self.authority.outdated = true;
         self.config = config;
--- a/crates/rw-node/src/plain.rs
+++ b/crates/rw-node/src/plain.rs
@@ -2,7 +2,7 @@
 
 use crate::{Shell, attempt::Attempt, payload::Payload};
 use rw_core::{Answer, AttemptEnd, Work};
-use rw_http::{Pooling, Request, SendError, Url, raw};
+use rw_http::{Method, Pooling, Request, SendError, Url, raw};
 use rw_types::AttemptId;
 
 impl Shell {
@@ -61,7 +61,14 @@
             .header("content-type")
             .unwrap_or("application/octet-stream")
             .to_owned();
-        let body = reply.bytes(limit).await?;
+        // Its answer declares the length of a body that doesn't come; the connection isn't reused.
+        let body = match attempt.payload {
+            Payload::Plain {
+                method: Method::Head,
+                ..
+            } => Vec::new(),
+            _ => reply.bytes(limit).await?,
+        };
         Ok(Some(Answer { status, kind, body }))
     }
 }
