--- a/crates/rw-cli/src/commands/slopes.rs
+++ b/crates/rw-cli/src/commands/slopes.rs
@@ -3,7 +3,7 @@
 use super::CommandSpec;
 use crate::{CliError, scale::Scale};
 use clap::{ArgMatches, Command};
-use rw_core::{Aperture, AttemptEnd, Effect, Event, Node};
+use rw_core::{Aperture, AttemptEnd, Effect, Event, Node, candidate_rank};
 use rw_types::{AttemptId, Digest, Millis, RequestId};
 use std::{
     fs, hint,
@@ -17,6 +17,8 @@
 const VMS: &[usize] = &[13, 130, 1_300];
 /// Time spent on each cost.
 const SPAN: Duration = Duration::from_millis(200);
+/// Targets of one lease group.
+const GROUP_SIZE: usize = 50;
 /// Bytes of HTTP around a load report, there and back, as the client and the listener write them.
 const POLL_HEADS: usize = 180;
 
@@ -42,6 +44,7 @@
     steps();
     changes()?;
     spread();
+    leases();
     messages()
 }
 
@@ -110,24 +113,33 @@
         let json =
             serde_json::to_vec(&*scale.config).map_err(|e| CliError::Failed(e.to_string()))?;
         let mut node = scale.node();
-        let apply = cost(|n| {
-            let mut config = (*scale.config).clone();
-            config.version.0 += n + 1;
-            node.step(Millis(n), Event::ConfigRead(Arc::new(config)));
-        });
+        let other = cost(|n| put_in_force(&mut node, &scale, n, false));
+        let mut node = scale.node();
+        let moved = cost(|n| put_in_force(&mut node, &scale, n, true));
         let index = cost(|_| {
             hint::black_box(scale.index());
         });
         println!(
-            "  targets {targets:>6}  accounts {accounts:>6}  {:>9} bytes  reducer {:.2}  key index {:.2}",
+            "  targets {targets:>6}  accounts {accounts:>6}  {:>9} bytes  a target {:.2}  another {:.2}  key index {:.2}",
             json.len(),
-            apply / 1_000.0,
+            moved / 1_000.0,
+            other / 1_000.0,
             index / 1_000.0
         );
     }
     Ok(())
 }
 
+/// Copies the configuration with one change and puts it in force.
+fn put_in_force(node: &mut Node, scale: &Scale, n: u64, target: bool) {
+    let mut config = (*scale.config).clone();
+    config.version.0 += n + 1;
+    if target {
+        config.targets[0].leaving = n.is_multiple_of(2);
+    }
+    node.step(Millis(n), Event::ConfigRead(Arc::new(config)));
+}
+
 /// How watching is spread.
 fn spread() {
     println!("aperture");
@@ -161,6 +173,24 @@
     format!("{least}, {mean:.1}, {most}")
 }
 
+/// Cost of ranking a VM as a candidate for each group's lease, after each change of either list.
+fn leases() {
+    println!("lease candidates, milliseconds a ranking");
+    for (&vms, &targets) in VMS.iter().zip(TARGETS) {
+        let scale = Scale::new(vms, targets, 0);
+        let groups = targets / GROUP_SIZE;
+        let ranked = cost(|_| {
+            let candidate =
+                |n| candidate_rank(&scale.vms, &scale.vms[0].name, &format!("group-{n}"));
+            hint::black_box((0..groups).filter_map(candidate).count());
+        });
+        println!(
+            "  vms {vms:>5}  groups {groups:>4}  {:.2}",
+            ranked / 1_000.0
+        );
+    }
+}
+
 /// Bytes of what nodes and targets tell each other again and again.
 fn messages() -> Result<(), CliError> {
     let scale = Scale::new(1, 100, 1);
--- a/crates/rw-core/src/aperture.rs
+++ b/crates/rw-core/src/aperture.rs
@@ -4,7 +4,10 @@
 //! rendezvous hashing: a VM that comes or goes moves only its own part. A node also watches a few
 //! targets of each class, so that it can serve every model.
 
-use crate::Node;
+use crate::{
+    Node,
+    rendezvous::{hash, mix},
+};
 use rw_types::{Target, TargetKind, Vm};
 
 /// How widely targets are watched.
@@ -189,19 +192,3 @@
     let models = target.models.iter().map(|m| hash(m));
     models.fold(hash(&target.service), mix)
 }
-
-/// FNV-1a: names aren't chosen by an adversary, and each choice hashes every target's.
-fn hash(text: &str) -> u64 {
-    let bytes = text.bytes().map(u64::from);
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ byte).wrapping_mul(0x0100_0000_01b3)
-    })
-}
-
-/// A score of a pair, evenly spread.
-fn mix(a: u64, b: u64) -> u64 {
-    let mut x = a ^ b.rotate_left(32);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -111,9 +111,13 @@
         if config.version <= self.config.version {
             return;
         }
-        self.targets.apply(&config);
-        self.authority.outdated = true;
+        // Most changes leave the targets alone, and going through all of them holds up requests.
+        let moved = config.targets != self.config.targets;
         self.config = config;
-        self.choose_targets();
+        if moved {
+            self.targets.apply(&self.config);
+            self.authority.outdated = true;
+            self.choose_targets();
+        }
     }
 }
