--- a/crates/rw-cli/src/lib.rs
+++ b/crates/rw-cli/src/lib.rs
@@ -9,6 +9,7 @@
 mod scale;
 mod settings;
 mod stop;
+mod time;
 
 pub use error::CliError;
 pub use run::run;
--- a/crates/rw-node/src/metrics.rs
+++ b/crates/rw-node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms, by kind of work.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder as _, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
 /// Bounds of the time histograms, in seconds.
@@ -19,6 +19,14 @@
     pub attempts: IntCounterVec,
     /// Platform calls by how they ended.
     pub platform: IntCounterVec,
+    /// Final answers by service, kind of work and how they count against the objective.
+    pub burned: IntCounterVec,
+    /// Rate at which the budget burns, by service, kind of work and window.
+    pub burn_rate: GaugeVec,
+    /// Calls that this node answered.
+    pub rpc_calls: IntCounterVec,
+    /// Bytes of bodies of calls that this node answered, by direction.
+    pub rpc_bytes: IntCounterVec,
     /// Seconds from arrival to the first byte of the answer, by kind of work.
     pub first_byte: HistogramVec,
     /// Seconds from arrival to the whole answer, by kind of work.
@@ -47,6 +55,22 @@
         let answers = counter("rw_answers_total", "Final answers.", &["kind", "outcome"])?;
         let attempts = counter("rw_attempts_total", "Dispatches to targets.", &["end"])?;
         let platform = counter("rw_platform_total", "Platform calls.", &["call", "end"])?;
+        let burned = counter(
+            "rw_burn_answers_total",
+            "Final answers by what they do to the objective.",
+            &["service", "kind", "cause"],
+        )?;
+        let burn_rate = GaugeVec::new(
+            Opts::new("rw_burn_rate", "Rate at which the budget burns."),
+            &["service", "kind", "window"],
+        )?;
+        registry.register(Box::new(burn_rate.clone()))?;
+        let rpc_calls = counter("rw_rpc_calls_total", "Calls answered.", &["end"])?;
+        let rpc_bytes = counter(
+            "rw_rpc_bytes_total",
+            "Bytes of bodies of calls answered.",
+            &["way"],
+        )?;
         let first_byte = histogram("rw_first_byte_seconds", "Arrival to first byte.")?;
         let whole = histogram("rw_whole_seconds", "Arrival to whole answer.")?;
         Ok(Self {
@@ -54,6 +78,10 @@
             answers,
             attempts,
             platform,
+            burned,
+            burn_rate,
+            rpc_calls,
+            rpc_bytes,
             first_byte,
             whole,
         })
