--- a/crates/rw-cli/src/commands/slopes.rs
+++ b/crates/rw-cli/src/commands/slopes.rs
@@ -4,7 +4,7 @@
 use crate::{CliError, scale::Scale};
 use clap::{ArgMatches, Command};
 use rw_core::{Aperture, AttemptEnd, Effect, Event, Node, candidate_rank};
-use rw_types::{AttemptId, Digest, Millis, RequestId};
+use rw_types::{AttemptId, Change, Digest, Millis, RequestId};
 use std::{
     fs, hint,
     sync::Arc,
@@ -206,6 +206,16 @@
         "  load report {report}, with its HTTP heads {}",
         report + POLL_HEADS
     );
+    let list = Scale::new(1_300, 1, 1).vms;
+    let list = bytes(serde_json::to_vec(&list))?;
+    let mut changed = (*scale.config).clone();
+    changed.targets[0].leaving = true;
+    let change = bytes(serde_json::to_vec(&Change::between(
+        &scale.config,
+        &changed,
+    )))?;
+    println!("  list of 1300 VMs {list}");
+    println!("  change of one target {change}");
     println!("  peer digest {digest}, without its JSON-RPC and HTTP heads");
     Ok(())
 }
