--- a/crates/rw-cli/src/commands/slopes.rs
+++ b/crates/rw-cli/src/commands/slopes.rs
@@ -93,7 +93,8 @@
     let attempt = dispatched.unwrap_or(AttemptId(0));
     let end = AttemptEnd::Whole {
         status: 200,
-        body: String::new(),
+        kind: String::new(),
+        body: Vec::new(),
     };
     hint::black_box(node.step(Millis(n), Event::Ended { id, attempt, end }));
 }
--- a/crates/rw-node/src/completion.rs
+++ b/crates/rw-node/src/completion.rs
@@ -82,16 +82,16 @@
 
 /// A refusal of a request that could not be read.
 #[must_use]
-pub fn bad_request(status: u16, message: &str) -> Response {
-    with_outcome(error(status, "bad-request", message), Outcome::NotRun)
+pub fn bad_request(status: u16, message: &str, outcome: Outcome) -> Response {
+    with_outcome(error(status, "bad-request", message, outcome), outcome)
 }
 
 /// An error body for a request that did not run and never will as it is.
-pub(crate) fn error(status: u16, kind: &str, message: &str) -> Response {
+pub(crate) fn error(status: u16, kind: &str, message: &str, outcome: Outcome) -> Response {
     let error = ErrorText {
         kind,
         message,
-        outcome: Outcome::NotRun,
+        outcome,
         retry_after_ms: 0,
     };
     json(status, &ErrorBody { error })
--- a/crates/rw-test/src/lib.rs
+++ b/crates/rw-test/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod command;
+mod counts;
 mod eventually;
 mod fleet;
 mod intent;
