--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects,
-    Targets, TicketRuns, Unsettled, Wish,
+    Targets, TicketRuns, Unsettled, Wish, admit::Decisions,
 };
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
 /// Everything a node decides by.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     pub(crate) settings: CoreSettings,
     pub(crate) config: Arc<Config>,
@@ -26,6 +26,7 @@
     pub(crate) tickets: TicketRuns,
     pub(crate) suspects: Suspects,
     pub(crate) budget: RetryBudget,
+    pub(crate) decisions: Decisions,
     next_attempt: u64,
 }
 
@@ -34,6 +35,7 @@
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
         let budget = RetryBudget::new(settings.retries);
+        let decisions = Decisions::new(settings.seed);
         let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
@@ -50,6 +52,7 @@
             tickets: TicketRuns::default(),
             suspects: Suspects::default(),
             budget,
+            decisions,
             next_attempt: 1,
         }
     }
@@ -63,9 +66,8 @@
             Event::Ended { id, attempt, end } => {
                 self.end_attempt(now, id, attempt, end, &mut effects)
             }
-            Event::CallerGone { id } => self.drop_caller(id, &mut effects),
+            Event::CallerGone { id } => self.drop_caller(now, id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(config),
-            Event::Reported { target, report } => self.targets.report(now, &target, report),
             Event::ClaimStanding { id, standing } => {
                 self.claim_standing(now, id, standing, &mut effects)
             }
@@ -74,6 +76,7 @@
             Event::HandoverRead { id, handover } => self.handover_read(id, handover, &mut effects),
             Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
             Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
+            Event::Reported { target, report } => self.reported(now, &target, report),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
             Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
--- a/crates/rw-core/src/settings.rs
+++ b/crates/rw-core/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the reducer.
 
+use crate::Policy;
 use rw_types::BootId;
 
 /// What a node knows of itself and the limits it decides by. Times in milliseconds.
@@ -27,6 +28,8 @@
     pub ticket_ms: u64,
     /// How long a body that crashed its targets is refused.
     pub poison_ms: u64,
+    /// Decisions in force.
+    pub policy: Policy,
     /// How long a lease runs from before its renewal was sent.
     pub lease_ms: u64,
     /// Most by which the clocks of two VMs drift apart within one lease.
@@ -51,6 +54,7 @@
             keep_ms: 600_000,
             ticket_ms: 600_000,
             poison_ms: 300_000,
+            policy: Policy::default(),
             lease_ms: 10_000,
             drift_ms: 500,
             order_ms: 2_000,
