--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -143,10 +143,16 @@
         if config.version <= self.config.version {
             return;
         }
-        self.note_roles(now, &config);
-        self.targets.apply(&config);
-        self.authority.outdated = true;
+        // Most changes leave the targets alone, and going through all of them holds up requests.
+        let moved = config.targets != self.config.targets;
+        if moved {
+            self.note_roles(now, &config);
+        }
         self.config = config;
-        self.choose_targets();
+        if moved {
+            self.targets.apply(&self.config);
+            self.authority.outdated = true;
+            self.choose_targets();
+        }
     }
 }
