--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -8,8 +8,8 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use rw_core::Split;
 use rw_load::{
-    Comparison, Experiment, Fault, FaultAt, Profile, Variant, compare, html, run_sockets,
-    run_virtual, table,
+    Comparison, Experiment, Fault, FaultAt, Profile, Variant, compare, decisions, html,
+    run_sockets, run_virtual, table,
 };
 use std::path::Path;
 
@@ -42,6 +42,10 @@
                 .help("SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; may be repeated"),
         )
         .arg(flag("compare", "Runs the baselines and ours with one part off at a time"))
+        .arg(flag(
+            "decisions",
+            "Only times one decision at 100, 1,000 and 10,000 targets",
+        ))
         .arg(
             Arg::new("split")
                 .long("split")
@@ -76,6 +80,10 @@
 }
 
 fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    if matches.get_flag("decisions") {
+        print!("{}", decisions());
+        return Ok(());
+    }
     let experiment = experiment(matches)?;
     let mut variants = Variant::all(&experiment);
     if let Some(only) = matches.get_one::<String>("only") {
--- /dev/null
+++ b/crates/rw-core/tests/policy.rs
@@ -0,0 +1,467 @@
+//! Routing, admission, limits, shares and role plans, each on its own.
+
+use rw_core::{
+    AttemptEnd, CacheView, Call, CoreSettings, Effect, Event, KindDemand, Limit, Node, Policy,
+    Shares, Split, Work, by_shape, served,
+};
+use rw_types::{
+    AttemptId, Backlog, CacheEvent, Config, Costs, LoadReport, Millis, Model, OrderKind,
+    RefusalKind, RequestId, Role, RoleLimit, Service, ServiceKind, Target, TargetKind, Version,
+    WorkKind,
+};
+use std::sync::Arc;
+
+fn target(name: &str, role: Role) -> Target {
+    Target {
+        name: name.to_owned(),
+        addr: "127.0.0.1:1".to_owned(),
+        centre: "a".to_owned(),
+        kind: TargetKind::Engine,
+        service: "chat".to_owned(),
+        group: String::new(),
+        models: vec!["small".to_owned()],
+        role,
+        checks_fence: name != "e3",
+        leaving: false,
+    }
+}
+
+fn kind(name: &str, priority: u8, deadline_ms: u64) -> WorkKind {
+    WorkKind {
+        name: name.to_owned(),
+        priority,
+        deadline_ms,
+        objective: 0.99,
+    }
+}
+
+fn node(policy: Policy) -> Node {
+    let mut config = Config {
+        version: Version(1),
+        models: vec![Model {
+            name: "small".to_owned(),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+            bytes: 1,
+            replicas: 1,
+        }],
+        services: vec![Service {
+            name: "chat".to_owned(),
+            kind: ServiceKind::Engine,
+            idempotent: Vec::new(),
+        }],
+        targets: ["e1", "e2", "e3"].map(|n| target(n, Role::Mixed)).to_vec(),
+        kinds: vec![kind("long", 2, 60_000), kind("quick", 7, 2_000)],
+        ..Config::default()
+    };
+    config.sort();
+    let settings = CoreSettings {
+        centre: "a".to_owned(),
+        policy,
+        ..CoreSettings::default()
+    };
+    let mut node = Node::new(settings);
+    node.step(Millis(0), Event::ConfigRead(Arc::new(config)));
+    for name in ["e1", "e2", "e3"] {
+        tell(&mut node, 10, name, report(0, 0));
+    }
+    node
+}
+
+fn report(queued: u64, running: u32) -> LoadReport {
+    let limit = |role, slots, chunk| RoleLimit { role, slots, chunk };
+    LoadReport {
+        queued,
+        running,
+        slots: 16,
+        models: vec!["small".to_owned()],
+        prefill_rate: 10_000,
+        decode_rate: 25,
+        slot_ms: 1_000,
+        costs: Costs {
+            base_us: 40_000.0,
+            token_us: 50.0,
+            stream_us: 250.0,
+        },
+        limits: vec![
+            limit(Role::Mixed, 16, 1_024),
+            limit(Role::Prefill, 8, 4_096),
+            limit(Role::Decode, 32, 256),
+        ],
+        backlog: vec![Backlog {
+            priority: 2,
+            tokens: queued,
+            ..Backlog::default()
+        }],
+        ..LoadReport::default()
+    }
+}
+
+fn tell(node: &mut Node, now: u64, name: &str, report: LoadReport) {
+    let target = name.to_owned();
+    node.step(Millis(now), Event::Reported { target, report });
+}
+
+fn ask(node: &mut Node, now: u64, id: u64, kind: &str, prompt: u64, output: u64) -> Effect {
+    ask_as(node, now, id, "shop", kind, prompt, output)
+}
+
+fn ask_as(
+    node: &mut Node,
+    now: u64,
+    id: u64,
+    caller: &str,
+    kind: &str,
+    prompt: u64,
+    output: u64,
+) -> Effect {
+    let left = node.config().kind(kind).map_or(60_000, |k| k.deadline_ms);
+    let call = Call {
+        caller: caller.to_owned(),
+        kind: kind.to_owned(),
+        work: Work::Generate {
+            model: "small".to_owned(),
+            prompt,
+            output,
+            pieces: (0..prompt / 1_000).collect(),
+        },
+        key: None,
+        fingerprint: id,
+        deadline: Millis(now + left),
+    };
+    let id = RequestId(id);
+    let effects = node.step(Millis(now), Event::Arrived { id, call });
+    effects.into_iter().next().expect("an effect")
+}
+
+fn sent_to(effect: &Effect) -> &str {
+    match effect {
+        Effect::Dispatch { target, .. } => target,
+        _ => "",
+    }
+}
+
+struct Admission {
+    name: &'static str,
+    kind: &'static str,
+    prompt: u64,
+    output: u64,
+    queued: u64,
+    refused: Option<RefusalKind>,
+}
+
+const ADMISSION: &[Admission] = &[
+    Admission {
+        name: "idle fleet",
+        kind: "quick",
+        prompt: 500,
+        output: 4,
+        queued: 0,
+        refused: None,
+    },
+    Admission {
+        name: "too long for its deadline",
+        kind: "quick",
+        prompt: 500,
+        output: 100,
+        queued: 0,
+        refused: Some(RefusalKind::TooLate),
+    },
+    Admission {
+        name: "behind work of lower priority",
+        kind: "quick",
+        prompt: 500,
+        output: 4,
+        queued: 900_000,
+        refused: None,
+    },
+    Admission {
+        name: "behind work of its own priority",
+        kind: "long",
+        prompt: 500,
+        output: 4,
+        queued: 900_000,
+        refused: Some(RefusalKind::TooLate),
+    },
+    Admission {
+        name: "no declared kind, no promise",
+        kind: "",
+        prompt: 500,
+        output: 1_000_000,
+        queued: 0,
+        refused: None,
+    },
+];
+
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once_with_a_time_to_come_back() {
+    for case in ADMISSION {
+        let mut node = node(Policy::default());
+        for name in ["e1", "e2", "e3"] {
+            tell(&mut node, 20, name, report(case.queued, 0));
+        }
+        match (
+            ask(&mut node, 21, 1, case.kind, case.prompt, case.output),
+            case.refused,
+        ) {
+            (Effect::Refuse { refusal, .. }, Some(kind)) => {
+                assert_eq!(refusal.kind, kind, "{}", case.name);
+                assert_eq!(refusal.outcome, rw_types::Outcome::NotRun, "{}", case.name);
+                assert!(refusal.retry_ms > 0, "{}", case.name);
+            }
+            (Effect::Dispatch { .. }, None) => {}
+            (effect, _) => panic!("{}: {effect:?}", case.name),
+        }
+    }
+}
+
+#[test]
+fn routing_counts_reports_own_work_and_cached_prefixes() {
+    let mut node = node(Policy::default());
+    tell(&mut node, 20, "e1", report(50_000, 0));
+    tell(&mut node, 20, "e2", report(50_000, 0));
+    assert_eq!(
+        sent_to(&ask(&mut node, 21, 1, "long", 8_000, 4)),
+        "e3",
+        "least queued"
+    );
+    let again = ask(&mut node, 22, 2, "long", 8_000, 4);
+    assert_eq!(sent_to(&again), "e3", "the prefix is believed to be there");
+    let mut plain = self::node(Policy {
+        cache: false,
+        ..Policy::default()
+    });
+    let first = sent_to(&ask(&mut plain, 21, 1, "long", 8_000, 4)).to_owned();
+    let other = ask(&mut plain, 22, 2, "long", 8_000, 4);
+    assert_ne!(
+        sent_to(&other),
+        first,
+        "own work counts before any report of it"
+    );
+}
+
+#[test]
+fn a_failed_target_is_let_out_and_back_in_by_degrees() {
+    let mut node = node(Policy::default());
+    let first = ask(&mut node, 21, 1, "long", 500, 4);
+    let Effect::Dispatch {
+        target, attempt, ..
+    } = first
+    else {
+        panic!("{first:?}")
+    };
+    let end = AttemptEnd::Broken {
+        tokens: 0,
+        crashed: false,
+    };
+    node.step(
+        Millis(30),
+        Event::Ended {
+            id: RequestId(1),
+            attempt,
+            end,
+        },
+    );
+    let failed = node.targets().find(&target).expect("known");
+    assert!(!failed.is_open(Millis(31)), "out at once");
+    assert!(failed.is_open(Millis(2_000)), "back after its rest");
+    assert!(
+        failed.limit.allows(0) && !failed.limit.allows(1),
+        "with one request"
+    );
+}
+
+struct Degree {
+    name: &'static str,
+    took: f64,
+    times: u32,
+    cap: u32,
+}
+
+#[test]
+fn limits_open_by_degrees_and_shrink_with_slow_answers() {
+    const TABLE: &[Degree] = &[
+        Degree {
+            name: "in time",
+            took: 100.0,
+            times: 5,
+            cap: 6,
+        },
+        Degree {
+            name: "slow",
+            took: 1_000.0,
+            times: 5,
+            cap: 1,
+        },
+    ];
+    for case in TABLE {
+        let mut limit = Limit::default();
+        assert_eq!(limit.failed(), 1);
+        assert_eq!(limit.failed(), 2, "rests grow");
+        (0..case.times).for_each(|_| limit.answered(case.took, 100.0, 1));
+        assert_eq!(limit.cap(), case.cap, "{}", case.name);
+    }
+}
+
+#[test]
+fn shares_hold_only_while_others_are_active() {
+    let mut shares = Shares::default();
+    shares.charge(Millis(0), "greedy", 1, 1_000.0);
+    assert!(!shares.over(Millis(0), "greedy"), "alone it may use all");
+    shares.charge(Millis(0), "modest", 1, 100.0);
+    assert!(shares.over(Millis(0), "greedy") && !shares.over(Millis(0), "modest"));
+    shares.charge(Millis(0), "greedy", 30, 0.0);
+    assert!(!shares.over(Millis(0), "greedy"), "within a larger share");
+}
+
+#[test]
+fn beliefs_of_the_prefix_cache_age_and_distrust_gaps() {
+    let event = |seq, piece, stored| CacheEvent { seq, piece, stored };
+    let mut view = CacheView::default();
+    view.take(Millis(0), &[event(1, 10, true), event(2, 11, true)]);
+    assert_eq!(view.hits(Millis(1), &[10, 11, 12]), 2);
+    view.take(Millis(1), &[event(3, 11, false)]);
+    assert_eq!(view.hits(Millis(2), &[10, 11, 12]), 1, "evicted");
+    view.take(Millis(2), &[event(9, 12, true)]);
+    assert_eq!(view.hits(Millis(20_000), &[10]), 0, "a gap shortens trust");
+    assert_eq!(view.hits(Millis(20_000), &[12]), 1);
+    assert_eq!(view.hits(Millis(100_000), &[12]), 0, "old");
+}
+
+fn demand(kind: &str, rate: f64, fill: f64, output: f64) -> KindDemand {
+    KindDemand {
+        kind: kind.to_owned(),
+        rate,
+        fill: fill * rate,
+        output: output * rate,
+    }
+}
+
+#[test]
+fn capacity_prefers_the_roles_that_the_demand_needs() {
+    let sample = report(0, 0);
+    let split = |prefill, mixed, decode| Split {
+        prefill,
+        mixed,
+        decode,
+    };
+    let mut prompts = vec![demand("check", 10.0, 16_000.0, 20.0)];
+    let mut outputs = vec![demand("summary", 20.0, 2_000.0, 300.0)];
+    by_shape(&mut prompts);
+    by_shape(&mut outputs);
+    let at = |split, demand: &[KindDemand]| served(&split, demand, &sample);
+    assert!(at(split(12, 0, 0), &prompts) > at(split(0, 0, 12), &prompts));
+    assert!(at(split(0, 0, 12), &outputs) > at(split(12, 0, 0), &outputs));
+}
+
+struct Plan {
+    name: &'static str,
+    weight: f64,
+    alone: bool,
+    wishes: usize,
+}
+
+const PLANS: &[Plan] = &[
+    Plan {
+        name: "gain beats a low cost",
+        weight: 1.0,
+        alone: true,
+        wishes: 1,
+    },
+    Plan {
+        name: "cost beats the gain",
+        weight: 10_000.0,
+        alone: true,
+        wishes: 0,
+    },
+    Plan {
+        name: "another node holds the lease",
+        weight: 1.0,
+        alone: false,
+        wishes: 0,
+    },
+];
+
+#[test]
+fn a_role_change_is_wished_for_only_if_it_pays_and_one_at_a_time() {
+    for case in PLANS {
+        let policy = Policy {
+            plan_alone: case.alone,
+            ..Policy::default()
+        };
+        let mut node = node(policy);
+        let mut config = (**node.config()).clone();
+        config.version = Version(2);
+        config.change_weight = case.weight;
+        node.step(Millis(11), Event::ConfigRead(Arc::new(config)));
+        for n in 0..400 {
+            let now = 20 + n * 20;
+            ask(&mut node, now, n + 1, "long", 200, 400);
+            for name in ["e1", "e2", "e3"] {
+                tell(&mut node, now, name, report(0, 0));
+            }
+        }
+        let wishes = node.wishes();
+        assert_eq!(wishes.len(), case.wishes, "{}: {wishes:?}", case.name);
+        for wish in wishes {
+            assert_eq!(
+                wish.kind,
+                OrderKind::Role { role: Role::Decode },
+                "{}",
+                case.name
+            );
+            assert_ne!(
+                wish.target, "e3",
+                "{}: engines that check fences go first",
+                case.name
+            );
+        }
+    }
+}
+
+#[test]
+fn a_resumed_stream_is_never_refused_for_being_late() {
+    let mut node = node(Policy::default());
+    let first = ask(&mut node, 21, 1, "quick", 500, 4);
+    let Effect::Dispatch { attempt, .. } = first else {
+        panic!("{first:?}")
+    };
+    for name in ["e1", "e2", "e3"] {
+        tell(
+            &mut node,
+            30,
+            name,
+            LoadReport {
+                backlog: vec![Backlog {
+                    priority: 7,
+                    tokens: 900_000,
+                    ..Backlog::default()
+                }],
+                ..report(900_000, 16)
+            },
+        );
+    }
+    let end = AttemptEnd::Broken {
+        tokens: 2,
+        crashed: false,
+    };
+    let effects = node.step(
+        Millis(31),
+        Event::Ended {
+            id: RequestId(1),
+            attempt,
+            end,
+        },
+    );
+    assert!(
+        matches!(
+            effects[..],
+            [Effect::Dispatch {
+                resume: 2,
+                attempt: AttemptId(_),
+                ..
+            }]
+        ),
+        "{effects:?}"
+    );
+}
--- /dev/null
+++ b/crates/rw-load/src/decide.rs
@@ -0,0 +1,101 @@
+//! What one decision costs, by number of targets.
+
+use crate::{
+    Profile,
+    virtual_fleet::{MODEL, config},
+};
+use rw_core::{Call, CoreSettings, Effect, Event, Node, Work};
+use rw_fakes::Batch;
+use rw_types::{Config, LoadReport, Millis, RequestId, Role, Version};
+use std::{fmt::Write as _, sync::Arc, time::Instant};
+
+/// Numbers of targets measured.
+const TARGETS: [usize; 3] = [100, 1_000, 10_000];
+/// Decisions measured for each.
+const DECISIONS: u64 = 20_000;
+/// Requests open at once.
+const OPEN: u64 = 200;
+/// Distinct prompts.
+const PROMPTS: u64 = 500;
+
+/// Times a request's arrival and its caller's leaving in the reducer, and says how the cost grows with the targets.
+#[must_use]
+pub fn decisions() -> String {
+    let mut text = format!("{:>8} {:>14}\n", "targets", "us a decision");
+    let costs: Vec<f64> = TARGETS.iter().map(|n| cost(*n)).collect();
+    for (targets, us) in TARGETS.iter().zip(&costs) {
+        let _ = writeln!(text, "{targets:>8} {us:>14.2}");
+    }
+    let growth = costs[2] / costs[0].max(1e-9);
+    let _ = writeln!(
+        text,
+        "100 times the targets cost {growth:.2} times as much, exponent {:.2}",
+        growth.log10() / 2.0,
+    );
+    text
+}
+
+fn cost(targets: usize) -> f64 {
+    let mut node = node(targets);
+    let mut running = Vec::new();
+    let begun = Instant::now();
+    for n in 0..DECISIONS {
+        let now = Millis(1_000 + n / 10);
+        let id = RequestId(n);
+        for effect in node.step(
+            now,
+            Event::Arrived {
+                id,
+                call: call(n, now),
+            },
+        ) {
+            if let Effect::Dispatch { id, .. } = effect {
+                running.push(id);
+            }
+        }
+        if n >= OPEN && !running.is_empty() {
+            let id = running.swap_remove((n * 7 % running.len() as u64) as usize);
+            node.step(now, Event::CallerGone { id });
+        }
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
+}
+
+fn node(targets: usize) -> Node {
+    let Some(profile) = Profile::named("nilebell") else {
+        unreachable!("the profile is built in");
+    };
+    let roles = vec![Role::Mixed; targets];
+    let config = Config {
+        version: Version(1),
+        ..config(&profile, &roles)
+    };
+    let mut node = Node::new(CoreSettings::default());
+    node.step(Millis(0), Event::ConfigRead(Arc::new(config)));
+    let report = LoadReport {
+        models: vec![MODEL.to_owned()],
+        ..Batch::new(profile.engine()).report()
+    };
+    for i in 0..targets {
+        let (target, report) = (format!("engine-{i}"), report.clone());
+        node.step(Millis(500), Event::Reported { target, report });
+    }
+    node
+}
+
+fn call(n: u64, now: Millis) -> Call {
+    let seed = n % PROMPTS;
+    Call {
+        caller: format!("caller-{}", n % 8),
+        kind: "listing".to_owned(),
+        work: Work::Generate {
+            model: MODEL.to_owned(),
+            prompt: 8_000,
+            output: 200,
+            pieces: (0..8).map(|p| seed << 8 | p).collect(),
+        },
+        key: None,
+        fingerprint: n,
+        deadline: now.plus(30_000),
+    }
+}
--- a/crates/rw-load/src/lib.rs
+++ b/crates/rw-load/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod arrival;
 mod compare;
+mod decide;
 mod experiment;
 mod profile;
 mod report;
@@ -11,6 +12,7 @@
 
 pub use arrival::{Arrival, arrivals};
 pub use compare::{Comparison, Variant, compare};
+pub use decide::decisions;
 pub use experiment::{Experiment, Fault, FaultAt, Hand};
 pub use profile::{KindProfile, PhaseProfile, Profile, Shape};
 pub use report::{html, table};
--- a/crates/rw-load/src/socket_fleet.rs
+++ b/crates/rw-load/src/socket_fleet.rs
@@ -30,7 +30,7 @@
 /// Time for the nodes to read the configuration and take their leases.
 const SETTLE: Duration = Duration::from_secs(4);
 /// Longest wait for what still runs after the last arrival.
-const TAIL: Duration = Duration::from_secs(20);
+const TAIL: Duration = Duration::from_secs(45);
 /// Longest silence that a caller bears.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Bytes of text in a token and in a piece.
