--- a/crates/rw-core/src/share.rs
+++ b/crates/rw-core/src/share.rs
@@ -72,6 +72,6 @@
         let active = active.filter(|(_, used)| *used > IDLE);
         let (shares, total) = active.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let one = &self.uses[i];
-        one.share < shares && one.decayed(now) > SLACK * total * one.share / shares
+        one.decayed(now) > SLACK * total * one.share / shares
     }
 }
--- a/crates/rw-load/src/experiment.rs
+++ b/crates/rw-load/src/experiment.rs
@@ -4,7 +4,7 @@
 use rw_core::{Policy, Split};
 
 /// Seconds for which each split is tried on a phase.
-const TRIAL: f64 = 60.0;
+const TRIAL: f64 = 150.0;
 
 /// Something that goes wrong.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -108,9 +108,9 @@
                 },
                 ..self.clone()
             };
-            (run_virtual(&one).total.good, split)
+            (run_virtual(&one).mean(), split)
         });
-        let best = tried.max_by_key(|(good, _)| *good);
+        let best = tried.max_by(|a, b| a.0.total_cmp(&b.0));
         best.map_or(self.split, |(_, split)| split)
     }
 }
--- a/crates/rw-load/src/report.rs
+++ b/crates/rw-load/src/report.rs
@@ -65,8 +65,8 @@
             return String::new();
         };
         let mut text = format!(
-            "{:<34} {:>7} {:>7} {:>6} {:>6} {:>6} {:>7}",
-            "variant", "in 100", "ratio", "late", "lost", "roles", "hits",
+            "{:<34} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>7}",
+            "variant", "in 100", "ratio", "mean", "late", "lost", "roles", "hits",
         );
         for kind in &ours.kinds {
             let _ = write!(text, " {:>11}", kind.kind);
@@ -76,10 +76,11 @@
             let mark = if i == self.best { " (best static)" } else { "" };
             let _ = write!(
                 text,
-                "{:<34} {:>7.1} {:>7.3} {:>6} {:>6} {:>6} {:>7.1}",
+                "{:<34} {:>7.1} {:>7.3} {:>7.1} {:>6} {:>6} {:>6} {:>7.1}",
                 format!("{}{mark}", run.name),
                 run.total.goodput() * 100.0,
                 run.total.goodput() / ours.total.goodput().max(1e-9),
+                run.mean() * 100.0,
                 run.total.late,
                 run.total.lost,
                 run.changes,
--- a/crates/rw-load/src/result.rs
+++ b/crates/rw-load/src/result.rs
@@ -130,6 +130,13 @@
         self.total = total;
     }
 
+    /// Goodput averaged over the kinds of work, each counted alike.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        let sum: f64 = self.kinds.iter().map(KindResult::goodput).sum();
+        sum / self.kinds.len().max(1) as f64
+    }
+
     /// The kind of work of that name.
     #[must_use]
     pub fn kind(&self, name: &str) -> Option<&KindResult> {
