--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects,
-    Targets, TicketRuns, Unsettled, Wish, declared_roles::DeclaredRole,
+    Targets, TicketRuns, Unsettled, Wish, admit::Decisions, declared_roles::DeclaredRole,
 };
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
 /// Everything a node decides by.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     pub(crate) settings: CoreSettings,
     pub(crate) config: Arc<Config>,
@@ -28,6 +28,7 @@
     pub(crate) tickets: TicketRuns,
     pub(crate) suspects: Suspects,
     pub(crate) budget: RetryBudget,
+    pub(crate) decisions: Decisions,
     next_attempt: u64,
 }
 
@@ -36,6 +37,7 @@
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
         let budget = RetryBudget::new(settings.retries);
+        let decisions = Decisions::new(settings.seed);
         let sync = ConfigSync::new(settings.seed);
         Self {
             settings,
@@ -53,6 +55,7 @@
             tickets: TicketRuns::default(),
             suspects: Suspects::default(),
             budget,
+            decisions,
             next_attempt: 1,
         }
     }
@@ -66,11 +69,11 @@
             Event::Ended { id, attempt, end } => {
                 self.end_attempt(now, id, attempt, end, &mut effects)
             }
-            Event::CallerGone { id } => self.drop_caller(id, &mut effects),
+            Event::CallerGone { id } => self.drop_caller(now, id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(now, config),
             Event::Reported { target, report } => {
                 self.role_reported(&target, &report);
-                self.targets.report(now, &target, report);
+                self.reported(now, &target, report);
             }
             Event::ClaimStanding { id, standing } => {
                 self.claim_standing(now, id, standing, &mut effects)
@@ -140,15 +143,16 @@
         if config.version <= self.config.version {
             return;
         }
-        // Most changes are of accounts, and requests wait while a version is taken over.
-        if self.config.targets == config.targets {
-            self.config = config;
-            return;
+        // Most changes leave the targets alone, and going through all of them holds up requests.
+        let moved = config.targets != self.config.targets;
+        if moved {
+            self.note_roles(now, &config);
         }
-        self.note_roles(now, &config);
-        self.targets.apply(&config);
-        self.authority.outdated = true;
         self.config = config;
-        self.choose_targets();
+        if moved {
+            self.targets.apply(&self.config);
+            self.authority.outdated = true;
+            self.choose_targets();
+        }
     }
 }
--- a/crates/rw-types/src/load.rs
+++ b/crates/rw-types/src/load.rs
@@ -12,8 +12,11 @@
     pub running: u32,
     /// Streams the engine takes at most.
     pub slots: u32,
-    /// KV cache pieces in use, of about a thousand tokens each.
+    /// KV cache pieces that streams hold, of about a thousand tokens each.
     pub pieces: u32,
+    /// KV cache pieces in all; zero if the engine can't tell.
+    #[serde(default)]
+    pub pieces_max: u32,
     /// Role in force.
     pub role: Role,
     /// Models held, sorted.
@@ -30,6 +33,21 @@
     /// Versions and adapters held, sorted by model; models it can't tell of are left out.
     #[serde(default)]
     pub loads: Vec<ModelLoad>,
+    /// Mean time that a stream holds its slot, in milliseconds.
+    #[serde(default)]
+    pub slot_ms: u64,
+    /// What an iteration costs.
+    #[serde(default)]
+    pub costs: Costs,
+    /// What the engine takes in each role; empty if it can't tell.
+    #[serde(default)]
+    pub limits: Vec<RoleLimit>,
+    /// Work that waits or is in prefill, by priority, highest first.
+    #[serde(default)]
+    pub backlog: Vec<Backlog>,
+    /// Latest changes of the prefix cache, oldest first; late and with gaps.
+    #[serde(default)]
+    pub cache: Vec<CacheEvent>,
 }
 
 /// One model as an engine holds it.
@@ -43,6 +61,42 @@
     pub adapters: Vec<String>,
 }
 
+/// What one iteration of an engine costs, in microseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Costs {
+    /// Fixed time.
+    pub base_us: f64,
+    /// Each prompt token.
+    pub token_us: f64,
+    /// Each decoding stream.
+    pub stream_us: f64,
+}
+
+/// What an engine takes in a role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoleLimit {
+    /// Role.
+    pub role: Role,
+    /// Streams at once.
+    pub slots: u32,
+    /// Prompt tokens in one iteration.
+    pub chunk: u64,
+}
+
+/// Work of one priority that has no first token yet.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backlog {
+    /// Higher goes first.
+    pub priority: u8,
+    /// Prompt tokens that are not cached.
+    pub tokens: u64,
+    /// Streams that wait for a slot.
+    pub streams: u32,
+    /// KV cache pieces that they will hold.
+    #[serde(default)]
+    pub pieces: u32,
+}
+
 /// A change of an engine's prefix cache; events come late and with gaps.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvent {
