--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -17,7 +17,7 @@
 const RETRY_MS: (f64, f64) = (100.0, 30_000.0);
 
 /// What decisions remember from one request to the next.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Decisions {
     rng: fastrand::Rng,
     turn: u64,
--- a/crates/rw-core/src/target_state.rs
+++ b/crates/rw-core/src/target_state.rs
@@ -140,6 +140,7 @@
     pub(crate) fn watch(&mut self, watched: &[bool]) {
         let pairs = self.list.iter_mut().zip(watched);
         pairs.for_each(|(target, watched)| target.watched = *watched);
+        self.reindex();
     }
 
     /// Marks exactly the targets `away`, sorted by name, as taken away by an order.
--- a/crates/rw-core/tests/aperture.rs
+++ b/crates/rw-core/tests/aperture.rs
@@ -1,7 +1,8 @@
 //! How the watching of targets is spread over the VMs.
 
-use rw_core::Aperture;
-use rw_types::{Role, Target, TargetKind, Vm};
+use rw_core::{Aperture, Call, CoreSettings, Effect, Event, Node, Work};
+use rw_types::{Config, Millis, Model, RequestId, Role, Target, TargetKind, Version, Vm};
+use std::sync::Arc;
 
 struct Case {
     name: &'static str,
@@ -166,3 +167,56 @@
         assert!(watchers >= 4, "{} has {watchers}", target.name);
     }
 }
+
+#[test]
+fn requests_go_to_watched_targets() {
+    let case = &CASES[2];
+    let (vms, targets) = (case.vms(), case.targets());
+    let settings = CoreSettings {
+        vm: vms[0].name.clone(),
+        centre: vms[0].centre.clone(),
+        ..CoreSettings::default()
+    };
+    let mut node = Node::new(settings);
+    let model = |n| Model {
+        name: format!("model-{n}"),
+        version: "1".to_owned(),
+        adapters: Vec::new(),
+        bytes: 1,
+        replicas: 1,
+    };
+    let mut config = Config {
+        version: Version(1),
+        models: (0..case.models).map(model).collect(),
+        targets,
+        ..Config::default()
+    };
+    config.sort();
+    node.step(Millis(0), Event::ConfigRead(Arc::new(config)));
+    // The list comes after the configuration, so that what is watched changes in between.
+    node.step(Millis(0), Event::VmsRead(vms));
+    for n in 0..200 {
+        let call = Call {
+            caller: "caller".to_owned(),
+            kind: String::new(),
+            work: Work::Generate {
+                model: format!("model-{}", n % case.models as u64),
+                prompt: 10,
+                output: 10,
+                pieces: Vec::new(),
+            },
+            key: None,
+            fingerprint: n,
+            deadline: Millis(60_000),
+        };
+        let id = RequestId(n + 1);
+        let effects = node.step(Millis(0), Event::Arrived { id, call });
+        let target = effects.iter().find_map(|e| match e {
+            Effect::Dispatch { target, .. } => Some(target),
+            _ => None,
+        });
+        let target = target.unwrap_or_else(|| panic!("{n}: not dispatched: {effects:?}"));
+        let watched = node.targets().find(target).is_some_and(|t| t.watched);
+        assert!(watched, "{n}: sent to {target}");
+    }
+}
