--- a/crates/rw-cli/src/commands/slopes.rs
+++ b/crates/rw-cli/src/commands/slopes.rs
@@ -18,7 +18,7 @@
 /// Time spent on each cost.
 const SPAN: Duration = Duration::from_millis(200);
 /// Targets of one lease group.
-const GROUP_SIZE: usize = 50;
+const GROUP_SIZE: usize = 30;
 /// Bytes of HTTP around a load report, there and back, as the client and the listener write them.
 const POLL_HEADS: usize = 180;
 
--- a/crates/rw-node/src/loops.rs
+++ b/crates/rw-node/src/loops.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 /// Shortest pause between two polls, which bounds their bytes and their part of the core.
-const MIN_GAP: Duration = Duration::from_millis(40);
+const MIN_GAP: Duration = Duration::from_millis(50);
 /// Pause of a node that watches no engine.
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 
