Roles are planned over 20 s of demand and pay over 60 s

Cause: over 5 s of demand the swings of the load moved roles back and forth; few changes paid in 30 s.

--- a/crates/rw-core/src/policy.rs
+++ b/crates/rw-core/src/policy.rs
@@ -69,9 +69,9 @@
             plan: true,
             plan_alone: false,
             plan_ms: 1_000,
-            horizon_ms: 30_000,
+            horizon_ms: 60_000,
             away_ms: 5_000,
-            window_ms: 5_000,
+            window_ms: 20_000,
         }
     }
 }
--- a/crates/rw-load/src/profile.rs
+++ b/crates/rw-load/src/profile.rs
@@ -229,7 +229,7 @@
         services: 3,
         centres: 3,
         hop_ms: 0.5,
-        change_weight: 20.0,
+        change_weight: 30.0,
         kinds: vec![
             shared(
                 generate("dossier", 3, 120_000, (12_000, 28_000), (300, 500)),
