--- a/crates/rw-cli/src/commands/mod.rs
+++ b/crates/rw-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! All commands.
 
+mod burn;
 mod check;
 mod confirm;
 mod dev;
@@ -8,6 +9,7 @@
 mod load;
 mod plan;
 mod serve;
+mod slopes;
 mod status;
 
 use crate::CliError;
@@ -28,6 +30,7 @@
 #[must_use]
 pub fn all() -> Vec<CommandSpec> {
     vec![
+        burn::spec(),
         check::spec(),
         confirm::spec(),
         dev::spec(),
@@ -36,6 +39,7 @@
         load::spec(),
         plan::spec(),
         serve::spec(),
+        slopes::spec(),
         status::spec(),
     ]
 }
--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -5,7 +5,7 @@
     estimate::pieces,
     route::{Choice, NoChoice, Wanted, choose},
 };
-use rw_types::{Millis, RefusalKind, RequestId};
+use rw_types::{Millis, RefusalKind, RequestId, TargetKind};
 
 /// Weight of the newest decision in the part turned away.
 const NEWEST: f64 = 0.02;
@@ -17,7 +17,7 @@
 const RETRY_MS: (f64, f64) = (100.0, 30_000.0);
 
 /// What decisions remember from one request to the next.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Decisions {
     rng: fastrand::Rng,
     turn: u64,
@@ -212,8 +212,11 @@
                 let factor = target.limit.failed();
                 target.resting = now.plus(rest * factor);
             }
-            // It closes without a failure, for example before a role change.
-            Some(AttemptEnd::Declined) => target.resting = now.plus(rest / 2),
+            // An engine closes without a failure, for example before a role change; a plain
+            // service may decline one call and take the next.
+            Some(AttemptEnd::Declined) if target.spec.kind == TargetKind::Engine => {
+                target.resting = now.plus(rest / 2);
+            }
             _ => {}
         }
     }
--- a/crates/rw-core/src/limit.rs
+++ b/crates/rw-core/src/limit.rs
@@ -6,6 +6,8 @@
 const MOST: f64 = 1_024.0;
 /// Part of the limit that is left when an answer took far longer than was estimated.
 const SLOW: f64 = 0.9;
+/// Most times that a rest is doubled; one trial request a rest costs less than an engine left out.
+const DOUBLINGS: u32 = 2;
 /// Times the estimate from which an answer counts as slow.
 const LATE: f64 = 2.0;
 
@@ -54,7 +56,7 @@
     /// A request failed; returns how many times longer than once the target rests.
     pub fn failed(&mut self) -> u64 {
         self.cap = LEAST;
-        let factor = 1 << self.failures.min(5);
+        let factor = 1 << self.failures.min(DOUBLINGS);
         self.failures += 1;
         factor
     }
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -1,14 +1,14 @@
 //! The node's state and its one entry point.
 
 use crate::{
-    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, Targets, Wish,
-    admit::Decisions,
+    Authority, ConfigSync, CoreSettings, Effect, Event, Members, Request, RetryBudget, Suspects,
+    Targets, TicketRuns, Unsettled, Wish, admit::Decisions, declared_roles::DeclaredRole,
 };
 use rw_types::{AttemptId, Config, Millis, RequestId};
 use std::sync::Arc;
 
 /// Everything a node decides by.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     pub(crate) settings: CoreSettings,
     pub(crate) config: Arc<Config>,
@@ -18,9 +18,16 @@
     pub(crate) requests: Vec<Request>,
     /// What planners want of targets, in order of urgency; the authority acts on it.
     pub(crate) wishes: Vec<Wish>,
+    /// Roles that operators changed and engines have not reported yet.
+    pub(crate) roles: Vec<DeclaredRole>,
     pub(crate) sync: ConfigSync,
     pub(crate) authority: Authority,
     pub(crate) leaving: bool,
+    pub(crate) closing: bool,
+    pub(crate) unsettled: Unsettled,
+    pub(crate) tickets: TicketRuns,
+    pub(crate) suspects: Suspects,
+    pub(crate) budget: RetryBudget,
     pub(crate) decisions: Decisions,
     next_attempt: u64,
 }
@@ -29,6 +36,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: CoreSettings) -> Self {
+        let budget = RetryBudget::new(settings.retries);
         let decisions = Decisions::new(settings.seed);
         let sync = ConfigSync::new(settings.seed);
         Self {
@@ -38,9 +46,15 @@
             targets: Targets::default(),
             requests: Vec::new(),
             wishes: Vec::new(),
+            roles: Vec::new(),
             sync,
             authority: Authority::default(),
             leaving: false,
+            closing: false,
+            unsettled: Unsettled::default(),
+            tickets: TicketRuns::default(),
+            suspects: Suspects::default(),
+            budget,
             decisions,
             next_attempt: 1,
         }
@@ -56,12 +70,24 @@
                 self.end_attempt(now, id, attempt, end, &mut effects)
             }
             Event::CallerGone { id } => self.drop_caller(now, id, &mut effects),
-            Event::ConfigRead(config) => self.apply_config(config),
-            Event::Reported { target, report } => self.reported(now, &target, report),
+            Event::ConfigRead(config) => self.apply_config(now, config),
+            Event::Reported { target, report } => {
+                self.role_reported(&target, &report);
+                self.reported(now, &target, report);
+            }
+            Event::ClaimStanding { id, standing } => {
+                self.claim_standing(now, id, standing, &mut effects)
+            }
+            Event::ClaimSettled { id } => self.unsettled.remove(id),
+            Event::Forwarded { id, answered } => self.forwarded(id, answered, &mut effects),
+            Event::HandoverRead { id, handover } => self.handover_read(id, handover, &mut effects),
+            Event::SuspectsShared { id } => self.suspects_shared(now, id, &mut effects),
+            Event::SuspectsRead(seen) => self.merge_suspects(now, &seen),
             Event::Sync(event) => self.sync_step(now, event, &mut effects),
-            Event::VmsRead(vms) => self.authority.outdated |= self.members.replace(vms),
+            Event::VmsRead(vms) => self.replace_vms(vms),
             Event::Authority(event) => self.authority_event(now, event, &mut effects),
             Event::Leave => self.leaving = true,
+            Event::Close => self.closing = true,
         }
         effects
     }
@@ -112,13 +138,21 @@
         self.requests.binary_search_by_key(&id, |r| r.id).ok()
     }
 
-    fn apply_config(&mut self, config: Arc<Config>) {
+    fn apply_config(&mut self, now: Millis, config: Arc<Config>) {
         // A version in force never gives way to a lower one, whoever sends it.
         if config.version <= self.config.version {
             return;
         }
-        self.targets.apply(&config);
-        self.authority.outdated = true;
+        // Most changes leave the targets alone, and going through all of them holds up requests.
+        let moved = config.targets != self.config.targets;
+        if moved {
+            self.note_roles(now, &config);
+        }
         self.config = config;
+        if moved {
+            self.targets.apply(&self.config);
+            self.authority.outdated = true;
+            self.choose_targets();
+        }
     }
 }
--- a/crates/rw-core/src/request_flow.rs
+++ b/crates/rw-core/src/request_flow.rs
@@ -1,43 +1,61 @@
 //! A request's way from arrival to its final answer.
 
 use crate::{
-    Answer, AttemptEnd, Call, Claim, ClaimRead, ClaimState, Effect, Node, Phase, Request, Work,
-    admit::Turned, claim_key,
+    Answer, AttemptEnd, Call, Claim, ClaimState, Effect, Node, Phase, Request, Ticket, Work,
+    admit::Turned, crash_flow::refuse,
 };
 use rw_types::{AttemptId, Millis, Outcome, Refusal, RefusalKind, RequestId, Version};
 
 impl Node {
     pub(crate) fn arrive(&mut self, now: Millis, id: RequestId, call: Call, out: &mut Vec<Effect>) {
-        if let Some(kind) = self.refuse_early(&call) {
-            return out.push(self.refusal(id, kind, Outcome::NotRun));
+        if call.needs_claim()
+            && let Some(ticket) = call.key.as_deref().and_then(Ticket::parse)
+        {
+            return self.arrive_ticket(now, id, call, ticket, out);
+        }
+        if let Some(kind) = self.refuse_early(now, &call) {
+            // An earlier send of the key may have run.
+            let outcome = if call.needs_claim() {
+                Outcome::Unknown
+            } else {
+                Outcome::NotRun
+            };
+            let left = self.poison_left(now, call.fingerprint);
+            return out.push(match (kind, left) {
+                (RefusalKind::Poison, Some(left)) => refuse(id, kind, outcome, left),
+                _ => self.refusal(id, kind, outcome),
+            });
         }
         let claim = call.needs_claim().then(|| self.new_claim(id, &call));
-        let request = Request {
-            id,
-            phase: Phase::Running {
-                attempt: AttemptId(0),
-                target: String::new(),
-                claim: None,
-            },
-            call,
-            attempts: 0,
-            tried: Vec::new(),
-            tokens: 0,
-        };
-        match self.requests.binary_search_by_key(&id, |r| r.id) {
-            Ok(_) => return,
-            Err(i) => self.requests.insert(i, request),
+        let suspect = call.is_idempotent() && self.is_suspect(now, call.fingerprint);
+        if !self.insert_request(Request::new(id, call)) {
+            return;
         }
         match claim {
+            // A peer may have seen it crash one target more.
+            None if suspect => self.share_suspects(id, out),
             None => self.dispatch(now, id, None, out),
             Some(claim) => self.write_claim(id, claim, Version(0), out),
         }
     }
 
-    fn refuse_early(&self, call: &Call) -> Option<RefusalKind> {
-        if self.leaving {
+    pub(crate) fn insert_request(&mut self, request: Request) -> bool {
+        match self.requests.binary_search_by_key(&request.id, |r| r.id) {
+            Ok(_) => false,
+            Err(i) => {
+                self.requests.insert(i, request);
+                true
+            }
+        }
+    }
+
+    pub(crate) fn refuse_early(&self, now: Millis, call: &Call) -> Option<RefusalKind> {
+        if self.closing {
             return Some(RefusalKind::Leaving);
         }
+        if self.poison_left(now, call.fingerprint).is_some() {
+            return Some(RefusalKind::Poison);
+        }
         match &call.work {
             Work::Generate { model, .. } if self.config.model(model).is_none() => {
                 Some(RefusalKind::UnknownModel)
@@ -49,96 +67,6 @@
         }
     }
 
-    fn new_claim(&self, id: RequestId, call: &Call) -> Claim {
-        Claim {
-            vm: self.settings.vm.clone(),
-            boot: self.settings.boot,
-            request: id,
-            fingerprint: call.fingerprint,
-            state: ClaimState::Held,
-        }
-    }
-
-    fn write_claim(
-        &mut self,
-        id: RequestId,
-        claim: Claim,
-        version: Version,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(i) = self.request_index(id) else {
-            return;
-        };
-        let request = &mut self.requests[i];
-        request.phase = Phase::Claiming {
-            claim: claim.clone(),
-        };
-        let key = request_key(&request.call);
-        out.push(Effect::WriteClaim {
-            id,
-            key,
-            version,
-            claim,
-        });
-    }
-
-    pub(crate) fn claim_read(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        read: ClaimRead,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(i) = self.request_index(id) else {
-            return;
-        };
-        let Phase::Claiming { claim } = &self.requests[i].phase else {
-            return;
-        };
-        let mine = claim.clone();
-        match read {
-            ClaimRead::Written(version) => self.dispatch(now, id, Some((mine, version)), out),
-            ClaimRead::Lost => {
-                let key = request_key(&self.requests[i].call);
-                out.push(Effect::ReadClaim { id, key });
-            }
-            // An earlier send of the key may have run, and only the table could tell.
-            ClaimRead::Untaken | ClaimRead::Unreadable => {
-                self.finish(id, RefusalKind::StoreDown, Outcome::Unknown, out);
-            }
-            ClaimRead::Found(None) => self.write_claim(id, mine, Version(0), out),
-            ClaimRead::Found(Some((found, version))) => {
-                self.claim_found(now, id, &mine, found, version, out);
-            }
-        }
-    }
-
-    fn claim_found(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        mine: &Claim,
-        found: Claim,
-        version: Version,
-        out: &mut Vec<Effect>,
-    ) {
-        if found == *mine {
-            return self.dispatch(now, id, Some((found, version)), out);
-        }
-        if found.fingerprint != mine.fingerprint {
-            return self.finish(id, RefusalKind::KeyReused, Outcome::NotRun, out);
-        }
-        match found.state {
-            ClaimState::Held => self.finish(id, RefusalKind::InProgress, Outcome::Unknown, out),
-            ClaimState::Lost => self.finish(id, RefusalKind::RunLost, Outcome::Unknown, out),
-            ClaimState::Released => self.write_claim(id, mine.clone(), version, out),
-            ClaimState::Done(answer) => {
-                self.take_request(id);
-                out.push(Effect::Replay { id, answer });
-            }
-        }
-    }
-
     pub(crate) fn dispatch(
         &mut self,
         now: Millis,
@@ -149,9 +77,15 @@
         let Some(i) = self.request_index(id) else {
             return;
         };
+        let request = &self.requests[i];
+        // A stream that has begun is finished even if it is late.
+        if now >= request.call.deadline && request.tokens == 0 {
+            let turned = self.turned(RefusalKind::TooLate);
+            return self.turn_away(now, id, claim, turned, out);
+        }
         let choice = match self.choose(now, i) {
             Ok(choice) => choice,
-            Err(turned) => return self.turn_away(id, claim, turned, out),
+            Err(turned) => return self.turn_away(now, id, claim, turned, out),
         };
         let attempt = self.new_attempt();
         self.note_sent(now, i, &choice);
@@ -176,9 +110,16 @@
         });
     }
 
+    /// A refusal after the usual time to come back.
+    fn turned(&self, kind: RefusalKind) -> Turned {
+        let retry_ms = self.settings.retry_ms;
+        Turned { kind, retry_ms }
+    }
+
     /// Ends a request that is not dispatched, or not once more.
     fn turn_away(
         &mut self,
+        now: Millis,
         id: RequestId,
         claim: Option<(Claim, Version)>,
         turned: Turned,
@@ -187,12 +128,12 @@
         let Some(i) = self.request_index(id) else {
             return;
         };
-        let outcome = if self.requests[i].tokens > 0 {
+        let outcome = if self.requests[i].ran {
             Outcome::Unknown
         } else {
             Outcome::NotRun
         };
-        self.settle(id, claim, ClaimState::Released, out);
+        self.settle(now, id, claim, ClaimState::Released, out);
         self.take_request(id);
         let refusal = Refusal {
             kind: turned.kind,
@@ -227,25 +168,31 @@
         let (target, claim) = (target.clone(), claim.clone());
         self.note_ended(now, &target, id, Some(&end));
         match end {
-            AttemptEnd::Whole { status, body } => {
-                self.settle(id, claim, ClaimState::Done(Answer { status, body }), out);
+            AttemptEnd::Whole { status, kind, body } => {
+                self.budget.credit();
+                let answer = Answer { status, kind, body };
+                self.settle(now, id, claim, ClaimState::Done(answer), out);
                 self.take_request(id);
                 out.push(Effect::Deliver { id });
             }
             AttemptEnd::Unsent | AttemptEnd::Declined => self.try_again(now, id, claim, out),
-            AttemptEnd::Broken { tokens, .. } => {
+            AttemptEnd::Broken { tokens, crashed } => {
                 self.requests[i].tokens = tokens;
+                self.requests[i].ran = true;
+                if crashed && self.target_crashed(now, id, &target, out) {
+                    return;
+                }
                 if self.requests[i].call.is_idempotent() {
                     return self.try_again(now, id, claim, out);
                 }
-                self.settle(id, claim, ClaimState::Lost, out);
+                self.settle(now, id, claim, ClaimState::Lost, out);
                 self.finish(id, RefusalKind::AnswerLost, Outcome::Unknown, out);
             }
         }
     }
 
     /// Nothing of the attempt ran, or running it again does no harm.
-    fn try_again(
+    pub(crate) fn try_again(
         &mut self,
         now: Millis,
         id: RequestId,
@@ -256,11 +203,13 @@
             return;
         };
         if self.requests[i].attempts >= self.settings.attempts {
-            let turned = Turned {
-                kind: RefusalKind::NoTarget,
-                retry_ms: self.settings.retry_ms,
-            };
-            return self.turn_away(id, claim, turned, out);
+            let turned = self.turned(RefusalKind::NoTarget);
+            return self.turn_away(now, id, claim, turned, out);
+        }
+        // Without successes there is nothing to hope for from one more dispatch.
+        if !self.budget.take() {
+            let turned = self.turned(RefusalKind::Overloaded);
+            return self.turn_away(now, id, claim, turned, out);
         }
         self.dispatch(now, id, claim, out);
     }
@@ -284,25 +233,12 @@
         out.push(Effect::Cancel { id, attempt });
     }
 
-    fn settle(
-        &self,
-        id: RequestId,
-        claim: Option<(Claim, Version)>,
-        state: ClaimState,
-        out: &mut Vec<Effect>,
-    ) {
-        let (Some((claim, version)), Some(i)) = (claim, self.request_index(id)) else {
-            return;
-        };
-        let key = request_key(&self.requests[i].call);
-        out.push(Effect::SettleClaim {
-            key,
-            version,
-            claim: Claim { state, ..claim },
-        });
+    pub(crate) fn replay(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+        self.take_request(id);
+        out.push(Effect::Replay { id, answer });
     }
 
-    fn finish(
+    pub(crate) fn finish(
         &mut self,
         id: RequestId,
         kind: RefusalKind,
@@ -313,33 +249,22 @@
         out.push(self.refusal(id, kind, outcome));
     }
 
-    fn take_request(&mut self, id: RequestId) {
+    pub(crate) fn take_request(&mut self, id: RequestId) {
         if let Some(i) = self.request_index(id) {
             self.requests.remove(i);
         }
     }
 
-    fn refusal(&self, id: RequestId, kind: RefusalKind, outcome: Outcome) -> Effect {
+    pub(crate) fn refusal(&self, id: RequestId, kind: RefusalKind, outcome: Outcome) -> Effect {
         let retry_ms = match kind {
             RefusalKind::UnknownKey
             | RefusalKind::UnknownModel
             | RefusalKind::UnknownService
             | RefusalKind::KeyReused
-            | RefusalKind::Poison
+            | RefusalKind::TicketOver
             | RefusalKind::RunLost => 0,
             _ => self.settings.retry_ms,
         };
-        Effect::Refuse {
-            id,
-            refusal: Refusal {
-                kind,
-                outcome,
-                retry_ms,
-            },
-        }
+        refuse(id, kind, outcome, retry_ms)
     }
 }
-
-fn request_key(call: &Call) -> String {
-    claim_key(&call.caller, call.key.as_deref().unwrap_or_default())
-}
--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -309,7 +309,7 @@
     ) {
         let crossed = u64::from(struck.contains(&Fault::CrossAnswer));
         let attempt = generate.attempt + crossed;
-        let seed = rw_types::fingerprint(generate.text.as_bytes());
+        let seed = rw_types::fingerprint(generate.text.as_bytes()).wrapping_add(crossed);
         let cut = struck
             .iter()
             .any(|f| matches!(f, Fault::CutAnswer | Fault::LoseAnswer));
@@ -318,6 +318,9 @@
                 let _ = tx.send(Err(io::ErrorKind::ConnectionReset.into())).await;
                 return;
             }
+            if n >= generate.output / 2 && struck.contains(&Fault::NoEnd) {
+                return;
+            }
             if n >= generate.output / 2 && struck.contains(&Fault::Stall) {
                 std::future::pending::<()>().await;
             }
--- a/crates/rw-load/src/virtual_fleet.rs
+++ b/crates/rw-load/src/virtual_fleet.rs
@@ -297,7 +297,8 @@
             self.tracks[track].runs += 1;
             let end = AttemptEnd::Whole {
                 status: 200,
-                body: String::new(),
+                kind: String::new(),
+                body: Vec::new(),
             };
             let event = Event::Ended { id, attempt, end };
             return self.at(
@@ -419,7 +420,8 @@
         let id = RequestId(track as u64);
         let end = AttemptEnd::Whole {
             status: 200,
-            body: String::new(),
+            kind: String::new(),
+            body: Vec::new(),
         };
         self.tell_owner(track, Event::Ended { id, attempt, end });
     }
--- a/crates/rw-node/src/authority.rs
+++ b/crates/rw-node/src/authority.rs
@@ -34,7 +34,7 @@
         for effect in self.step(Event::Authority(event)) {
             if let Effect::Authority(effect) = effect {
                 let shell = self.clone();
-                smol::spawn(async move {
+                rw_http::spawn(async move {
                     let event = shell.run_effect(effect).await;
                     shell.feed_authority(event);
                 })
--- a/crates/rw-node/src/callers.rs
+++ b/crates/rw-node/src/callers.rs
@@ -4,6 +4,7 @@
     Shell,
     completion::{bad_request, error, refuse, with_outcome},
     parse::{header, parse_generate, parse_plain},
+    tickets::unread_outcome,
 };
 use rw_core::{Call, Work};
 use rw_http::{Method, Request, Response, json, raw, read_body};
@@ -20,7 +21,10 @@
         match path.as_str() {
             "/healthz" => return raw(200, b"ok\n".to_vec(), "text/plain"),
             "/readyz" => return self.ready(),
-            "/metrics" => return raw(200, self.metrics.text(), "text/plain; version=0.0.4"),
+            "/metrics" => {
+                self.refresh_burn();
+                return raw(200, self.metrics.text(), "text/plain; version=0.0.4");
+            }
             _ => {}
         }
         let config = self.config();
@@ -28,20 +32,22 @@
             let kind = RefusalKind::UnknownKey;
             return refuse(&Refusal {
                 kind,
-                outcome: Outcome::NotRun,
+                outcome: unread_outcome(&request),
                 retry_ms: 0,
             });
         };
         if request.method() == Method::Get && path == "/v1/models" {
             return models(&config);
         }
+        if request.method() == Method::Post && path == "/tickets" {
+            return self.mint_ticket();
+        }
+        let unread = unread_outcome(&request);
         let body = match read_body(&mut request, self.settings.max_body).await {
             Ok(body) => body,
             Err(status) => {
-                return bad_request(
-                    status.into(),
-                    "the body is cut or over the limit; send a smaller one",
-                );
+                let text = "the body is cut or over the limit; send a smaller one";
+                return bad_request(status.into(), text, unread);
             }
         };
         let now = self.now();
@@ -56,12 +62,15 @@
                 let (name, rest) = split_service(path);
                 parse_plain(&request, body, name, rest, &caller, &config, now)
             }
-            _ => return bad_request(404, "no such path; use /v1/… or /services/<name>/…"),
+            _ => {
+                let text = "no such path; use /v1/…, /tickets or /services/<name>/…";
+                return bad_request(404, text, unread);
+            }
         };
         match parsed {
             Ok((call, _)) if !is_served(&call, &config) => unknown_model(&config),
             Ok((call, payload)) => self.answer_call(call, payload).await,
-            Err(error) => bad_request(400, &error.to_string()),
+            Err(error) => bad_request(400, &error.to_string(), unread),
         }
     }
 
@@ -103,7 +112,10 @@
         "the model is not served; choose one of: {}",
         names.join(", ")
     );
-    with_outcome(error(404, "unknown-model", &message), Outcome::NotRun)
+    with_outcome(
+        error(404, "unknown-model", &message, Outcome::NotRun),
+        Outcome::NotRun,
+    )
 }
 
 /// Service name and the path below it.
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -1,10 +1,12 @@
 //! Drives one request: runs its effects until it has its final answer.
 
 use crate::{
-    Shell,
+    Cause, Shell,
     attempt::{Attempt, Ran},
     completion::{refusal_body, refuse, whole, with_outcome},
     payload::Payload,
+    resend::Claimed,
+    tickets::outcome_of,
 };
 use rw_core::{Call, Effect, Event, Work};
 use rw_http::{Response, events, raw, spawn};
@@ -78,11 +80,14 @@
             call: call.clone(),
         });
         while let Some(event) = self
-            .run_effects(id, effects, &mut attempt, &mut caller)
+            .run_effects(id, &call, effects, &mut attempt, &mut caller)
             .await
         {
             effects = self.step(event);
         }
+        if let Some(cause) = attempt.cause {
+            self.count_burn(&call, cause);
+        }
         let seconds = self.now().since(arrived) as f64 / 1_000.0;
         self.metrics
             .whole
@@ -94,6 +99,7 @@
     async fn run_effects(
         self: &Arc<Self>,
         id: RequestId,
+        call: &Call,
         effects: Vec<Effect>,
         attempt: &mut Attempt,
         caller: &mut Caller,
@@ -102,11 +108,40 @@
         for effect in effects {
             match effect {
                 Effect::SettleClaim {
+                    id,
                     key,
                     version,
                     claim,
                 } => {
-                    spawn(self.clone().settle_claim(key, version, claim)).detach();
+                    spawn(self.clone().settle_claim(id, key, version, claim)).detach();
+                }
+                Effect::ReleaseClaim { id, key, claim } => {
+                    spawn(self.clone().release_claim(id, key, claim)).detach();
+                }
+                Effect::AskClaimant {
+                    peer,
+                    boot,
+                    claimed: request,
+                    ..
+                } => {
+                    let standing = self.ask_claimant(&peer, Claimed { boot, request }).await;
+                    next = Some(Event::ClaimStanding { id, standing });
+                }
+                Effect::Forward { peer, .. } => {
+                    let answered = self.forward_ticket(&peer, call, attempt).await;
+                    next = Some(Event::Forwarded { id, answered });
+                }
+                Effect::ReadHandover { key, .. } => {
+                    let handover = self.read_handover(&key).await;
+                    next = Some(Event::HandoverRead { id, handover });
+                }
+                Effect::ShareSuspects { wait: true, .. } => {
+                    self.share_suspects().await;
+                    next = Some(Event::SuspectsShared { id });
+                }
+                Effect::ShareSuspects { .. } => {
+                    let shell = self.clone();
+                    spawn(async move { shell.share_suspects().await }).detach();
                 }
                 Effect::WriteClaim {
                     key,
@@ -131,11 +166,13 @@
                 }
                 Effect::Deliver { .. } => self.deliver(id, attempt, caller).await,
                 Effect::Replay { answer, .. } => {
+                    attempt.cause = Some(Cause::Good);
                     self.count(&attempt.kind, Outcome::Done);
-                    let response = raw(answer.status, answer.body.into_bytes(), "application/json");
+                    let response = raw(answer.status, answer.body, &answer.kind);
                     caller.answer(with_outcome(response, Outcome::Done)).await;
                 }
                 Effect::Refuse { refusal, .. } => {
+                    attempt.cause = burned(&refusal, caller.stream.is_some());
                     self.count(&attempt.kind, refusal.outcome);
                     caller.cut(&refusal).await;
                     caller.answer(refuse(&refusal)).await;
@@ -166,7 +203,14 @@
     }
 
     async fn deliver(&self, id: RequestId, attempt: &mut Attempt, caller: &mut Caller) {
-        self.count(&attempt.kind, Outcome::Done);
+        // The answer of another VM names its own outcome, and that VM counts it in its burn.
+        let forwarded = attempt
+            .plain
+            .as_ref()
+            .filter(|r| r.header("x-outcome").is_some());
+        let outcome = forwarded.map_or(Outcome::Done, outcome_of);
+        attempt.cause = forwarded.is_none().then_some(Cause::Good);
+        self.count(&attempt.kind, outcome);
         if let Some(stream) = caller.stream.take() {
             let _ = stream.send(Ok(b"data: [DONE]\n\n".to_vec())).await;
             return;
@@ -176,7 +220,7 @@
                 whole(id, model, *chat, &attempt.text, attempt.tokens)
             }
             _ => match attempt.plain.take() {
-                Some(response) => with_outcome(response, Outcome::Done),
+                Some(response) => with_outcome(response, outcome),
                 None => raw(500, Vec::new(), "text/plain"),
             },
         };
@@ -190,3 +234,17 @@
             .inc();
     }
 }
+
+/// How a refusal counts against the objective; not at all if it is the caller's own matter.
+fn burned(refusal: &Refusal, streaming: bool) -> Option<Cause> {
+    if streaming {
+        return Some(Cause::Cut);
+    }
+    if Cause::is_callers(refusal.kind) {
+        return None;
+    }
+    Some(match refusal.outcome {
+        Outcome::Unknown => Cause::Unknown,
+        _ => Cause::Refused,
+    })
+}
