--- a/crates/rw-cli/src/scale.rs
+++ b/crates/rw-cli/src/scale.rs
@@ -85,6 +85,7 @@
             key: None,
             fingerprint: fingerprint(&n.to_le_bytes()),
             deadline: Millis(n + 60_000),
+            promised: true,
         }
     }
 
--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -94,8 +94,7 @@
             );
         }
         let retry_ms = self.settings.retry_ms;
-        // Only operators' deadlines are promises; the default of other work is none.
-        let declared = self.config.kind(&request.call.kind).is_some();
+        let promised = request.call.promised;
         let mut shared = false;
         let result = match chosen {
             Err(NoChoice::Unserved) => {
@@ -114,7 +113,7 @@
                 retry_ms,
             }),
             // What has begun is finished even if it is late.
-            Ok(choice) if policy.admit && declared && !choice.timely && wanted.resume == 0 => {
+            Ok(choice) if policy.admit && promised && !choice.timely && wanted.resume == 0 => {
                 let late = choice.estimate.map_or(0.0, |e| e.whole) - wanted.left;
                 let retry_ms = late.clamp(RETRY_MS.0, RETRY_MS.1) as u64;
                 Err(Turned {
--- a/crates/rw-core/src/call.rs
+++ b/crates/rw-core/src/call.rs
@@ -17,6 +17,8 @@
     pub fingerprint: u64,
     /// When the whole answer is due.
     pub deadline: Millis,
+    /// Whether operators or the caller set the deadline; the default of other work is no promise.
+    pub promised: bool,
 }
 
 /// What kind of target a request needs.
--- a/crates/rw-core/tests/aperture.rs
+++ b/crates/rw-core/tests/aperture.rs
@@ -208,6 +208,7 @@
             key: None,
             fingerprint: n,
             deadline: Millis(60_000),
+            promised: true,
         };
         let id = RequestId(n + 1);
         let effects = node.step(Millis(0), Event::Arrived { id, call });
--- a/crates/rw-core/tests/policy.rs
+++ b/crates/rw-core/tests/policy.rs
@@ -115,8 +115,23 @@
     prompt: u64,
     output: u64,
 ) -> Effect {
+    let call = call(node, now, id, caller, kind, prompt, output);
+    let id = RequestId(id);
+    let effects = node.step(Millis(now), Event::Arrived { id, call });
+    effects.into_iter().next().expect("an effect")
+}
+
+fn call(
+    node: &Node,
+    now: u64,
+    id: u64,
+    caller: &str,
+    kind: &str,
+    prompt: u64,
+    output: u64,
+) -> Call {
     let left = node.config().kind(kind).map_or(60_000, |k| k.deadline_ms);
-    let call = Call {
+    Call {
         caller: caller.to_owned(),
         kind: kind.to_owned(),
         work: Work::Generate {
@@ -128,10 +143,8 @@
         key: None,
         fingerprint: id,
         deadline: Millis(now + left),
-    };
-    let id = RequestId(id);
-    let effects = node.step(Millis(now), Event::Arrived { id, call });
-    effects.into_iter().next().expect("an effect")
+        promised: !kind.is_empty(),
+    }
 }
 
 fn sent_to(effect: &Effect) -> &str {
@@ -215,6 +228,21 @@
     }
 }
 
+#[test]
+fn a_deadline_that_the_caller_states_is_a_promise_without_a_kind_too() {
+    let mut node = node(Policy::default());
+    let mut stated = call(&node, 21, 1, "shop", "", 500, 1_000_000);
+    stated.promised = true;
+    let id = RequestId(1);
+    let event = Event::Arrived { id, call: stated };
+    let effects = node.step(Millis(21), event);
+    let [Effect::Refuse { refusal, .. }] = effects.as_slice() else {
+        panic!("{effects:?}")
+    };
+    assert_eq!(refusal.kind, RefusalKind::TooLate);
+    assert_eq!(refusal.outcome, rw_types::Outcome::NotRun);
+}
+
 #[test]
 fn routing_counts_reports_own_work_and_cached_prefixes() {
     let mut node = node(Policy::default());
--- a/crates/rw-core/tests/requests.rs
+++ b/crates/rw-core/tests/requests.rs
@@ -169,6 +169,7 @@
         key,
         fingerprint: BODY,
         deadline: Millis(DEADLINE),
+        promised: true,
     }
 }
 
@@ -302,6 +303,7 @@
                 let call = Call {
                     fingerprint,
                     deadline: Millis(now + DEADLINE),
+                    promised: true,
                     ..call(case.ask)
                 };
                 Event::Arrived {
--- a/crates/rw-load/src/decide.rs
+++ b/crates/rw-load/src/decide.rs
@@ -97,5 +97,6 @@
         key: None,
         fingerprint: n,
         deadline: now.plus(30_000),
+        promised: true,
     }
 }
--- a/crates/rw-load/src/virtual_fleet.rs
+++ b/crates/rw-load/src/virtual_fleet.rs
@@ -231,6 +231,7 @@
                 .then(|| format!("key-{i}")),
             fingerprint: i as u64 + 1,
             deadline: now.plus(profile.kind.deadline_ms),
+            promised: true,
         };
         let node = (arrival.node % self.nodes.len() as u64) as usize;
         self.tell(
--- a/crates/rw-node/src/parse.rs
+++ b/crates/rw-node/src/parse.rs
@@ -159,7 +159,8 @@
     if !kind.is_empty() && declared.is_none() {
         return Err(ParseError::UnknownKind(kind.to_owned()));
     }
-    let budget = match header(request, "x-deadline-ms") {
+    let stated = header(request, "x-deadline-ms");
+    let budget = match stated {
         Some(text) => text
             .parse()
             .map_err(|_| ParseError::Deadline("x-deadline-ms".to_owned()))?,
@@ -182,6 +183,7 @@
         key: key.map(str::to_owned),
         fingerprint: fingerprint(&hashed),
         deadline: now.plus(budget),
+        promised: stated.is_some() || declared.is_some(),
     })
 }
 
--- a/crates/rw-node/src/tickets.rs
+++ b/crates/rw-node/src/tickets.rs
@@ -122,6 +122,7 @@
             key: Some(sent.key),
             fingerprint: sent.fingerprint,
             deadline: self.now().plus(sent.left_ms),
+            promised: true,
         };
         let kind = sent.body.kind;
         let payload = Payload::Plain {
