--- a/tests/rolling.rs
+++ b/tests/rolling.rs
@@ -1,8 +1,13 @@
 //! Role changes that operators declare are carried out, one engine at a time.
 
+use futures_util::future;
+use rw_fakes::HeldOrder;
 use rw_test::{Fleet, FleetPlan, get};
-use rw_types::{LoadReport, Role, TargetKind};
-use std::time::{Duration, Instant};
+use rw_types::{LoadReport, OrderKind, Role, TargetKind};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
 const PAUSE: Duration = Duration::from_millis(20);
@@ -51,3 +56,93 @@
         assert!(killed);
     });
 }
+
+/// Callers whose streams run while roles change.
+const CALLERS: usize = 9;
+/// Tokens of each stream, a second of an engine's time.
+const TOKENS: usize = 100;
+
+async fn with_role(fleet: &mut Fleet, role: Role) {
+    let mut config = fleet.config.clone();
+    let engines = config.targets.iter_mut();
+    engines
+        .filter(|t| t.kind == TargetKind::Engine)
+        .for_each(|t| t.role = role);
+    fleet.accept(config).await.expect("accepted");
+}
+
+async fn has_role(fleet: &Fleet, role: Role) -> bool {
+    for engine in &fleet.engines {
+        let report = get(&engine.addr(""), "/load").await.expect("a report");
+        let report: LoadReport = serde_json::from_str(&report.body).expect("JSON");
+        if report.role != role || report.draining {
+            return false;
+        }
+    }
+    true
+}
+
+/// Role orders that an engine took, each with the streams that ran on it then.
+async fn role_orders(fleet: &Fleet) -> Vec<HeldOrder> {
+    let mut orders = Vec::new();
+    for engine in &fleet.engines {
+        let held = get(&engine.addr(""), "/held").await.expect("its orders");
+        let held: Vec<HeldOrder> = serde_json::from_str(&held.body).expect("JSON");
+        let roles = held
+            .into_iter()
+            .filter(|h| matches!(h.order.kind, OrderKind::Role { .. }));
+        orders.extend(roles);
+    }
+    orders
+}
+
+/// Sends one stream after the other until `done`, and returns how many came.
+async fn keep_asking(fleet: &Fleet, caller: usize, done: &Cell<bool>) -> usize {
+    let mut whole = 0;
+    while !done.get() {
+        let body = format!(
+            r#"{{"model":"small","max_tokens":{TOKENS},"prompt":"caller {caller}","stream":true}}"#
+        );
+        let node = caller % fleet.nodes.len();
+        let answer = fleet.post(node, "/v1/completions", "", &body).await;
+        let answer = answer.expect("a whole answer");
+        assert_eq!(answer.outcome, "done", "{answer:?}");
+        assert!(answer.body.contains("[DONE]"), "{answer:?}");
+        let tokens = answer.body.matches("\"text\":").count();
+        assert_eq!(tokens, TOKENS, "{answer:?}");
+        whole += 1;
+    }
+    whole
+}
+
+#[test]
+fn role_changes_cut_no_stream() {
+    smol::block_on(async {
+        let flags = ["--change-ms", "300", "--decode-rate", "100"].map(str::to_owned);
+        let plan = FleetPlan {
+            engines: vec![flags.to_vec(); 3],
+            ..FleetPlan::default()
+        };
+        let mut fleet = Fleet::start(BINARY, plan).await.expect("the fleet starts");
+        for role in [Role::Decode, Role::Mixed] {
+            with_role(&mut fleet, role).await;
+            let done = Cell::new(false);
+            let callers = (0..CALLERS).map(|n| keep_asking(&fleet, n, &done));
+            let watch = async {
+                let start = Instant::now();
+                while !has_role(&fleet, role).await {
+                    assert!(start.elapsed() < LIMIT, "the engines did not change");
+                    smol::Timer::after(PAUSE).await;
+                }
+                done.set(true);
+            };
+            let (whole, ()) = future::join(future::join_all(callers), watch).await;
+            assert!(whole.iter().all(|n| *n > 0), "{whole:?}");
+        }
+        let orders = role_orders(&fleet).await;
+        assert!(orders.len() >= 2 * fleet.engines.len(), "{orders:?}");
+        for held in &orders {
+            assert_eq!(held.streams, 0, "{held:?}");
+        }
+    });
+}
