Equal targets are parted by this node's requests there

Cause: nine streams of three nodes all ran on the first of three idle engines, because the estimates of equal engines are the same and the first in the list won. Change: the rank's last part is the number of this node's requests on the target.

--- a/crates/rw-core/src/route.rs
+++ b/crates/rw-core/src/route.rs
@@ -92,8 +92,9 @@
     best.map(|(_, choice)| choice).ok_or(none)
 }
 
-/// Lower goes first: tried before, late, score.
-type Rank = (bool, bool, f64);
+/// Lower goes first: tried before, late, score, this node's requests there. The last parts equal
+/// targets, so that one engine's end does not break every stream.
+type Rank = (bool, bool, f64, u32);
 
 fn weigh(
     index: usize,
@@ -111,7 +112,7 @@
             estimate: None,
             timely: true,
         };
-        return ((again, false, score), choice);
+        return ((again, false, score, target.running), choice);
     };
     let expected = estimate(target, &ask, policy, now);
     let timely = expected.whole + away <= wanted.left * policy.margin;
@@ -130,7 +131,7 @@
         estimate: Some(expected),
         timely,
     };
-    ((again, late, score), choice)
+    ((again, late, score, target.running), choice)
 }
 
 /// The part of `wanted` that estimates need; `None` for a plain service.
