--- a/crates/rw-core/src/route.rs
+++ b/crates/rw-core/src/route.rs
@@ -92,9 +92,8 @@
     best.map(|(_, choice)| choice).ok_or(none)
 }
 
-/// Lower goes first: tried before, late, score, this node's requests there. The last parts equal
-/// targets, so that one engine's end does not break every stream.
-type Rank = (bool, bool, f64, u32);
+/// Lower goes first: tried before, late, score.
+type Rank = (bool, bool, f64);
 
 fn weigh(
     index: usize,
@@ -112,7 +111,7 @@
             estimate: None,
             timely: true,
         };
-        return ((again, false, score, target.running), choice);
+        return ((again, false, score), choice);
     };
     let expected = estimate(target, &ask, policy, now);
     let timely = expected.whole + away <= wanted.left * policy.margin;
@@ -131,7 +130,7 @@
         estimate: Some(expected),
         timely,
     };
-    ((again, late, score, target.running), choice)
+    ((again, late, score), choice)
 }
 
 /// The part of `wanted` that estimates need; `None` for a plain service.
