Virtual runs in files of one job each; two stream types of one name get their own

Ruled out: moving code between crates; the harness stays with the load tool. Change: virtual_requests, virtual_engines and fleet_config; LimitedStream holds a caller to the limits of its connection, ExpiringStream refuses to write after an instant. Happening is SimEvent. No behaviour.

--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,6 +1,6 @@
 //! A client with a pool of idle connections per address.
 
-use crate::{Reply, SendError, guarded::Guarded, watch::Watch};
+use crate::{Reply, SendError, expiring_stream::ExpiringStream, watch::Watch};
 use async_h1::client::{Encoder, decode};
 use http_types::{Body, Method, Request, Response, Url};
 use smol::{
@@ -127,7 +127,7 @@
     ) -> Result<Reply, SendError> {
         let addr: SocketAddr = addr.parse().map_err(|_| SendError::BadAddr)?;
         let conn = open(addr, limit.min(CONNECT_LIMIT)).await?;
-        let stream = Guarded::new(conn.stream.clone(), latest);
+        let stream = ExpiringStream::new(conn.stream.clone(), latest);
         let answer = within(limit, async_h1::connect(stream, request)).await?;
         let response = answer.map_err(|_| SendError::Broken)?;
         Reply::check(response, conn, self.clone())
--- a/crates/rw-http/src/exchange.rs
+++ b/crates/rw-http/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Requests and answers on one connection.
 
-use crate::{Traffic, conn::Conn, guard::Guarded, json};
+use crate::{Traffic, conn::Conn, json, limited_stream::LimitedStream};
 use async_h1::server::{Encoder, decode};
 use http_types::{Method, Request, Response};
 use smol::io::{self, AsyncReadExt as _, AsyncWriteExt as _};
@@ -15,7 +15,7 @@
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
 {
-    let mut stream = Guarded::new(conn.clone());
+    let mut stream = LimitedStream::new(conn.clone());
     loop {
         conn.begin();
         if !stream.wait_first().await {
@@ -33,7 +33,7 @@
 /// Takes one request and answers it; true if another may follow.
 async fn exchange<H, F>(
     conn: &Conn,
-    stream: &Guarded,
+    stream: &LimitedStream,
     handler: &H,
     traffic: &Traffic,
 ) -> io::Result<bool>
@@ -65,7 +65,11 @@
     header.is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"))
 }
 
-async fn write_answer(response: Response, method: Method, mut stream: Guarded) -> io::Result<()> {
+async fn write_answer(
+    response: Response,
+    method: Method,
+    mut stream: LimitedStream,
+) -> io::Result<()> {
     let small = response.len().is_some_and(|n| n <= ONE_PIECE);
     let mut encoder = Encoder::new(response, method);
     if !small {
@@ -79,7 +83,7 @@
 }
 
 /// Answers a header that can't be read, and closes.
-async fn reject(conn: &Conn, mut stream: Guarded) -> io::Result<bool> {
+async fn reject(conn: &Conn, mut stream: LimitedStream) -> io::Result<bool> {
     let (status, message) = if conn.is_oversize() {
         (
             431,
--- a/crates/rw-http/src/guarded.rs
+++ b/crates/rw-http/src/expiring_stream.rs
@@ -13,18 +13,18 @@
 
 /// A connection whose right to write ends.
 #[derive(Debug, Clone)]
-pub(crate) struct Guarded {
+pub(crate) struct ExpiringStream {
     stream: TcpStream,
     latest: Instant,
 }
 
-impl Guarded {
+impl ExpiringStream {
     pub(crate) fn new(stream: TcpStream, latest: Instant) -> Self {
         Self { stream, latest }
     }
 }
 
-impl AsyncRead for Guarded {
+impl AsyncRead for ExpiringStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -34,7 +34,7 @@
     }
 }
 
-impl AsyncWrite for Guarded {
+impl AsyncWrite for ExpiringStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/rw-http/src/guard.rs
+++ b/crates/rw-http/src/limited_stream.rs
@@ -18,12 +18,12 @@
 
 /// A stream under the limits of its connection; clones share both.
 #[derive(Debug, Clone)]
-pub(crate) struct Guarded {
+pub(crate) struct LimitedStream {
     tcp: TcpStream,
     conn: Arc<Conn>,
 }
 
-impl Guarded {
+impl LimitedStream {
     pub(crate) fn new(conn: Arc<Conn>) -> Self {
         let tcp = conn.tcp.clone();
         Self { tcp, conn }
@@ -43,7 +43,7 @@
     }
 }
 
-impl AsyncRead for Guarded {
+impl AsyncRead for LimitedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -64,7 +64,7 @@
     }
 }
 
-impl AsyncWrite for Guarded {
+impl AsyncWrite for LimitedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/rw-load/src/decide.rs
+++ b/crates/rw-load/src/decide.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Profile,
-    virtual_fleet::{MODEL, config},
+    fleet_config::{MODEL, config},
 };
 use rw_core::{Call, CoreSettings, Effect, Event, Node, Work};
 use rw_fakes::Batch;
--- a/crates/rw-load/src/lib.rs
+++ b/crates/rw-load/src/lib.rs
@@ -4,11 +4,14 @@
 mod compare;
 mod decide;
 mod experiment;
+mod fleet_config;
 mod profile;
 mod report;
 mod result;
 mod socket_fleet;
+mod virtual_engines;
 mod virtual_fleet;
+mod virtual_requests;
 
 pub use arrival::{Arrival, arrivals};
 pub use compare::{Comparison, Variant, compare};
--- a/crates/rw-load/src/socket_fleet.rs
+++ b/crates/rw-load/src/socket_fleet.rs
@@ -3,8 +3,8 @@
 
 use crate::{
     Arrival, Experiment, Fault, KindResult, RunResult, Shape, arrivals,
+    fleet_config::{MODEL, config},
     profile::roles,
-    virtual_fleet::{MODEL, config},
 };
 use displaydoc::Display;
 use http_types::{Method, Request, Url};
--- a/crates/rw-load/src/virtual_fleet.rs
+++ b/crates/rw-load/src/virtual_fleet.rs
@@ -4,15 +4,13 @@
 //! no table but one that answers or does not, and no process that fails but engines.
 
 use crate::{
-    Arrival, Experiment, Fault, Hand, KindResult, Profile, RunResult, Shape, arrival::CALLERS,
-    arrivals, profile::roles,
-};
-use rw_core::{AttemptEnd, Call, ClaimRead, CoreSettings, Effect, Event, Node, Policy, Work};
-use rw_fakes::{Batch, Emitted, Job};
-use rw_types::{
-    Account, AttemptId, BootId, Config, LoadReport, Millis, Model, OrderKind, Outcome, RequestId,
-    Role, Service, ServiceKind, Target, TargetKind, Version, Vm,
+    Arrival, Experiment, Fault, Hand, KindResult, RunResult, arrivals,
+    fleet_config::{config, vm},
+    profile::roles,
 };
+use rw_core::{CoreSettings, Event, Node, Policy};
+use rw_fakes::Batch;
+use rw_types::{AttemptId, BootId, Config, LoadReport, Millis, Role, Vm};
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, VecDeque},
@@ -20,19 +18,18 @@
 };
 
 /// One way between two processes in one data centre, in microseconds.
-const HOP: u64 = 500;
+pub(crate) const HOP: u64 = 500;
 /// Time of a plain call and of a table write, in microseconds.
-const CALL: u64 = 5_000;
+pub(crate) const CALL: u64 = 5_000;
 /// Time until an order reaches its engine, in microseconds.
-const ORDER: u64 = 20_000;
+pub(crate) const ORDER: u64 = 20_000;
 /// Time after the last arrival for what still runs, in microseconds.
 const TAIL: u64 = 150_000_000;
 /// Reports kept of an engine.
-const REPORTS: usize = 512;
-/// Model of all engines.
-pub(crate) const MODEL: &str = "small";
+pub(crate) const REPORTS: usize = 512;
 
-enum Happening {
+/// What happens at a time of its own.
+pub(crate) enum SimEvent {
     Arrive(usize),
     Due(usize),
     Submit(usize),
@@ -43,45 +40,49 @@
     Phase(usize),
 }
 
-struct Engine {
-    batch: Batch,
-    alive: bool,
-    reports: VecDeque<(u64, LoadReport)>,
+/// An engine with the reports it has made, newest last.
+pub(crate) struct Engine {
+    pub(crate) batch: Batch,
+    pub(crate) alive: bool,
+    pub(crate) reports: VecDeque<(u64, LoadReport)>,
     /// Jobs that run, sorted.
-    jobs: Vec<u64>,
+    pub(crate) jobs: Vec<u64>,
 }
 
-struct Run {
-    track: usize,
-    attempt: AttemptId,
-    engine: usize,
-    resume: u64,
+/// One dispatch.
+pub(crate) struct Run {
+    pub(crate) track: usize,
+    pub(crate) attempt: AttemptId,
+    pub(crate) engine: usize,
+    pub(crate) resume: u64,
 }
 
+/// What became of one arrival.
 #[derive(Default)]
-struct Track {
-    tokens: u64,
-    last: u64,
-    ended: bool,
-    runs: u32,
+pub(crate) struct Track {
+    pub(crate) tokens: u64,
+    pub(crate) last: u64,
+    pub(crate) ended: bool,
+    pub(crate) runs: u32,
 }
 
-struct World<'a> {
-    experiment: &'a Experiment,
-    arrivals: Vec<Arrival>,
-    now: u64,
-    heap: BinaryHeap<Reverse<(u64, u64, usize)>>,
-    slab: Vec<Option<Happening>>,
-    config: Config,
-    nodes: Vec<Node>,
-    engines: Vec<Engine>,
-    runs: Vec<Run>,
-    tracks: Vec<Track>,
-    lag: u64,
-    outage: bool,
+/// The state of a run.
+pub(crate) struct World<'a> {
+    pub(crate) experiment: &'a Experiment,
+    pub(crate) arrivals: Vec<Arrival>,
+    pub(crate) now: u64,
+    pub(crate) heap: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    pub(crate) slab: Vec<Option<SimEvent>>,
+    pub(crate) config: Config,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) runs: Vec<Run>,
+    pub(crate) tracks: Vec<Track>,
+    pub(crate) lag: u64,
+    pub(crate) outage: bool,
     /// Orders given to each engine and not yet seen in its role.
-    ordered: Vec<bool>,
-    result: RunResult,
+    pub(crate) ordered: Vec<bool>,
+    pub(crate) result: RunResult,
 }
 
 /// Runs an experiment to its end.
@@ -160,22 +161,22 @@
 
     fn schedule_all(&mut self) {
         for i in 0..self.arrivals.len() {
-            self.at(self.arrivals[i].at, Happening::Arrive(i));
+            self.at(self.arrivals[i].at, SimEvent::Arrive(i));
         }
         for fault in &self.experiment.faults {
-            self.at((fault.at * 1e6) as u64, Happening::Strike(fault.fault));
+            self.at((fault.at * 1e6) as u64, SimEvent::Strike(fault.fault));
         }
         let mut start = 0.0;
         for (i, phase) in self.experiment.profile.phases.iter().enumerate() {
-            self.at((start * 1e6) as u64, Happening::Phase(i));
+            self.at((start * 1e6) as u64, SimEvent::Phase(i));
             start += phase.seconds;
         }
-        self.at(0, Happening::Poll);
+        self.at(0, SimEvent::Poll);
     }
 
-    fn at(&mut self, at: u64, happening: Happening) {
+    pub(crate) fn at(&mut self, at: u64, event_due: SimEvent) {
         let i = self.slab.len();
-        self.slab.push(Some(happening));
+        self.slab.push(Some(event_due));
         self.heap.push(Reverse((at, i as u64, i)));
     }
 
@@ -187,380 +188,22 @@
             }
             self.now = at;
             match self.slab[i].take() {
-                Some(happening) => self.happen(happening),
+                Some(event_due) => self.handle(event_due),
                 None => continue,
             }
         }
     }
 
-    fn happen(&mut self, happening: Happening) {
-        match happening {
-            Happening::Arrive(i) => self.arrive(i),
-            Happening::Due(engine) => self.due(engine),
-            Happening::Submit(run) => self.submit(run),
-            Happening::Poll => self.poll(),
-            Happening::Tell { node, event } => self.tell(node, *event),
-            Happening::Order { engine, role } => self.order(engine, role),
-            Happening::Strike(fault) => self.strike(fault),
-            Happening::Phase(i) => self.phase(i),
-        }
-    }
-
-    fn arrive(&mut self, i: usize) {
-        let arrival = &self.arrivals[i];
-        let profile = &self.experiment.profile.kinds[arrival.kind];
-        self.result.kinds[arrival.kind].sent += 1;
-        let now = Millis(self.now / 1_000);
-        let work = match &profile.shape {
-            Shape::Generate { .. } => Work::Generate {
-                model: MODEL.to_owned(),
-                prompt: arrival.prompt,
-                output: arrival.output,
-                pieces: arrival.pieces.clone(),
-            },
-            Shape::Call { idempotent } => Work::Service {
-                name: "calls".to_owned(),
-                idempotent: *idempotent,
-            },
-        };
-        let call = Call {
-            caller: format!("caller-{}", arrival.caller),
-            kind: profile.kind.name.clone(),
-            work,
-            key: matches!(profile.shape, Shape::Call { idempotent: false })
-                .then(|| format!("key-{i}")),
-            fingerprint: i as u64 + 1,
-            deadline: now.plus(profile.kind.deadline_ms),
-            promised: true,
-        };
-        let node = (arrival.node % self.nodes.len() as u64) as usize;
-        self.tell(
-            node,
-            Event::Arrived {
-                id: RequestId(i as u64),
-                call,
-            },
-        );
-    }
-
-    fn tell(&mut self, node: usize, event: Event) {
-        let effects = self.nodes[node].step(Millis(self.now / 1_000), event);
-        for effect in effects {
-            self.perform(node, effect);
-        }
-    }
-
-    fn perform(&mut self, node: usize, effect: Effect) {
-        match effect {
-            Effect::Dispatch {
-                id,
-                attempt,
-                target,
-                resume,
-                ..
-            } => {
-                self.dispatch(node, id, attempt, &target, resume);
-            }
-            Effect::Deliver { id } => self.end(id, Some(Outcome::Done), true),
-            Effect::Replay { id, .. } => self.end(id, Some(Outcome::Done), true),
-            Effect::Refuse { id, refusal } => self.end(id, Some(refusal.outcome), false),
-            Effect::WriteClaim { id, .. } | Effect::ReadClaim { id, .. } => {
-                let read = if self.outage {
-                    ClaimRead::Untaken
-                } else {
-                    ClaimRead::Written(Version(1))
-                };
-                self.at(
-                    self.now + CALL,
-                    Happening::Tell {
-                        node,
-                        event: Box::new(Event::ClaimRead { id, read }),
-                    },
-                );
-            }
-            _ => {}
-        }
-    }
-
-    fn dispatch(
-        &mut self,
-        node: usize,
-        id: RequestId,
-        attempt: AttemptId,
-        target: &str,
-        resume: u64,
-    ) {
-        let track = id.0 as usize;
-        let position = target
-            .strip_prefix("engine-")
-            .and_then(|n| n.parse::<usize>().ok());
-        let Some(engine) = position else {
-            self.tracks[track].runs += 1;
-            let end = AttemptEnd::Whole {
-                status: 200,
-                kind: String::new(),
-                body: Vec::new(),
-            };
-            let event = Event::Ended { id, attempt, end };
-            return self.at(
-                self.now + CALL,
-                Happening::Tell {
-                    node,
-                    event: Box::new(event),
-                },
-            );
-        };
-        let run = self.runs.len();
-        self.runs.push(Run {
-            track,
-            attempt,
-            engine,
-            resume,
-        });
-        let away = self.nodes.len() > 1 && node % 3 != engine % 3;
-        let hop = if away {
-            (self.experiment.profile.hop_ms * 1e3) as u64
-        } else {
-            HOP
-        };
-        self.at(self.now + hop, Happening::Submit(run));
-    }
-
-    fn submit(&mut self, run: usize) {
-        let Run {
-            track,
-            attempt,
-            engine,
-            resume,
-        } = self.runs[run];
-        let id = RequestId(track as u64);
-        if !self.engines[engine].alive {
-            return self.tell_owner(
-                track,
-                Event::Ended {
-                    id,
-                    attempt,
-                    end: AttemptEnd::Unsent,
-                },
-            );
-        }
-        let arrival = &self.arrivals[track];
-        let job = Job {
-            id: run as u64,
-            prompt: arrival.prompt,
-            output: arrival.output,
-            resume,
-            priority: self.priority(arrival.kind),
-            pieces: arrival.pieces.clone(),
-            imported: false,
-        };
-        let one = &mut self.engines[engine];
-        if !one.batch.submit(self.now, job) {
-            return self.tell_owner(
-                track,
-                Event::Ended {
-                    id,
-                    attempt,
-                    end: AttemptEnd::Declined,
-                },
-            );
-        }
-        if let Err(i) = one.jobs.binary_search(&(run as u64)) {
-            one.jobs.insert(i, run as u64);
-        }
-        self.wake(engine);
-    }
-
-    /// Priority as the nodes send it; without priorities all are equal.
-    fn priority(&self, kind: usize) -> u8 {
-        if self.experiment.policy.priorities {
-            self.experiment.profile.kinds[kind].kind.priority
-        } else {
-            0
-        }
-    }
-
-    fn wake(&mut self, engine: usize) {
-        if let Some(due) = self.engines[engine].batch.due() {
-            self.at(due.max(self.now), Happening::Due(engine));
-        }
-    }
-
-    fn due(&mut self, engine: usize) {
-        let one = &mut self.engines[engine];
-        // A later wake stands for this one if the engine is not due yet.
-        if !one.alive || one.batch.due().is_none_or(|due| due > self.now) {
-            return;
-        }
-        let emitted = one.batch.advance(self.now);
-        for token in emitted {
-            self.emit(engine, token);
-        }
-        self.wake(engine);
-    }
-
-    fn emit(&mut self, engine: usize, token: Emitted) {
-        let Run { track, attempt, .. } = self.runs[token.id as usize];
-        let kind = self.arrivals[track].kind;
-        let result = &mut self.result.kinds[kind];
-        let seen = &mut self.tracks[track];
-        if !token.end {
-            if seen.tokens == 0 {
-                result.firsts.record(self.now - self.arrivals[track].at);
-            } else {
-                result.gaps.record(self.now - seen.last);
-            }
-            seen.tokens += 1;
-            seen.last = self.now;
-            return;
-        }
-        let jobs = &mut self.engines[engine].jobs;
-        if let Ok(i) = jobs.binary_search(&token.id) {
-            jobs.remove(i);
-        }
-        let id = RequestId(track as u64);
-        let end = AttemptEnd::Whole {
-            status: 200,
-            kind: String::new(),
-            body: Vec::new(),
-        };
-        self.tell_owner(track, Event::Ended { id, attempt, end });
-    }
-
-    fn tell_owner(&mut self, track: usize, event: Event) {
-        let node = (self.arrivals[track].node % self.nodes.len() as u64) as usize;
-        self.at(
-            self.now + HOP,
-            Happening::Tell {
-                node,
-                event: Box::new(event),
-            },
-        );
-    }
-
-    fn end(&mut self, id: RequestId, outcome: Option<Outcome>, whole: bool) {
-        let i = id.0 as usize;
-        let arrival = &self.arrivals[i];
-        let deadline = self.experiment.profile.kinds[arrival.kind].kind.deadline_ms;
-        let result = &mut self.result.kinds[arrival.kind];
-        self.tracks[i].ended = true;
-        match outcome {
-            _ if whole && self.now <= arrival.at + deadline * 1_000 => result.good += 1,
-            _ if whole => result.late += 1,
-            Some(Outcome::NotRun) => result.refused += 1,
-            _ => result.unknown += 1,
-        }
-    }
-
-    fn poll(&mut self) {
-        let lag = self.lag * 1_000;
-        for i in 0..self.engines.len() {
-            let engine = &mut self.engines[i];
-            if !engine.alive {
-                continue;
-            }
-            let report = LoadReport {
-                models: vec![MODEL.to_owned()],
-                ..engine.batch.report()
-            };
-            if engine.reports.len() == REPORTS {
-                engine.reports.pop_front();
-            }
-            engine.reports.push_back((self.now, report));
-            let old = engine.reports.iter().rev().find(|r| r.0 + lag <= self.now);
-            let Some((made, report)) = old.cloned() else {
-                continue;
-            };
-            let report = LoadReport {
-                age_ms: (self.now - made) / 1_000,
-                ..report
-            };
-            let target = format!("engine-{i}");
-            for node in 0..self.nodes.len() {
-                let event = Event::Reported {
-                    target: target.clone(),
-                    report: report.clone(),
-                };
-                self.tell(node, event);
-            }
-        }
-        self.obey();
-        self.at(self.now + self.experiment.poll_ms * 1_000, Happening::Poll);
-    }
-
-    /// Carries out the wishes of the one node that may order.
-    fn obey(&mut self) {
-        let wishes = self.nodes[0].wishes().to_vec();
-        for wish in wishes {
-            let position = wish
-                .target
-                .strip_prefix("engine-")
-                .and_then(|n| n.parse().ok());
-            let (Some(engine), OrderKind::Role { role }) = (position, &wish.kind) else {
-                continue;
-            };
-            let engine: usize = engine;
-            if !self.ordered[engine] {
-                self.ordered[engine] = true;
-                self.result
-                    .reasons
-                    .push(format!("{:.0} s: {}", self.now as f64 / 1e6, wish.why));
-                self.at(
-                    self.now + ORDER,
-                    Happening::Order {
-                        engine,
-                        role: *role,
-                    },
-                );
-            }
-        }
-        for engine in 0..self.ordered.len() {
-            let wished = self.nodes[0]
-                .wishes()
-                .iter()
-                .any(|w| w.target == format!("engine-{engine}"));
-            self.ordered[engine] &= wished;
-        }
-    }
-
-    fn order(&mut self, engine: usize, role: Role) {
-        let one = &mut self.engines[engine];
-        if one.alive && one.batch.is_up() && one.batch.role() != role {
-            one.batch.change_role(self.now, role);
-            self.result.changes += 1;
-            self.wake(engine);
-        }
-    }
-
-    fn strike(&mut self, fault: Fault) {
-        match fault {
-            Fault::Lag(ms) => self.lag = ms,
-            Fault::TableOutage(out) => self.outage = out,
-            Fault::Withdraw(engine) => {
-                self.config.version.0 += 1;
-                let name = format!("engine-{engine}");
-                let targets = self.config.targets.iter_mut();
-                targets
-                    .filter(|t| t.name == name)
-                    .for_each(|t| t.leaving = true);
-                let config = Arc::new(self.config.clone());
-                for node in 0..self.nodes.len() {
-                    self.tell(node, Event::ConfigRead(config.clone()));
-                }
-            }
-            Fault::Kill(engine) => {
-                self.engines[engine].alive = false;
-                for job in std::mem::take(&mut self.engines[engine].jobs) {
-                    let Run { track, attempt, .. } = self.runs[job as usize];
-                    let tokens = self.tracks[track].tokens;
-                    let end = AttemptEnd::Broken {
-                        tokens,
-                        crashed: false,
-                    };
-                    let id = RequestId(track as u64);
-                    self.tell_owner(track, Event::Ended { id, attempt, end });
-                }
-            }
+    fn handle(&mut self, event_due: SimEvent) {
+        match event_due {
+            SimEvent::Arrive(i) => self.arrive(i),
+            SimEvent::Due(engine) => self.due(engine),
+            SimEvent::Submit(run) => self.submit(run),
+            SimEvent::Poll => self.poll(),
+            SimEvent::Tell { node, event } => self.tell(node, *event),
+            SimEvent::Order { engine, role } => self.order(engine, role),
+            SimEvent::Strike(fault) => self.strike(fault),
+            SimEvent::Phase(i) => self.phase(i),
         }
     }
 
@@ -598,77 +241,3 @@
         self.result
     }
 }
-
-fn vm(n: usize) -> Vm {
-    Vm {
-        name: format!("vm-{n}"),
-        centre: format!("centre-{}", n % 3),
-        peer: String::new(),
-        leaving: false,
-    }
-}
-
-/// The configuration of a profile; addresses are left to the caller.
-pub(crate) fn config(profile: &Profile, roles: &[Role]) -> Config {
-    let engine = |(i, role): (usize, &Role)| target(format!("engine-{i}"), i, Some(*role));
-    let service = |i| target(format!("service-{i}"), i, None);
-    let named = |name: &str, kind| Service {
-        name: name.to_owned(),
-        kind,
-        idempotent: vec!["/lookup".to_owned()],
-    };
-    let account = |n| Account {
-        name: format!("caller-{n}"),
-        keys: Vec::new(),
-        share: 1,
-    };
-    let mut config = Config {
-        version: Version(1),
-        models: vec![Model {
-            name: MODEL.to_owned(),
-            version: "1".to_owned(),
-            adapters: Vec::new(),
-            bytes: 1,
-            replicas: 1,
-        }],
-        services: vec![
-            named("runners", ServiceKind::Engine),
-            named("calls", ServiceKind::Plain),
-        ],
-        targets: roles
-            .iter()
-            .enumerate()
-            .map(engine)
-            .chain((0..profile.services).map(service))
-            .collect(),
-        accounts: (0..CALLERS).map(account).collect(),
-        kinds: profile.kinds.iter().map(|k| k.kind.clone()).collect(),
-        change_weight: profile.change_weight,
-    };
-    config.sort();
-    config
-}
-
-fn target(name: String, i: usize, role: Option<Role>) -> Target {
-    let engine = role.is_some();
-    Target {
-        name,
-        addr: "127.0.0.1:1".to_owned(),
-        centre: format!("centre-{}", i % 3),
-        kind: if engine {
-            TargetKind::Engine
-        } else {
-            TargetKind::Plain
-        },
-        service: if engine { "runners" } else { "calls" }.to_owned(),
-        group: String::new(),
-        models: if engine {
-            vec![MODEL.to_owned()]
-        } else {
-            Vec::new()
-        },
-        role: role.unwrap_or_default(),
-        checks_fence: i % 4 != 3,
-        leaving: false,
-    }
-}
