A wrong setting is told in one line, and pauses of nothing are refused

Ruled out: clamping, which hides what the operator wrote. Change: times are checked to be 1 to ms (0 only for the leave grace), the lease against twice the drift, and clap's mistakes are put in one line. tests/settings.rs is a table of cases.

--- a/crates/rw-cli/src/run.rs
+++ b/crates/rw-cli/src/run.rs
@@ -1,7 +1,7 @@
 //! Builds the command line and dispatches.
 
 use crate::{CliError, commands};
-use clap::Command;
+use clap::{Command, error::ErrorKind};
 use std::{ffi::OsString, process::ExitCode};
 
 /// Runs the command named in `args` and returns its exit code.
@@ -13,7 +13,10 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommands(all.iter().map(|c| (c.build)()));
-    let matches = root.get_matches_from(args);
+    let matches = match root.try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(error) => return refuse(&error),
+    };
     let Some((name, matches)) = matches.subcommand() else {
         return ExitCode::from(2);
     };
@@ -26,6 +29,22 @@
     }
 }
 
+/// Prints help as it is, and a mistake in one line with where to look.
+fn refuse(error: &clap::Error) -> ExitCode {
+    let help = ErrorKind::DisplayHelpOnMissingArgumentOrSubcommand;
+    if !error.use_stderr() || error.kind() == help {
+        print!("{error}");
+        return ExitCode::from(if error.use_stderr() { 2 } else { 0 });
+    }
+    let text = error.to_string();
+    let lines = text.lines().map(str::trim);
+    let told: Vec<&str> = lines.take_while(|l| !l.is_empty()).collect();
+    let told = told.join(" ");
+    let told = told.trim_start_matches("error: ");
+    eprintln!("redwingweir: {told}; see the command's --help");
+    ExitCode::from(2)
+}
+
 fn fail(error: &CliError) -> ExitCode {
     eprintln!("redwingweir: {error}");
     ExitCode::from(error.code())
--- a/crates/rw-cli/src/settings.rs
+++ b/crates/rw-cli/src/settings.rs
@@ -277,8 +277,9 @@
 ///
 /// [`CliError::NoSetting`] or [`CliError::BadSetting`] for the first that is wrong.
 pub fn node_settings(matches: &ArgMatches) -> Result<NodeSettings, CliError> {
-    let ms = |name| parse::<u64>(matches, name, "a whole number of milliseconds");
+    let ms = |name| millis(matches, name, 1);
     let addr = |name| parse(matches, name, "ip:port");
+    let (lease, drift) = lease_and_drift(matches)?;
     Ok(NodeSettings {
         vm: text(matches, "vm")?.to_owned(),
         centre: text(matches, "centre")?.to_owned(),
@@ -286,32 +287,55 @@
         peer_listen: addr("peer-listen")?,
         operator_listen: addr("operator-listen")?,
         platform: addr("platform")?.to_string(),
-        platform_limit: Duration::from_millis(ms("platform-limit-ms")?),
+        platform_limit: ms("platform-limit-ms")?,
         token: token(matches)?,
         secret: parse_secret(text(matches, "secret")?)?,
         max_body: parse(matches, "max-body", "a whole number of bytes")?,
-        silence: Duration::from_millis(ms("silence-ms")?),
-        first_byte: Duration::from_millis(ms("first-byte-ms")?),
-        token_gap: Duration::from_millis(ms("token-gap-ms")?),
-        leave_grace: Duration::from_millis(ms("leave-grace-ms")?),
-        poll: Duration::from_millis(ms("poll-ms")?),
-        report_poll: Duration::from_millis(ms("report-poll-ms")?),
+        silence: ms("silence-ms")?,
+        first_byte: ms("first-byte-ms")?,
+        token_gap: ms("token-gap-ms")?,
+        leave_grace: millis(matches, "leave-grace-ms", 0)?,
+        poll: ms("poll-ms")?,
+        report_poll: ms("report-poll-ms")?,
         weight_rate: parse(matches, "weight-rate", "a whole number of bytes")?,
-        lease: Duration::from_millis(ms("lease-ms")?),
-        drift: Duration::from_millis(ms("drift-ms")?),
-        order_life: Duration::from_millis(ms("order-ms")?),
-        stale: Duration::from_millis(ms("stale-ms")?),
+        lease,
+        drift,
+        order_life: ms("order-ms")?,
+        stale: ms("stale-ms")?,
         limits: limits(matches)?,
         threads: within(matches, "threads", 1, 64, "1 to 64")?,
         policy: Policy::default(),
     })
 }
 
-fn limits(matches: &ArgMatches) -> Result<Limits, CliError> {
-    let ms = |name| {
-        let ms = within(matches, name, 1, 86_400_000, "1 to 86400000 ms")?;
-        Ok::<_, CliError>(Duration::from_millis(ms as u64))
+/// Longest time that a setting may name, in milliseconds.
+const MAX_MS: usize = 86_400_000;
+
+fn millis(matches: &ArgMatches, name: &str, least: usize) -> Result<Duration, CliError> {
+    let wanted = match least {
+        0 => "0 to 86400000 ms",
+        _ => "1 to 86400000 ms",
     };
+    let ms = within(matches, name, least, MAX_MS, wanted)?;
+    Ok(Duration::from_millis(ms as u64))
+}
+
+/// A lease must outlast the drift that is taken off it on both sides.
+fn lease_and_drift(matches: &ArgMatches) -> Result<(Duration, Duration), CliError> {
+    let lease = millis(matches, "lease-ms", 1)?;
+    let drift = millis(matches, "drift-ms", 0)?;
+    if lease <= drift * 2 {
+        return Err(bad(
+            "lease-ms",
+            text(matches, "lease-ms")?,
+            "more than twice --drift-ms",
+        ));
+    }
+    Ok((lease, drift))
+}
+
+fn limits(matches: &ArgMatches) -> Result<Limits, CliError> {
+    let ms = |name| millis(matches, name, 1);
     Ok(Limits {
         header_time: ms("header-ms")?,
         header_bytes: within(matches, "header-bytes", 256, 8_000, "256 to 8000 bytes")?,
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,114 @@
+//! A wrong setting is told in one line that names it and the remedy, with exit code 2.
+
+use rw_test::{SECRET_HEX, TOKEN, run};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingweir");
+
+struct Case {
+    name: &'static str,
+    command: &'static str,
+    args: &'static [&'static str],
+    wants: &'static [&'static str],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "not an address",
+        command: "check",
+        args: &["--listen", "here"],
+        wants: &["--listen", "'here'", "ip:port"],
+    },
+    Case {
+        name: "not a number",
+        command: "check",
+        args: &["--poll-ms", "soon"],
+        wants: &["--poll-ms", "'soon'"],
+    },
+    Case {
+        name: "a pause of nothing",
+        command: "check",
+        args: &["--report-poll-ms", "0"],
+        wants: &["--report-poll-ms", "'0'", "1 to"],
+    },
+    Case {
+        name: "a lease that its drift uses up",
+        command: "check",
+        args: &["--lease-ms", "1000", "--drift-ms", "500"],
+        wants: &["--lease-ms", "'1000'", "twice --drift-ms"],
+    },
+    Case {
+        name: "a short token",
+        command: "check",
+        args: &["--token", "short"],
+        wants: &["--token", "16 bytes"],
+    },
+    Case {
+        name: "an unknown setting",
+        command: "serve",
+        args: &["--colour", "red"],
+        wants: &["--colour", "--help"],
+    },
+    Case {
+        name: "an unknown log level",
+        command: "serve",
+        args: &["--log", "loud"],
+        wants: &["--log", "'loud'", "debug"],
+    },
+];
+
+/// Settings that are right, without those of `args`.
+fn with_rest(args: &[&'static str]) -> Vec<&'static str> {
+    let rest = [
+        ["--vm", "vm-1"],
+        ["--centre", "centre-a"],
+        ["--platform", "127.0.0.1:1"],
+        ["--token", TOKEN],
+        ["--secret", SECRET_HEX],
+    ];
+    let left = rest.iter().filter(|pair| !args.contains(&pair[0]));
+    left.flatten().copied().collect()
+}
+
+#[test]
+fn a_wrong_setting_is_told_in_one_line_with_its_remedy() {
+    for case in CASES {
+        let rest = with_rest(case.args);
+        let args = [&[case.command], case.args, &rest].concat();
+        let output = run(BINARY, &args, &[]).expect("it runs");
+        assert_eq!(output.code, 2, "{}: {output:?}", case.name);
+        assert_eq!(output.err.lines().count(), 1, "{}: {output:?}", case.name);
+        for word in case.wants {
+            assert!(output.err.contains(word), "{}: {output:?}", case.name);
+        }
+        assert!(!output.err.contains("short"), "{}: a secret", case.name);
+    }
+}
+
+#[test]
+fn a_port_in_use_is_told_with_its_setting() {
+    let held = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = held.local_addr().expect("its address").to_string();
+    let rest = with_rest(&[]);
+    let args = [&["serve", "--peer-listen", &addr][..], &rest].concat();
+    let args = [&args[..], &["--listen", "127.0.0.1:0"]].concat();
+    let output = run(BINARY, &args, &[]).expect("it runs");
+    assert_eq!(output.code, 2, "{output:?}");
+    assert_eq!(output.err.lines().count(), 1, "{output:?}");
+    assert!(
+        output.err.contains(&format!("--peer-listen {addr}")),
+        "{output:?}"
+    );
+}
+
+#[test]
+fn settings_that_are_right_are_shown_with_their_source() {
+    let args = [&["check"][..], &with_rest(&["--vm"])].concat();
+    let env = [("REDWINGWEIR_VM", "vm-9")];
+    let output = run(BINARY, &args, &env).expect("it runs");
+    assert_eq!(output.code, 0, "{output:?}");
+    let vm = output.out.lines().find(|l| l.starts_with("vm "));
+    let vm = vm.expect("a line of the setting");
+    assert!(vm.contains("vm-9") && vm.contains("REDWINGWEIR_VM"), "{vm}");
+    assert!(!output.out.contains(TOKEN), "{output:?}");
+    assert!(!output.out.contains(SECRET_HEX), "{output:?}");
+}
