Answers a few milliseconds late no longer close a fast target

Ruled out: admission (no kind, no stated deadline) and the retry budget (no attempt failed). Change: an answer is slow only from twice the estimate and 50 ms more. Conclusion: the limit reacts to engines again and not to the network.

--- a/crates/rw-core/src/limit.rs
+++ b/crates/rw-core/src/limit.rs
@@ -10,6 +10,8 @@
 const DOUBLINGS: u32 = 2;
 /// Times the estimate from which an answer counts as slow.
 const LATE: f64 = 2.0;
+/// Milliseconds beside the estimate that ways and queues on them may take.
+const GRACE: f64 = 50.0;
 
 /// An adaptive limit: a failure takes it to one, answers in time open it by degrees.
 #[derive(Debug, Clone)]
@@ -44,7 +46,7 @@
     /// An answer came whole after `took` where `estimate` was expected, with `running` at once.
     pub fn answered(&mut self, took: f64, estimate: f64, running: u32) {
         self.failures = 0;
-        if took > estimate * LATE {
+        if took > estimate * LATE + GRACE {
             let used = f64::from(running).max(LEAST);
             self.cap = (self.cap.min(used) * SLOW).max(LEAST);
         } else {
--- a/crates/rw-core/tests/policy.rs
+++ b/crates/rw-core/tests/policy.rs
@@ -302,6 +302,7 @@
 struct Degree {
     name: &'static str,
     took: f64,
+    estimate: f64,
     times: u32,
     cap: u32,
 }
@@ -312,21 +313,30 @@
         Degree {
             name: "in time",
             took: 100.0,
+            estimate: 100.0,
             times: 5,
             cap: 6,
         },
         Degree {
             name: "slow",
             took: 1_000.0,
+            estimate: 100.0,
             times: 5,
             cap: 1,
         },
+        Degree {
+            name: "slower than a tiny estimate, but by less than the way there and back takes",
+            took: 20.0,
+            estimate: 0.5,
+            times: 5,
+            cap: 6,
+        },
     ];
     for case in TABLE {
         let mut limit = Limit::default();
         assert_eq!(limit.failed(), 1);
         assert_eq!(limit.failed(), 2, "rests grow");
-        (0..case.times).for_each(|_| limit.answered(case.took, 100.0, 1));
+        (0..case.times).for_each(|_| limit.answered(case.took, case.estimate, 1));
         assert_eq!(limit.cap(), case.cap, "{}", case.name);
     }
 }
