A declared model that no engine holds now is worth coming back for

Cause: between a load and the first report, or when the one engine that holds a model restarted, callers were told 404 unknown-model without a time to come back, although operators declare the model. Ruled out: answering 503 for undeclared models too; those are still refused at arrival. Change: no engine for a declared model is no-target with a time to come back. choose() is split into its parts: too late, crowding out, and the part turned away.

--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -1,7 +1,7 @@
 //! Admission: a request is sent where it is expected in time, or turned away at once.
 
 use crate::{
-    AttemptEnd, Call, Demand, Node, Plans, Sent, Shares, Work,
+    AttemptEnd, Call, Demand, Estimate, Node, Plans, Sent, Shares, Work,
     estimate::pieces,
     route::{Choice, NoChoice, Wanted, choose},
 };
@@ -43,11 +43,27 @@
         }
     }
 
+    /// Whether `caller` is over its share under contention and would take the last of the room.
+    fn crowds_out(&self, now: Millis, caller: &str, choice: &Choice, left: f64) -> bool {
+        let waits = |e: Estimate| e.first > OVER_PART * e.slack(left);
+        self.turned > CONTENDED
+            && choice.estimate.is_some_and(waits)
+            && self.shares.over(now, caller)
+    }
+
     fn note(&mut self, turned: bool) {
         self.turned += NEWEST * (f64::from(u8::from(turned)) - self.turned);
     }
 }
 
+fn too_late(choice: &Choice, left: f64) -> Turned {
+    let late = choice.estimate.map_or(0.0, |e| e.whole) - left;
+    Turned {
+        kind: RefusalKind::TooLate,
+        retry_ms: late.clamp(RETRY_MS.0, RETRY_MS.1) as u64,
+    }
+}
+
 /// Why a request is turned away, and when to come back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Turned {
@@ -94,54 +110,31 @@
             );
         }
         let retry_ms = self.settings.retry_ms;
-        let promised = request.call.promised;
-        let mut shared = false;
+        let overloaded = Turned {
+            kind: RefusalKind::Overloaded,
+            retry_ms,
+        };
+        // What has begun is finished even if it is late.
+        let bound = policy.admit && request.call.promised && wanted.resume == 0;
         let result = match chosen {
-            Err(NoChoice::Unserved) => {
-                let kind = match request.call.work {
-                    Work::Generate { .. } => RefusalKind::UnknownModel,
-                    Work::Service { .. } => RefusalKind::NoTarget,
-                };
-                Err(Turned { kind, retry_ms: 0 })
-            }
-            Err(NoChoice::Closed) => Err(Turned {
+            Err(NoChoice::Full) => Err(overloaded),
+            Err(NoChoice::Unserved | NoChoice::Closed) => Err(Turned {
                 kind: RefusalKind::NoTarget,
                 retry_ms,
             }),
-            Err(NoChoice::Full) => Err(Turned {
-                kind: RefusalKind::Overloaded,
-                retry_ms,
-            }),
-            // What has begun is finished even if it is late.
-            Ok(choice) if policy.admit && promised && !choice.timely && wanted.resume == 0 => {
-                let late = choice.estimate.map_or(0.0, |e| e.whole) - wanted.left;
-                let retry_ms = late.clamp(RETRY_MS.0, RETRY_MS.1) as u64;
-                Err(Turned {
-                    kind: RefusalKind::TooLate,
-                    retry_ms,
-                })
-            }
-            // Under contention a caller over its share leaves the last of the room to others.
-            Ok(choice)
-                if policy.shares
-                    && first
-                    && decisions.turned > CONTENDED
-                    && choice
-                        .estimate
-                        .is_some_and(|e| e.first > OVER_PART * e.slack(wanted.left))
-                    && decisions.shares.over(now, &request.call.caller) =>
-            {
-                shared = true;
-                Err(Turned {
-                    kind: RefusalKind::Overloaded,
-                    retry_ms,
-                })
-            }
+            Ok(choice) if bound && !choice.timely => Err(too_late(&choice, wanted.left)),
             Ok(choice) => Ok(choice),
         };
-        if !shared {
-            decisions.note(result.is_err());
+        let caller = &request.call.caller;
+        if let Ok(choice) = &result
+            && policy.shares
+            && first
+            && decisions.crowds_out(now, caller, choice, wanted.left)
+        {
+            // Not counted as turned away, or the contention would feed itself.
+            return Err(overloaded);
         }
+        decisions.note(result.is_err());
         result
     }
 
--- a/crates/rw-core/tests/policy.rs
+++ b/crates/rw-core/tests/policy.rs
@@ -243,6 +243,23 @@
     assert_eq!(refusal.outcome, rw_types::Outcome::NotRun);
 }
 
+#[test]
+fn a_declared_model_that_no_engine_holds_now_is_worth_coming_back_for() {
+    let mut node = node(Policy::default());
+    for name in ["e1", "e2", "e3"] {
+        let mut report = report(0, 0);
+        report.models.clear();
+        tell(&mut node, 20, name, report);
+    }
+    match ask(&mut node, 21, 1, "quick", 500, 4) {
+        Effect::Refuse { refusal, .. } => {
+            assert_eq!(refusal.kind, RefusalKind::NoTarget);
+            assert!(refusal.retry_ms > 0, "no time to come back");
+        }
+        effect => panic!("{effect:?}"),
+    }
+}
+
 #[test]
 fn routing_counts_reports_own_work_and_cached_prefixes() {
     let mut node = node(Policy::default());
