--- a/crates/rw-core/src/authority_effect.rs
+++ b/crates/rw-core/src/authority_effect.rs
@@ -12,7 +12,7 @@
         /// Groups.
         groups: Vec<String>,
     },
-    /// Write this boot as holder and a first beat, if both rows are as read.
+    /// Write this boot as holder and a first heartbeat, if both rows are as read.
     TakeLease {
         /// Call.
         call: u64,
@@ -20,18 +20,18 @@
         group: String,
         /// Version that the lease row must have.
         lease: Version,
-        /// Version that the beat row must have.
-        beat: Version,
+        /// Version that the heartbeat row must have.
+        heartbeat: Version,
     },
-    /// Write a beat, if the lease is still the one with this fencing token.
-    BeatLease {
+    /// Write a heartbeat, if the lease is still the one with this fencing token.
+    RenewLease {
         /// Call.
         call: u64,
         /// Group.
         group: String,
         /// Fencing token.
         fence: Fence,
-        /// Beats before this one.
+        /// Heartbeats before this one.
         count: u64,
         /// Whether to give the lease up.
         released: bool,
--- a/crates/rw-core/src/lease.rs
+++ b/crates/rw-core/src/lease.rs
@@ -4,7 +4,7 @@
 use rw_types::{Fence, Millis, Version};
 
 /// Renewals within one lease time; a lost one does not end the lease.
-const BEATS: u64 = 3;
+const HEARTBEATS: u64 = 3;
 /// Reads of a watched lease within one lease time.
 const WATCHES: u64 = 4;
 /// Longest pause between reads of a watched lease, in milliseconds, so that a lease given up is
@@ -23,7 +23,7 @@
     pub(crate) rank: Option<usize>,
     /// Rows as last known; `None` if they must be read.
     rows: Option<LeaseRows>,
-    /// Version of the beat row as last read, and since when it is known to be unchanged.
+    /// Version of the heartbeat row as last read, and since when it is known to be unchanged.
     seen: (Version, Millis),
     /// No takeover is tried before this time.
     retry: Millis,
@@ -35,7 +35,7 @@
     pub(crate) until: Millis,
     call: Option<Call>,
     next: Millis,
-    beats: u64,
+    heartbeats: u64,
     /// Orders of the group's targets, sorted by target name; kept only by the holder.
     pub(crate) slots: Vec<OrderSlot>,
 }
@@ -51,7 +51,7 @@
 enum CallKind {
     Read,
     Take,
-    Beat,
+    Heartbeat,
     Release,
 }
 
@@ -68,7 +68,7 @@
             until: Millis(0),
             call: None,
             next: Millis(0),
-            beats: 0,
+            heartbeats: 0,
             slots: Vec::new(),
         }
     }
@@ -100,7 +100,7 @@
             return None;
         }
         if self.is_mine(s) {
-            return self.beat(now, number, leaving);
+            return self.heartbeat(now, number, leaving);
         }
         let rows = self.rows.as_ref()?;
         if leaving || !self.may_take(now, s) {
@@ -110,13 +110,13 @@
             call: number,
             group: self.group.clone(),
             lease: rows.lease,
-            beat: rows.beat,
+            heartbeat: rows.heartbeat,
         };
         self.start(number, now, CallKind::Take);
         Some(effect)
     }
 
-    fn beat(&mut self, now: Millis, number: u64, leaving: bool) -> Option<AuthorityEffect> {
+    fn heartbeat(&mut self, now: Millis, number: u64, leaving: bool) -> Option<AuthorityEffect> {
         let rows = self.rows.as_ref()?;
         // A lease is given up only when no order of this node can still be on its way.
         let quiet = self.slots.iter().all(|slot| !slot.is_sending());
@@ -124,19 +124,19 @@
         if done || (leaving && !quiet) || (!leaving && now < self.next) {
             return None;
         }
-        let effect = AuthorityEffect::BeatLease {
+        let effect = AuthorityEffect::RenewLease {
             call: number,
             group: self.group.clone(),
             fence: Fence(rows.lease.0),
-            count: self.beats,
+            count: self.heartbeats,
             released: leaving,
         };
-        self.beats += 1;
+        self.heartbeats += 1;
         if leaving {
             self.until = Millis(0);
             self.start(number, now, CallKind::Release);
         } else {
-            self.start(number, now, CallKind::Beat);
+            self.start(number, now, CallKind::Heartbeat);
         }
         Some(effect)
     }
@@ -178,8 +178,8 @@
             self.next = now.plus(s.lease_ms / RETRIES);
             return;
         };
-        if self.seen.0 != found.beat {
-            self.seen = (found.beat, now);
+        if self.seen.0 != found.heartbeat {
+            self.seen = (found.heartbeat, now);
         }
         self.rows = Some(found.clone());
         if self.is_mine(s) {
@@ -202,12 +202,12 @@
                         boot: s.boot,
                     }),
                     lease: version,
-                    beat: version,
+                    heartbeat: version,
                     released: false,
                 });
                 self.renewed(now, call.sent, s);
             }
-            (CallKind::Beat, WriteEnd::Written(_)) => self.renewed(now, call.sent, s),
+            (CallKind::Heartbeat, WriteEnd::Written(_)) => self.renewed(now, call.sent, s),
             (CallKind::Release, WriteEnd::Written(_)) => {
                 if let Some(rows) = &mut self.rows {
                     rows.released = true;
@@ -230,7 +230,7 @@
             self.slots.clear();
         }
         self.until = sent.plus(s.lease_ms.saturating_sub(s.drift_ms));
-        self.next = sent.plus(s.lease_ms / BEATS);
+        self.next = sent.plus(s.lease_ms / HEARTBEATS);
     }
 
     /// Gives up what this node believed of the lease and reads its rows anew.
--- a/crates/rw-core/src/lease_rows.rs
+++ b/crates/rw-core/src/lease_rows.rs
@@ -13,9 +13,9 @@
     pub boot: BootId,
 }
 
-/// Value of the row `beat/<group>`, written with each renewal.
+/// Value of the row `heartbeat/<group>`, written with each renewal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Renewals of this holder so far.
     pub count: u64,
     /// Whether the holder gave the lease up, so that nobody needs to wait for its end.
@@ -31,8 +31,8 @@
     pub holder: Option<Holder>,
     /// Version of the lease row, zero if absent.
     pub lease: Version,
-    /// Version of the beat row, zero if absent.
-    pub beat: Version,
+    /// Version of the heartbeat row, zero if absent.
+    pub heartbeat: Version,
     /// Whether the holder gave the lease up.
     pub released: bool,
 }
@@ -45,8 +45,8 @@
 
 /// Key of the row that a group's holder renews.
 #[must_use]
-pub fn beat_key(group: &str) -> String {
-    format!("beat/{group}")
+pub fn heartbeat_key(group: &str) -> String {
+    format!("heartbeat/{group}")
 }
 
 /// Key of the row of a target's latest order.
--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -67,7 +67,7 @@
 pub use flow::Flow;
 pub use handover::{Handover, handover_key};
 pub use lease::Lease;
-pub use lease_rows::{Beat, Holder, LeaseRows, beat_key, lease_key, order_key};
+pub use lease_rows::{Heartbeat, Holder, LeaseRows, heartbeat_key, lease_key, order_key};
 pub use limit::Limit;
 pub use member::Members;
 pub use model_index::ModelIndex;
--- a/crates/rw-core/src/policy.rs
+++ b/crates/rw-core/src/policy.rs
@@ -27,7 +27,7 @@
     /// Whether cached prefixes count.
     pub cache: bool,
     /// Weight of the engine's time that an answer costs, against the time until the answer.
-    pub thrift: f64,
+    pub cost_weight: f64,
     /// Whether a request that can't meet its deadline is refused.
     pub admit: bool,
     /// Part of the time left that an estimate may fill.
@@ -60,7 +60,7 @@
             scan: 64,
             own: true,
             cache: true,
-            thrift: 8.0,
+            cost_weight: 8.0,
             admit: true,
             margin: 0.9,
             priorities: true,
--- a/crates/rw-core/src/route.rs
+++ b/crates/rw-core/src/route.rs
@@ -117,7 +117,7 @@
     let timely = expected.whole + away <= wanted.left * policy.margin;
     let score = match policy.pick {
         Pick::FirstToken => expected.first + away,
-        Pick::WholeAnswer => expected.whole + away + policy.thrift * expected.cost,
+        Pick::WholeAnswer => expected.whole + away + policy.cost_weight * expected.cost,
         _ => {
             let report = &target.report;
             let waiting: u32 = report.backlog.iter().map(|b| b.streams).sum();
--- a/crates/rw-core/tests/world/mod.rs
+++ b/crates/rw-core/tests/world/mod.rs
@@ -80,7 +80,7 @@
     engines: Vec<Engine>,
     version: u64,
     holder: (Option<Holder>, Version),
-    beat: (bool, Version),
+    heartbeat: (bool, Version),
     orders: Vec<(Option<Order>, Version)>,
     boots: u64,
     boot: [BootId; 2],
@@ -114,7 +114,7 @@
             engines: Vec::new(),
             version: 0,
             holder: (None, Version(0)),
-            beat: (false, Version(0)),
+            heartbeat: (false, Version(0)),
             orders: vec![(None, Version(0)); 2],
             boots: 0,
             boot: [BootId(0); 2],
@@ -161,7 +161,7 @@
         let nodes = self.nodes.iter().map(Node::authority);
         let nodes: Vec<_> = nodes.collect();
         let time = (self.now, self.ticked, self.quanta, self.faults, self.boot);
-        let table = (&self.holder, self.beat, &self.orders, self.version);
+        let table = (&self.holder, self.heartbeat, &self.orders, self.version);
         let state = (time, nodes, &self.calls, &self.engines, table);
         fingerprint(format!("{state:?}").as_bytes())
     }
@@ -316,23 +316,26 @@
                     group: GROUP.to_owned(),
                     holder: self.holder.0.clone(),
                     lease: self.holder.1,
-                    beat: self.beat.1,
-                    released: self.beat.0,
+                    heartbeat: self.heartbeat.1,
+                    released: self.heartbeat.0,
                 }]),
             },
             AuthorityEffect::TakeLease {
-                call, lease, beat, ..
+                call,
+                lease,
+                heartbeat,
+                ..
             } => {
-                let fits = self.fits(&[(*lease, self.holder.1), (*beat, self.beat.1)]);
+                let fits = self.fits(&[(*lease, self.holder.1), (*heartbeat, self.heartbeat.1)]);
                 let end = self.write(fits);
                 if fits {
                     let vm = format!("vm-{n}");
                     self.holder = (Some(Holder { vm, boot }), Version(self.version));
-                    self.beat = (false, Version(self.version));
+                    self.heartbeat = (false, Version(self.version));
                 }
                 AuthorityEvent::LeaseWritten { call: *call, end }
             }
-            AuthorityEffect::BeatLease {
+            AuthorityEffect::RenewLease {
                 call,
                 fence,
                 released,
@@ -341,7 +344,7 @@
                 let fits = self.fits(&[(Version(fence.0), self.holder.1)]);
                 let end = self.write(fits);
                 if fits {
-                    self.beat = (*released, Version(self.version));
+                    self.heartbeat = (*released, Version(self.version));
                 }
                 AuthorityEvent::LeaseWritten { call: *call, end }
             }
@@ -456,7 +459,7 @@
             call: *call,
             rows: None,
         },
-        AuthorityEffect::TakeLease { call, .. } | AuthorityEffect::BeatLease { call, .. } => {
+        AuthorityEffect::TakeLease { call, .. } | AuthorityEffect::RenewLease { call, .. } => {
             AuthorityEvent::LeaseWritten {
                 call: *call,
                 end: WriteEnd::Lost,
--- a/crates/rw-load/src/compare.rs
+++ b/crates/rw-load/src/compare.rs
@@ -93,7 +93,7 @@
             ours("without own work", |p| p.own = false),
             ours("without limits", |p| p.limits = false),
             ours("without shares", |p| p.shares = false),
-            ours("without thrift", |p| p.thrift = 0.0),
+            ours("without cost weight", |p| p.cost_weight = 0.0),
             ours("by first token", |p| p.pick = Pick::FirstToken),
             ours("best of 2", |p| (p.sample, p.scan) = (2, 0)),
             ours("best of 3", |p| (p.sample, p.scan) = (3, 0)),
--- a/crates/rw-node/src/authority.rs
+++ b/crates/rw-node/src/authority.rs
@@ -2,8 +2,8 @@
 
 use crate::Shell;
 use rw_core::{
-    AuthorityEffect, AuthorityEvent, Beat, Effect, Event, Holder, LeaseRows, OrderRow, WriteEnd,
-    beat_key, lease_key, order_key,
+    AuthorityEffect, AuthorityEvent, Effect, Event, Heartbeat, Holder, LeaseRows, OrderRow,
+    WriteEnd, heartbeat_key, lease_key, order_key,
 };
 use rw_http::{Method, Pooling, Request, Url, post_json};
 use rw_platform::{PlatformError, Row, Table as _, Txn, TxnReply};
@@ -73,12 +73,12 @@
                 call,
                 group,
                 lease,
-                beat,
+                heartbeat,
             } => AuthorityEvent::LeaseWritten {
                 call,
-                end: self.take_lease(&group, lease, beat).await,
+                end: self.take_lease(&group, lease, heartbeat).await,
             },
-            AuthorityEffect::BeatLease {
+            AuthorityEffect::RenewLease {
                 call,
                 group,
                 fence,
@@ -87,7 +87,7 @@
             } => AuthorityEvent::LeaseWritten {
                 call,
                 end: self
-                    .beat_lease(&group, fence, Beat { count, released })
+                    .beat_lease(&group, fence, Heartbeat { count, released })
                     .await,
             },
             AuthorityEffect::ReadOrders { call, targets } => AuthorityEvent::OrdersRead {
@@ -121,46 +121,46 @@
     }
 
     async fn read_leases(&self, groups: Vec<String>) -> Option<Vec<LeaseRows>> {
-        let keys = groups.iter().flat_map(|g| [lease_key(g), beat_key(g)]);
+        let keys = groups.iter().flat_map(|g| [lease_key(g), heartbeat_key(g)]);
         let rows = self.platform.get(keys.collect()).await;
         self.count_authority("read-leases", if rows.is_ok() { "ok" } else { "failed" });
         let rows = rows.ok()?.rows;
         let pairs = groups.into_iter().zip(rows.chunks_exact(2));
         let parsed = pairs.map(|(group, pair)| {
-            let beat: Option<Beat> = parse(&pair[1]);
+            let heartbeat: Option<Heartbeat> = parse(&pair[1]);
             LeaseRows {
                 group,
                 holder: parse(&pair[0]),
                 lease: pair[0].version,
-                beat: pair[1].version,
-                released: beat.is_some_and(|b| b.released),
+                heartbeat: pair[1].version,
+                released: heartbeat.is_some_and(|b| b.released),
             }
         });
         Some(parsed.collect())
     }
 
-    async fn take_lease(&self, group: &str, lease: Version, beat: Version) -> WriteEnd {
+    async fn take_lease(&self, group: &str, lease: Version, heartbeat: Version) -> WriteEnd {
         let holder = Holder {
             vm: self.core.vm.clone(),
             boot: self.core.boot,
         };
-        let first = Beat {
+        let first = Heartbeat {
             count: 0,
             released: false,
         };
         let txn = Txn::new()
             .check(lease_key(group), lease)
-            .check(beat_key(group), beat)
+            .check(heartbeat_key(group), heartbeat)
             .put(lease_key(group), json(&holder))
-            .put(beat_key(group), json(&first));
+            .put(heartbeat_key(group), json(&first));
         self.write("take-lease", &txn).await
     }
 
-    async fn beat_lease(&self, group: &str, fence: Fence, beat: Beat) -> WriteEnd {
+    async fn beat_lease(&self, group: &str, fence: Fence, heartbeat: Heartbeat) -> WriteEnd {
         let txn = Txn::new()
             .check(lease_key(group), Version(fence.0))
-            .put(beat_key(group), json(&beat));
-        self.write("beat-lease", &txn).await
+            .put(heartbeat_key(group), json(&heartbeat));
+        self.write("renew-lease", &txn).await
     }
 
     async fn read_orders(&self, targets: Vec<String>) -> Option<Vec<OrderRow>> {
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -106,83 +106,117 @@
     ) -> Option<Event> {
         let mut next = None;
         for effect in effects {
-            match effect {
-                Effect::SettleClaim {
-                    id,
-                    key,
-                    version,
-                    claim,
-                } => {
-                    spawn(self.clone().settle_claim(id, key, version, claim)).detach();
-                }
-                Effect::ReleaseClaim { id, key, claim } => {
-                    spawn(self.clone().release_claim(id, key, claim)).detach();
-                }
-                Effect::AskClaimant {
-                    peer,
-                    boot,
-                    claimed: request,
-                    ..
-                } => {
-                    let standing = self.ask_claimant(&peer, Claimed { boot, request }).await;
-                    next = Some(Event::ClaimStanding { id, standing });
-                }
-                Effect::Forward { peer, .. } => {
-                    let answered = self.forward_ticket(&peer, call, attempt).await;
-                    next = Some(Event::Forwarded { id, answered });
-                }
-                Effect::ReadHandover { key, .. } => {
-                    let handover = self.read_handover(&key).await;
-                    next = Some(Event::HandoverRead { id, handover });
-                }
-                Effect::ShareSuspects { wait: true, .. } => {
-                    self.share_suspects().await;
-                    next = Some(Event::SuspectsShared { id });
-                }
-                Effect::ShareSuspects { .. } => {
-                    let shell = self.clone();
-                    spawn(async move { shell.share_suspects().await }).detach();
-                }
-                Effect::WriteClaim {
-                    key,
-                    version,
-                    claim,
-                    ..
-                } => {
-                    let read = self.write_claim(&key, version, &claim).await;
-                    next = Some(Event::ClaimRead { id, read });
-                }
-                Effect::ReadClaim { key, .. } => {
-                    let read = self.read_claim(&key).await;
-                    next = Some(Event::ClaimRead { id, read });
-                }
+            let event = match effect {
                 Effect::Dispatch {
                     attempt: n,
                     addr,
                     resume,
                     ..
-                } => {
-                    next = Some(self.dispatch(id, n, &addr, resume, attempt, caller).await);
+                } => Some(self.dispatch(id, n, &addr, resume, attempt, caller).await),
+                Effect::Forward { peer, .. } => {
+                    let answered = self.forward_ticket(&peer, call, attempt).await;
+                    Some(Event::Forwarded { id, answered })
                 }
-                Effect::Deliver { .. } => self.deliver(id, attempt, caller).await,
-                Effect::Replay { answer, .. } => {
-                    attempt.cause = Some(Cause::Good);
-                    self.count(&attempt.kind, Outcome::Done);
-                    let response = raw(answer.status, answer.body, &answer.kind);
-                    caller.answer(with_outcome(response, Outcome::Done)).await;
+                Effect::Deliver { .. } | Effect::Replay { .. } | Effect::Refuse { .. } => {
+                    self.run_final(id, effect, attempt, caller).await;
+                    None
                 }
-                Effect::Refuse { refusal, .. } => {
-                    attempt.cause = burned(&refusal, caller.stream.is_some());
-                    self.count(&attempt.kind, refusal.outcome);
-                    caller.cut(&refusal).await;
-                    caller.answer(refuse(&refusal)).await;
+                Effect::SettleClaim { .. }
+                | Effect::ReleaseClaim { .. }
+                | Effect::ShareSuspects { wait: false, .. } => {
+                    self.run_beside(effect);
+                    None
                 }
-                Effect::Cancel { .. } | Effect::Sync(_) | Effect::Authority(_) => {}
-            }
+                _ => self.run_lookup(id, effect).await,
+            };
+            next = event.or(next);
         }
         next
     }
 
+    /// Runs an effect that the request does not wait for.
+    fn run_beside(self: &Arc<Self>, effect: Effect) {
+        let shell = self.clone();
+        match effect {
+            Effect::SettleClaim {
+                id,
+                key,
+                version,
+                claim,
+            } => spawn(shell.settle_claim(id, key, version, claim)).detach(),
+            Effect::ReleaseClaim { id, key, claim } => {
+                spawn(shell.release_claim(id, key, claim)).detach();
+            }
+            Effect::ShareSuspects { .. } => {
+                spawn(async move { shell.share_suspects().await }).detach();
+            }
+            _ => {}
+        }
+    }
+
+    /// Runs an effect whose result the request waits for: the table, a peer or the object store.
+    async fn run_lookup(self: &Arc<Self>, id: RequestId, effect: Effect) -> Option<Event> {
+        match effect {
+            Effect::WriteClaim {
+                key,
+                version,
+                claim,
+                ..
+            } => {
+                let read = self.write_claim(&key, version, &claim).await;
+                Some(Event::ClaimRead { id, read })
+            }
+            Effect::ReadClaim { key, .. } => {
+                let read = self.read_claim(&key).await;
+                Some(Event::ClaimRead { id, read })
+            }
+            Effect::AskClaimant {
+                peer,
+                boot,
+                claimed: request,
+                ..
+            } => {
+                let standing = self.ask_claimant(&peer, Claimed { boot, request }).await;
+                Some(Event::ClaimStanding { id, standing })
+            }
+            Effect::ReadHandover { key, .. } => {
+                let handover = self.read_handover(&key).await;
+                Some(Event::HandoverRead { id, handover })
+            }
+            Effect::ShareSuspects { .. } => {
+                self.share_suspects().await;
+                Some(Event::SuspectsShared { id })
+            }
+            _ => None,
+        }
+    }
+
+    /// Gives the caller its final answer.
+    async fn run_final(
+        &self,
+        id: RequestId,
+        effect: Effect,
+        attempt: &mut Attempt,
+        caller: &mut Caller,
+    ) {
+        match effect {
+            Effect::Deliver { .. } => self.deliver(id, attempt, caller).await,
+            Effect::Replay { answer, .. } => {
+                attempt.cause = Some(Cause::Good);
+                self.count(&attempt.kind, Outcome::Done);
+                let response = raw(answer.status, answer.body, &answer.kind);
+                caller.answer(with_outcome(response, Outcome::Done)).await;
+            }
+            Effect::Refuse { refusal, .. } => {
+                attempt.cause = burned(&refusal, caller.stream.is_some());
+                self.count(&attempt.kind, refusal.outcome);
+                caller.cut(&refusal).await;
+                caller.answer(refuse(&refusal)).await;
+            }
+            _ => {}
+        }
+    }
+
     async fn dispatch(
         &self,
         id: RequestId,
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -9,7 +9,7 @@
  * Safety: no two nodes have the right to give orders at the same time.
  * Liveness: a group whose holder died gets a holder again.
  *
- * Mutants, those that need no loss without one: FROM_ANSWER, NO_WAIT, NO_DRIFT, NO_BEAT_CHECK, LOST_IS_HELD,
+ * Mutants, those that need no loss without one: FROM_ANSWER, NO_WAIT, NO_DRIFT, NO_HEARTBEAT_CHECK, LOST_IS_HELD,
  * and for the liveness RESTARTS (every look at the rows begins the wait anew).
  */
 #define N 2
@@ -35,13 +35,13 @@
 
 mtype = { renew, take };
 
-typedef Call { bit live; bit node; mtype kind; byte id; byte lease; byte beat; byte number };
+typedef Call { bit live; bit node; mtype kind; byte id; byte lease; byte heartbeat; byte number };
 Call calls[SLOTS];
 
 /* The table: who holds the lease, and the versions of both rows. */
 byte version = 0;
 byte leaseVersion = 0;
-byte beatVersion = 0;
+byte heartbeatVersion = 0;
 byte leaseHolder = NOBODY;
 
 /* The nodes. A holder's identity is its VM with its boot. */
@@ -51,7 +51,7 @@
 byte left[N];      /* ticks of the right that remain */
 byte sentLeft[N];  /* ticks that would remain if the open call succeeds */
 byte waitLeft[N];  /* ticks until a takeover is allowed */
-byte seenBeat[N];
+byte seenHeartbeat[N];
 byte seenLease[N];
 bit known[N];
 bit pending[N];
@@ -71,7 +71,7 @@
 #ifdef RESTARTS
 #define news(n) 1
 #else
-#define news(n) (seenBeat[n] != beatVersion)
+#define news(n) (seenHeartbeat[n] != heartbeatVersion)
 #endif
 
 #ifdef NO_WAIT
@@ -104,7 +104,7 @@
   calls[i].kind = what;
   calls[i].id = identity[n];
   calls[i].lease = l;
-  calls[i].beat = b;
+  calls[i].heartbeat = b;
   calls[i].number = number[n]
 }
 
@@ -144,10 +144,10 @@
           :: else -> skip
           fi
        fi;
-       known[n] = 1; seenBeat[n] = beatVersion; seenLease[n] = leaseVersion }
+       known[n] = 1; seenHeartbeat[n] = heartbeatVersion; seenLease[n] = leaseVersion }
   :: atomic { /* take a lease that nobody has, or whose holder's right has ended */
        !mine[n] && !pending[n] && known[n] && room && takes < TAKES && may_take(n) ->
-       send(n, take, seenLease[n], seenBeat[n]) }
+       send(n, take, seenLease[n], seenHeartbeat[n]) }
   :: atomic { /* renew */
        mine[n] && !pending[n] && room && renewals < RENEWALS -> renewals++;
        send(n, renew, fence[n], 0) }
@@ -177,7 +177,7 @@
        give_up(n) }
   :: atomic { /* crash, and a new boot that remembers nothing */
        !crashed -> crashed = 1;
-       mine[n] = 0; left[n] = 0; known[n] = 0; seenBeat[n] = NOBODY;
+       mine[n] = 0; left[n] = 0; known[n] = 0; seenHeartbeat[n] = NOBODY;
        pending[n] = 0; answered[n] = 0; number[n] = (number[n] + 1) % 4;
        settle(n); fence[n] = 0; waitLeft[n] = 0; seenLease[n] = 0;
        identity[n] = n + N;
@@ -190,19 +190,19 @@
 
 inline clear(i) {
   calls[i].live = 0; calls[i].node = 0; calls[i].kind = renew; calls[i].id = 0;
-  calls[i].lease = 0; calls[i].beat = 0; calls[i].number = 0
+  calls[i].lease = 0; calls[i].heartbeat = 0; calls[i].number = 0
 }
 
 inline run_call(i) {
   node = calls[i].node;
   ok = calls[i].lease == leaseVersion;
-#ifndef NO_BEAT_CHECK
-  ok = ok && (calls[i].kind == renew || calls[i].beat == beatVersion);
+#ifndef NO_HEARTBEAT_CHECK
+  ok = ok && (calls[i].kind == renew || calls[i].heartbeat == heartbeatVersion);
 #endif
   if
   :: ok ->
      version++;
-     beatVersion = version;
+     heartbeatVersion = version;
      if
      :: calls[i].kind == take -> takes++; leaseVersion = version; leaseHolder = calls[i].id
      :: else -> skip
@@ -253,7 +253,7 @@
   atomic {
     identity[0] = 0; identity[1] = 1;
     clear(0); clear(1); asked[0] = renew; asked[1] = renew;
-    seenBeat[0] = NOBODY; seenBeat[1] = NOBODY;
+    seenHeartbeat[0] = NOBODY; seenHeartbeat[1] = NOBODY;
     run Node(0); run Node(1)
   }
 }
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -1,6 +1,6 @@
 //! Authority over targets under failure, on separate processes; counted on the targets' side.
 
-use rw_core::{Beat, Holder};
+use rw_core::{Heartbeat, Holder};
 use rw_fakes::HeldOrder;
 use rw_test::{Fleet, FleetPlan, Process, eventually, get};
 use rw_types::{Config, Fence, LoadReport, Model, Order, OrderKind, OrderState};
@@ -336,9 +336,9 @@
         assert_ne!(new, old);
         let ended = fleet.nodes[old].wait(Duration::from_secs(30));
         assert_eq!(ended, Some(0));
-        let rows = fleet.rows(&["beat/chat"]).await.expect("read");
-        let beat: Beat = serde_json::from_str(&rows[0].value).expect("a beat");
-        assert!(!beat.released, "the successor renews");
+        let rows = fleet.rows(&["heartbeat/chat"]).await.expect("read");
+        let heartbeat: Heartbeat = serde_json::from_str(&rows[0].value).expect("a heartbeat");
+        assert!(!heartbeat.released, "the successor renews");
         add_model(&mut fleet, "large").await;
         wait_model(&fleet, "large").await;
         check_held(&fleet, "leave").await;
