A caller's account is found by binary search, as the other lists are

Cause: each dispatch of generated text went through the accounts one by one, under the reducer's lock, to find the caller's share; at the size that the system is built towards that list has 47,000 entries. The configuration's four searches stood four times in one shape beside the Named trait. Ruled out: an index of its own; the list is sorted by name already. Change: one search over any Named list serves target, service, kind, model and the new account.

--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -168,8 +168,7 @@
         }
         if let Some(estimate) = choice.estimate {
             target.flow.add(now, priority, estimate.cost);
-            let share = self.config.accounts.iter().find(|a| a.name == call.caller);
-            let share = share.map_or(1, |a| a.share);
+            let share = self.config.account(&call.caller).map_or(1, |a| a.share);
             self.decisions
                 .shares
                 .charge(now, &call.caller, share, estimate.cost);
--- a/crates/rw-types/src/config.rs
+++ b/crates/rw-types/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration that operators accept and every node has in force.
 
-use crate::{Account, Target, Version};
+use crate::{Account, Named, Target, Version};
 use serde::{Deserialize, Serialize};
 
 /// Everything operators decide. Lists are sorted by name.
@@ -103,41 +103,31 @@
     /// The target of that name, by binary search.
     #[must_use]
     pub fn target(&self, name: &str) -> Option<&Target> {
-        let i = self
-            .targets
-            .binary_search_by(|t| t.name.as_str().cmp(name))
-            .ok()?;
-        Some(&self.targets[i])
+        find(&self.targets, name)
     }
 
     /// The service of that name, by binary search.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let i = self
-            .services
-            .binary_search_by(|s| s.name.as_str().cmp(name))
-            .ok()?;
-        Some(&self.services[i])
+        find(&self.services, name)
     }
 
     /// The kind of work of that name, by binary search.
     #[must_use]
     pub fn kind(&self, name: &str) -> Option<&WorkKind> {
-        let i = self
-            .kinds
-            .binary_search_by(|k| k.name.as_str().cmp(name))
-            .ok()?;
-        Some(&self.kinds[i])
+        find(&self.kinds, name)
     }
 
     /// The model of that name, by binary search.
     #[must_use]
     pub fn model(&self, name: &str) -> Option<&Model> {
-        let i = self
-            .models
-            .binary_search_by(|m| m.name.as_str().cmp(name))
-            .ok()?;
-        Some(&self.models[i])
+        find(&self.models, name)
+    }
+
+    /// The account of that name, by binary search.
+    #[must_use]
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        find(&self.accounts, name)
     }
 
     /// Sorts every list by name, so that the searches above hold.
@@ -149,3 +139,8 @@
         self.kinds.sort_by(|a, b| a.name.cmp(&b.name));
     }
 }
+
+fn find<'a, T: Named>(list: &'a [T], name: &str) -> Option<&'a T> {
+    let i = list.binary_search_by(|item| item.name().cmp(name)).ok()?;
+    Some(&list[i])
+}
