--- a/crates/rw-cli/src/commands/relay.rs
+++ b/crates/rw-cli/src/commands/relay.rs
@@ -5,6 +5,7 @@
     CliError,
     logs::start_event_logs,
     relay_settings::{RelayFileSettings, read_relay_file},
+    reload::Reload,
     settings::text,
     stop::stop_signal,
 };
@@ -42,14 +43,22 @@
 }
 
 fn run(matches: &ArgMatches) -> Result<(), CliError> {
-    let RelayFileSettings { relay, store } = read_relay_file(text(matches, "settings")?)?;
+    let path = text(matches, "settings")?;
+    let RelayFileSettings { relay, store } = read_relay_file(path)?;
     start_event_logs(text(matches, "log")?)?;
     let vm = relay.gate.vm.clone();
     let bound = Bound::bind(relay).map_err(CliError::Relay)?;
     let stop = stop_signal()?;
+    let reload = Reload::watch(path)?;
+    let (sender, changed) = async_channel::bounded(1);
     log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "started");
     let registry = StoreRegistry::new(Store::new(store.to_string()));
     bound
-        .run(PlatformHeaders, registry, stop)
+        .run(
+            PlatformHeaders,
+            registry,
+            (reload.run(sender), changed),
+            stop,
+        )
         .map_err(CliError::Relay)
 }
--- a/crates/rw-cli/src/lib.rs
+++ b/crates/rw-cli/src/lib.rs
@@ -6,6 +6,7 @@
 mod logs;
 mod operator;
 mod relay_settings;
+mod reload;
 mod run;
 mod scale;
 mod settings;
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -1,6 +1,6 @@
 //! What can happen to forwarded calls.
 
-use crate::{Ask, Digest, Routing, TargetSpec};
+use crate::{Ask, Digest, GateSettings, Routing, TargetSpec};
 use rw_types::RequestId;
 use std::sync::Arc;
 
@@ -104,6 +104,8 @@
     Targets(Vec<TargetSpec>),
     /// The store answers again after it did not.
     StoreBack,
+    /// Settings were read again.
+    Settings(GateSettings),
     /// How many nodes the fleet has, this one included.
     Nodes(usize),
     /// Another node told of its work.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -65,6 +65,7 @@
             Event::TargetGone { name } => self.target_gone(now, &name),
             Event::Targets(specs) => self.replace_targets(now, specs),
             Event::StoreBack => self.back = Some(now),
+            Event::Settings(settings) => self.settings = settings,
             Event::Nodes(nodes) => self.nodes = nodes.max(1),
             Event::Heard(digest) => self.hear(now, &digest),
         }
--- a/crates/rw-gate/src/settings.rs
+++ b/crates/rw-gate/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the reducer.
 
 /// What a node knows of itself and the limits it decides by.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct GateSettings {
     /// Name of this VM.
     pub vm: String,
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -53,7 +53,7 @@
                     continue;
                 }
             };
-            if self.connections.get() >= self.settings.connections {
+            if self.connections.get() >= self.most.get() {
                 self.metrics.turned_away();
                 continue;
             }
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -40,6 +40,10 @@
     pub(crate) busy: Cell<usize>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
+    /// Most open connections of callers.
+    pub(crate) most: Cell<usize>,
+    /// Time from the signal to stop until the process is killed.
+    pub(crate) grace: Cell<Duration>,
     next: Cell<u64>,
 }
 
@@ -67,6 +71,8 @@
             closing: Cell::new(false),
             busy: Cell::new(0),
             connections: Cell::new(0),
+            most: Cell::new(settings.connections),
+            grace: Cell::new(settings.grace),
             next: Cell::new(1),
             settings,
         }
@@ -86,6 +92,16 @@
         effects
     }
 
+    /// Takes over new settings without touching a call. Addresses stay as they are bound.
+    pub(crate) fn reload(&self, new: RelaySettings) {
+        let old = &self.settings;
+        let moved = (old.front, old.ready, old.control) != (new.front, new.ready, new.control);
+        log::info!(connections = new.connections, grace_ms = new.grace.as_millis() as u64, moved; "settings reloaded; changed addresses need a restart");
+        self.most.set(new.connections);
+        self.grace.set(new.grace);
+        self.step(Event::Settings(new.gate));
+    }
+
     pub(crate) fn next_id(&self) -> RequestId {
         let id = self.next.get();
         self.next.set(id + 1);
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -71,7 +71,8 @@
         })
     }
 
-    /// Serves on this thread until `stop` is ready and every answer is given.
+    /// Serves on this thread until `stop` is ready and every answer is given. `reload` runs beside
+    /// it and sends new settings.
     ///
     /// # Errors
     ///
@@ -80,6 +81,7 @@
         self,
         dialect: D,
         registry: R,
+        (reload, changed): (impl Future<Output = ()> + 'static, Receiver<RelaySettings>),
         stop: impl Future<Output = ()>,
     ) -> Result<(), ServeError> {
         let executor = Rc::new(LocalExecutor::new());
@@ -101,6 +103,10 @@
         executor.spawn(relay.clone().ask_seeds()).detach();
         executor.spawn(registry.watch(relay.me(), sender)).detach();
         spawn(Box::pin(take_notices(relay.clone(), notices)));
+        executor.spawn(reload).detach();
+        executor
+            .spawn(take_settings(relay.clone(), changed))
+            .detach();
         let ending = leave(relay, stop);
         smol::block_on(executor.run(ending));
         Ok(())
@@ -138,15 +144,21 @@
     }
 }
 
+async fn take_settings<D: Dialect>(relay: Rc<Relay<D>>, changed: Receiver<RelaySettings>) {
+    while let Ok(settings) = changed.recv().await {
+        relay.reload(settings);
+    }
+}
+
 /// Turns not ready, serves what still comes, and returns once every answer is given.
 async fn leave<D: Dialect>(relay: Rc<Relay<D>>, stop: impl Future<Output = ()>) {
     stop.await;
     let begun = Instant::now();
     relay.leaving.set(true);
-    log::info!(busy = relay.busy.get(), grace_ms = relay.settings.grace.as_millis() as u64; "stopping: not ready, open calls go on");
+    log::info!(busy = relay.busy.get(), grace_ms = relay.grace.get().as_millis() as u64; "stopping: not ready, open calls go on");
     Timer::after(NOTICE).await;
     relay.closing.set(true);
-    let last = begun + relay.settings.grace.saturating_sub(EARLY);
+    let last = begun + relay.grace.get().saturating_sub(EARLY);
     while Instant::now() < last {
         if relay.busy.get() == 0 && relay.connections.get() == 0 {
             break;
