A node that stops refuses streams that it could not finish

Ruled out: the balancer being late; the calls came on new connections 4.4 s after the signal. Change: 2.8 s after the signal the reducer is told when the process ends; streams are answered 503 (not run, come back after 50 ms), plain calls are served until 1.5 s before the end. Tests: rw-gate calls::a_node_that_stops_takes_only_what_it_can_finish; the reducer's other ways have their tables in tests/calls.rs and tests/targets.rs.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -7,6 +7,10 @@
 
 /// Part of the time left that an estimate may fill.
 const MARGIN: f64 = 0.9;
+/// Time in which a plain call ends, in milliseconds.
+const PLAIN_MS: u64 = 1_500;
+/// Time to come back after a refusal by a node that stops, in milliseconds: any other node will do.
+const LEAVING_RETRY_MS: u64 = 50;
 /// Longest time to come back that a refusal names, in milliseconds.
 const LONGEST_RETRY_MS: u64 = 3_000;
 
@@ -40,6 +44,9 @@
         let Some(route) = routing.find(&ask.host, &ask.path) else {
             return Err(self.refusal(RefusalKind::NoRoute, 0));
         };
+        if self.ends_before(now, route) {
+            return Err(self.refusal(RefusalKind::Leaving, LEAVING_RETRY_MS));
+        }
         let verdict = self
             .suspects
             .verdict(now, ask.fingerprint, self.settings.poison_ms);
@@ -69,6 +76,12 @@
         })
     }
 
+    /// Whether this process ends before a call on `route` would.
+    fn ends_before(&self, now: Millis, route: &Route) -> bool {
+        let left = self.end.map(|end| end.since(now));
+        left.is_some_and(|left| route.repeat.is_stream() || left < PLAIN_MS)
+    }
+
     fn pick_service(&mut self, route: &Route) -> Option<String> {
         let sum: u32 = route.shares.iter().map(|s| s.weight).sum();
         if sum == 0 {
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -58,6 +58,8 @@
     Overloaded,
     /// It ended the targets that ran it.
     Poison,
+    /// This node stops before the call could end.
+    Leaving,
     /// It may have run, and its answer is lost.
     AnswerLost,
     /// Its time ran out; it may have run.
@@ -77,6 +79,7 @@
             Self::TooLate => "too-late",
             Self::Overloaded => "overloaded",
             Self::Poison => "poison",
+            Self::Leaving => "leaving",
             Self::AnswerLost => "answer-lost",
             Self::TimedOut => "timed-out",
             Self::Cut => "cut",
@@ -87,9 +90,12 @@
     #[must_use]
     pub fn status(self) -> Option<u16> {
         match self {
-            Self::NotReady | Self::NoTarget | Self::TooLate | Self::Overloaded | Self::Poison => {
-                Some(503)
-            }
+            Self::NotReady
+            | Self::NoTarget
+            | Self::TooLate
+            | Self::Overloaded
+            | Self::Poison
+            | Self::Leaving => Some(503),
             Self::NoRoute => Some(404),
             Self::AnswerLost => Some(502),
             Self::TimedOut => Some(504),
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -1,7 +1,7 @@
 //! What can happen to forwarded calls.
 
 use crate::{Ask, Digest, GateSettings, Routing, TargetSpec};
-use rw_types::RequestId;
+use rw_types::{Millis, RequestId};
 use std::sync::Arc;
 
 /// Load that a target tells with an answer.
@@ -104,6 +104,11 @@
     Targets(Vec<TargetSpec>),
     /// The store answers again after it did not.
     StoreBack,
+    /// The process stops at `end`, and the balancer had its time to notice.
+    Leaving {
+        /// When the process ends.
+        end: Millis,
+    },
     /// Settings were read again.
     Settings(GateSettings),
     /// How many nodes the fleet has, this one included.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -28,6 +28,8 @@
     pub(crate) reads: Vec<Read>,
     pub(crate) random: fastrand::Rng,
     back: Option<Millis>,
+    /// When this process ends, once it is stopping.
+    pub(crate) end: Option<Millis>,
 }
 
 impl Gate {
@@ -45,6 +47,7 @@
             reads: Vec::new(),
             random: fastrand::Rng::with_seed(settings.seed),
             back: None,
+            end: None,
             settings,
         }
     }
@@ -65,6 +68,7 @@
             Event::TargetGone { name } => self.target_gone(now, &name),
             Event::Targets(specs) => self.replace_targets(now, specs),
             Event::StoreBack => self.back = Some(now),
+            Event::Leaving { end } => self.end = Some(end),
             Event::Settings(settings) => self.settings = settings,
             Event::Nodes(nodes) => self.nodes = nodes.max(1),
             Event::Heard(digest) => self.hear(now, &digest),
--- /dev/null
+++ b/crates/rw-gate/tests/calls.rs
@@ -0,0 +1,260 @@
+//! Every way in which a call can end, and what its caller is told.
+
+mod support;
+
+use rw_gate::{End, Event, GateSettings, RefusalKind, Role};
+use support::*;
+
+struct EndCase {
+    name: &'static str,
+    path: &'static str,
+    ends: &'static [End],
+    /// Whether the call goes to another target after all of them.
+    again: bool,
+    refused: Option<RefusalKind>,
+}
+
+const DECLINED: End = End::Declined { status: 503 };
+
+#[test]
+fn a_call_goes_on_only_where_it_may() {
+    let cases = [
+        EndCase {
+            name: "a once call that broke may have run",
+            path: "/once/1",
+            ends: &[BROKEN],
+            again: false,
+            refused: Some(RefusalKind::AnswerLost),
+        },
+        EndCase {
+            name: "a once call that was declined did not run",
+            path: "/once/1",
+            ends: &[DECLINED],
+            again: true,
+            refused: None,
+        },
+        EndCase {
+            name: "a once call that was not sent did not run",
+            path: "/once/1",
+            ends: &[End::Unsent],
+            again: true,
+            refused: None,
+        },
+        EndCase {
+            name: "declined, then broken: it may have run",
+            path: "/once/1",
+            ends: &[DECLINED, BROKEN],
+            again: false,
+            refused: Some(RefusalKind::AnswerLost),
+        },
+        EndCase {
+            name: "an idempotent call that broke is repeated",
+            path: "/safe/1",
+            ends: &[BROKEN],
+            again: true,
+            refused: None,
+        },
+        EndCase {
+            name: "but on no more targets than its route allows",
+            path: "/safe/1",
+            ends: &[BROKEN, BROKEN],
+            again: false,
+            refused: Some(RefusalKind::AnswerLost),
+        },
+        EndCase {
+            name: "a call whose time ran out may have run",
+            path: "/safe/1",
+            ends: &[End::TimedOut { delivered: false }],
+            again: false,
+            refused: Some(RefusalKind::TimedOut),
+        },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (id, mut effects) = world.arrive(ask(case.path));
+        for end in case.ends {
+            assert!(dispatch(&effects).is_some(), "{}", case.name);
+            effects = world.end(id, end.clone());
+        }
+        assert_eq!(dispatch(&effects).is_some(), case.again, "{}", case.name);
+        assert_eq!(refused(&effects), case.refused, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_repeat_avoids_the_target_that_failed() {
+    let mut world = World::new();
+    let (id, first) = world.arrive(ask("/safe/1"));
+    let first = sent_to(&first).to_owned();
+    let second = world.end(id, BROKEN);
+    assert_ne!(first, sent_to(&second));
+}
+
+#[test]
+fn a_failure_of_a_target_is_the_answer_if_nothing_else_is_left() {
+    let mut world = World::new();
+    let (id, _) = world.arrive(ask("/safe/1"));
+    let again = world.end(id, End::Whole { status: 500 });
+    assert!(dispatch(&again).is_some());
+    let last = world.end(id, End::Whole { status: 500 });
+    assert!(matches!(last[..], [rw_gate::Effect::Deliver { .. }]));
+}
+
+#[test]
+fn repeats_stay_within_the_nodes_part_of_the_budget() {
+    struct Case {
+        nodes: usize,
+        slack: f64,
+        most: usize,
+    }
+    // 200 calls at a ratio of 0.2 allow 40, and the slack is divided.
+    for case in [
+        Case {
+            nodes: 1,
+            slack: 50.0,
+            most: 90,
+        },
+        Case {
+            nodes: 5,
+            slack: 50.0,
+            most: 50,
+        },
+        Case {
+            nodes: 50,
+            slack: 50.0,
+            most: 41,
+        },
+    ] {
+        let mut world = World::with(GateSettings {
+            retry_slack: case.slack,
+            ..GateSettings::default()
+        });
+        world.step(Event::Nodes(case.nodes));
+        let mut repeats = 0;
+        for _ in 0..200 {
+            world.now += 10;
+            let (id, _) = world.arrive(ask("/safe/1"));
+            let effects = world.end(id, DECLINED);
+            repeats += usize::from(dispatch(&effects).is_some());
+            world.end(id, End::Whole { status: 200 });
+        }
+        assert!(repeats <= case.most, "{} nodes: {repeats}", case.nodes);
+        assert!(repeats > 10, "{} nodes: {repeats}", case.nodes);
+    }
+}
+
+#[test]
+fn a_body_that_crashed_two_targets_is_refused_here_and_elsewhere() {
+    let mut world = World::new();
+    for _ in 0..2 {
+        let (id, sent) = world.arrive(ask("/once/1"));
+        assert!(dispatch(&sent).is_some());
+        world.end(id, CRASHED);
+    }
+    let (_, third) = world.arrive(ask("/once/1"));
+    assert_eq!(refused(&third), Some(RefusalKind::Poison));
+    let digest = world.gate.digest(rw_types::Millis(world.now));
+    let mut other = World::new();
+    other.step(Event::Heard(digest));
+    let (_, there) = other.arrive(ask("/once/1"));
+    assert_eq!(refused(&there), Some(RefusalKind::Poison));
+}
+
+#[test]
+fn without_a_configuration_a_call_is_told_to_come_back() {
+    let mut gate = rw_gate::Gate::new(GateSettings::default());
+    let id = rw_types::RequestId(1);
+    let ask = ask("/safe/1");
+    let effects = gate.step(rw_types::Millis(1), Event::Arrived { id, ask });
+    let refusal = refusal(&effects).expect("a refusal");
+    assert_eq!(refusal.kind.status(), Some(503));
+    assert!(refusal.retry_ms > 0);
+}
+
+#[test]
+fn a_node_that_stops_takes_only_what_it_can_finish() {
+    struct Case {
+        path: &'static str,
+        left: u64,
+        taken: bool,
+    }
+    let cases = [
+        Case {
+            path: "/safe/1",
+            left: 4_000,
+            taken: true,
+        },
+        Case {
+            path: "/safe/1",
+            left: 500,
+            taken: false,
+        },
+        Case {
+            path: "/brief/1",
+            left: 4_000,
+            taken: false,
+        },
+        Case {
+            path: "/chat/1",
+            left: 4_000,
+            taken: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let end = rw_types::Millis(world.now + case.left);
+        world.step(Event::Leaving { end });
+        let (_, effects) = world.arrive(prompt(case.path, (1, 100), (2, 100)));
+        assert_eq!(dispatch(&effects).is_some(), case.taken, "{}", case.path);
+        let wanted = (!case.taken).then_some(RefusalKind::Leaving);
+        assert_eq!(refused(&effects), wanted, "{}", case.path);
+    }
+}
+
+#[test]
+fn a_stream_that_may_be_resumed_goes_on_after_its_last_event() {
+    let mut world = World::new();
+    let (id, sent) = world.arrive(prompt("/brief/1", (1, 100), (2, 100)));
+    let first = sent_to(&sent).to_owned();
+    let broken = End::Broken {
+        crashed: false,
+        delivered: Some(4),
+    };
+    let again = world.end(id, broken.clone());
+    let resumed = dispatch(&again).expect("a second target");
+    assert_eq!(resumed.resume, Some(4));
+    assert_ne!(resumed.target, first);
+    let cut = world.end(id, broken);
+    assert_eq!(refused(&cut), Some(RefusalKind::Cut));
+}
+
+#[test]
+fn a_stream_that_may_not_is_cut() {
+    let mut world = World::new();
+    let (id, _) = world.arrive(prompt("/chat/1", (1, 100), (2, 100)));
+    let broken = End::Broken {
+        crashed: false,
+        delivered: Some(4),
+    };
+    let cut = world.end(id, broken);
+    assert_eq!(refused(&cut), Some(RefusalKind::Cut));
+}
+
+#[test]
+fn a_long_prompt_is_filled_apart_and_its_handle_taken_once() {
+    let mut world = World::new();
+    let (id, sent) = world.arrive(prompt("/chat/1", (1, 5_000), (2, 8_000)));
+    assert_eq!(mode(&sent), Some(&rw_gate::Mode::Prefill));
+    let handle = rw_gate::Handle {
+        addr: "127.0.0.1:1".to_owned(),
+        name: "h".to_owned(),
+    };
+    let taken = world.end(id, End::Prefilled(handle.clone()));
+    assert_eq!(mode(&taken), Some(&rw_gate::Mode::Take(handle)));
+    let role = world
+        .gate
+        .targets()
+        .find(sent_to(&taken))
+        .map(|t| t.spec.role);
+    assert_eq!(role, Some(Role::Decode));
+}
--- /dev/null
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -0,0 +1,192 @@
+//! A gate with a small fleet, and short ways to drive it.
+
+#![allow(
+    dead_code,
+    missing_docs,
+    reason = "each test file uses its part of what the files share"
+)]
+
+use rw_gate::{
+    Ask, CallLimits, Dispatch, Effect, End, EngineSpec, Event, Gate, GateSettings, Mode, Part,
+    Prompt, Refusal, RefusalKind, Repeat, Role, Route, Routing, Service, Share, TargetSpec,
+};
+use rw_types::{Millis, RequestId};
+use std::sync::Arc;
+
+pub const HOST: &str = "a.example";
+pub const ENGINES: &str = "engines";
+pub const PLAIN: &str = "plain";
+
+pub struct World {
+    pub gate: Gate,
+    pub now: u64,
+    next: u64,
+}
+
+pub fn route(prefix: &str, repeat: Repeat, service: &str, attempts: u32) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: HOST.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat,
+        timeout_ms: 5_000,
+        objective_ms: 300,
+        gap_ms: 250,
+        priority: 1,
+        shares: vec![Share {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        attempts,
+    }
+}
+
+pub fn routing(version: u64) -> Routing {
+    let engine = EngineSpec {
+        slots: 48,
+        memory: 400_000,
+        token_bytes: 131_072,
+        link_mbps: 950_000.0,
+        handle_ms: 5_000,
+        switch_ms: 3_000,
+    };
+    let service = |name: &str, engine| Service {
+        name: name.to_owned(),
+        connections: 300,
+        engine,
+    };
+    Routing {
+        version,
+        routes: vec![
+            route("/once/", Repeat::Once, PLAIN, 1),
+            route("/safe/", Repeat::Idempotent, PLAIN, 2),
+            route("/chat/", Repeat::Stream { resumable: false }, ENGINES, 1),
+            route("/brief/", Repeat::Stream { resumable: true }, ENGINES, 2),
+        ],
+        services: vec![service(ENGINES, Some(engine)), service(PLAIN, None)],
+        limits: CallLimits::default(),
+    }
+    .sorted()
+}
+
+pub fn target(name: &str, service: &str, role: Role) -> TargetSpec {
+    TargetSpec {
+        name: name.to_owned(),
+        life: 1,
+        service: service.to_owned(),
+        addr: format!("127.0.0.1:{}", 1_000 + name.len()),
+        centre: "x".to_owned(),
+        slots: 6,
+        role,
+        leaving: false,
+        models: vec!["m".to_owned()],
+    }
+}
+
+pub fn fleet() -> Vec<TargetSpec> {
+    vec![
+        target("d1", ENGINES, Role::Decode),
+        target("d2", ENGINES, Role::Decode),
+        target("f1", ENGINES, Role::Prefill),
+        target("f2", ENGINES, Role::Prefill),
+        target("p1", PLAIN, Role::Mixed),
+        target("p2", PLAIN, Role::Mixed),
+        target("p3", PLAIN, Role::Mixed),
+    ]
+}
+
+pub fn ask(path: &str) -> Ask {
+    Ask {
+        call: "c".to_owned(),
+        host: HOST.to_owned(),
+        path: path.to_owned(),
+        fingerprint: 7,
+        deadline_ms: Some(5_000),
+        last_event: None,
+        prompt: None,
+    }
+}
+
+/// A generation whose prompt is one shared part and one of its own.
+pub fn prompt(path: &str, shared: (u64, u32), own: (u64, u32)) -> Ask {
+    let part = |(id, tokens)| Part { id, tokens };
+    let prompt = Prompt {
+        model: "m".to_owned(),
+        tokens: shared.1 + own.1,
+        output: 100,
+        parts: vec![part(shared), part(own)],
+    };
+    Ask {
+        prompt: Some(prompt),
+        fingerprint: own.0,
+        ..ask(path)
+    }
+}
+
+impl World {
+    pub fn new() -> Self {
+        Self::with(GateSettings::default())
+    }
+
+    pub fn with(settings: GateSettings) -> Self {
+        let mut world = Self {
+            gate: Gate::new(settings),
+            now: 1_000,
+            next: 1,
+        };
+        world.step(Event::Routing(Arc::new(routing(1))));
+        world.step(Event::Targets(fleet()));
+        world.step(Event::Nodes(1));
+        world
+    }
+
+    pub fn step(&mut self, event: Event) -> Vec<Effect> {
+        self.gate.step(Millis(self.now), event)
+    }
+
+    pub fn arrive(&mut self, ask: Ask) -> (RequestId, Vec<Effect>) {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let effects = self.step(Event::Arrived { id, ask });
+        (id, effects)
+    }
+
+    pub fn end(&mut self, id: RequestId, end: End) -> Vec<Effect> {
+        self.step(Event::Ended { id, end })
+    }
+}
+
+pub fn dispatch(effects: &[Effect]) -> Option<&Dispatch> {
+    effects.iter().find_map(|e| match e {
+        Effect::Dispatch { dispatch, .. } => Some(dispatch),
+        _ => None,
+    })
+}
+
+pub fn sent_to(effects: &[Effect]) -> &str {
+    dispatch(effects).map_or("", |d| &d.target)
+}
+
+pub fn mode(effects: &[Effect]) -> Option<&Mode> {
+    dispatch(effects).map(|d| &d.mode)
+}
+
+pub fn refusal(effects: &[Effect]) -> Option<Refusal> {
+    effects.iter().find_map(|e| match e {
+        Effect::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
+}
+
+pub fn refused(effects: &[Effect]) -> Option<RefusalKind> {
+    refusal(effects).map(|r| r.kind)
+}
+
+pub const BROKEN: End = End::Broken {
+    crashed: false,
+    delivered: None,
+};
+pub const CRASHED: End = End::Broken {
+    crashed: true,
+    delivered: None,
+};
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -8,6 +8,7 @@
 };
 use async_channel::Receiver;
 use displaydoc::Display;
+use rw_gate::Event;
 use smol::{Async, LocalExecutor, Timer, future};
 use std::{
     future::Future,
@@ -19,7 +20,7 @@
 
 /// How long after the signal to stop new connections may still come: the balancer looks once a
 /// second and believes the second miss.
-const NOTICE: Duration = Duration::from_millis(3_000);
+const NOTICE: Duration = Duration::from_millis(2_800);
 /// How much before the end of its grace the process ends by itself.
 const EARLY: Duration = Duration::from_millis(400);
 /// Pause between looks at whether all answers are given.
@@ -159,6 +160,9 @@
     Timer::after(NOTICE).await;
     relay.closing.set(true);
     let last = begun + relay.grace.get().saturating_sub(EARLY);
+    let left = last.saturating_duration_since(Instant::now());
+    let end = relay.clock.now().plus(left.as_millis() as u64);
+    relay.step(Event::Leaving { end });
     while Instant::now() < last {
         if relay.busy.get() == 0 && relay.connections.get() == 0 {
             break;
