--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -52,7 +52,7 @@
         let Some(target) = self.targets.alive(&current.target, current.life) else {
             return;
         };
-        if target.work.done(now, id).is_none() {
+        if !target.work.done(now, id) {
             return;
         }
         let role = target.spec.role;
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -3,15 +3,14 @@
 use rw_types::Suspect;
 use serde::{Deserialize, Serialize};
 
-/// Prompt work of one node on one target, in tokens.
+/// Prompt work of one node on one target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkSum {
     /// Target name.
     pub target: String,
-    /// All of it.
-    pub tokens: u64,
-    /// Its most urgent part.
-    pub urgent: u64,
+    /// Prompts that wait or are being filled: call, milliseconds since it was sent, priority and
+    /// tokens.
+    pub jobs: Vec<(u64, u64, u8, u64)>,
 }
 
 /// A prompt that a target read since the digest before.
@@ -23,6 +22,26 @@
     pub chain: Vec<(u64, u32)>,
 }
 
+/// Generations of one node that run on a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenSum {
+    /// Target name.
+    pub target: String,
+    /// How many.
+    pub calls: u32,
+    /// Tokens that they hold.
+    pub tokens: u64,
+}
+
+/// A target that changes its role.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Target name.
+    pub target: String,
+    /// Milliseconds until it is back at the latest.
+    pub left_ms: u64,
+}
+
 /// One node's word to the others.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -30,10 +49,16 @@
     pub vm: String,
     /// Version of its configuration.
     pub version: u64,
+    /// Whether it reaches the store, so that it can hold a lease.
+    pub fit: bool,
     /// Its prompt work; a target that is left out has none.
     pub work: Vec<WorkSum>,
+    /// Its generations; a target that is left out has none.
+    pub open: Vec<OpenSum>,
     /// Prompts read since the digest before.
     pub read: Vec<Read>,
+    /// Role changes that it ordered.
+    pub changes: Vec<Change>,
     /// Calls that ended their targets.
     pub suspects: Vec<Suspect>,
 }
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -1,7 +1,7 @@
 //! What the shell is to do.
 
 use crate::Handle;
-use rw_types::RequestId;
+use rw_types::{Millis, RequestId, Role};
 
 /// What a dispatch asks of its target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -137,6 +137,23 @@
         /// Which.
         refusal: Refusal,
     },
+    /// Ask the store for the lease on role changes.
+    TakeLease,
+    /// Order a target to change its role.
+    Order {
+        /// Target name.
+        target: String,
+        /// Life of the target that is meant.
+        life: u64,
+        /// `ip:port` of the target.
+        addr: String,
+        /// Role that it is to take.
+        role: Role,
+        /// Fencing token.
+        token: u64,
+        /// Not sent from this time on.
+        until: Millis,
+    },
     /// Free a prefilled prompt that nobody will take.
     Free(Handle),
     /// Tell the other nodes at once; a call crashed its target.
--- a/crates/rw-gate/src/engine_rate.rs
+++ b/crates/rw-gate/src/engine_rate.rs
@@ -3,13 +3,15 @@
 use rw_types::Role;
 
 /// Tokens a millisecond before anything was measured, by role.
-const FIRST: [f64; 2] = [50.0, 20.0];
+const FIRST: [f64; 2] = [50.0, 25.0];
 /// Part of the way to a faster measure that one sample goes.
 const FASTER: f64 = 0.2;
 /// Part of the way to a slower measure that one sample goes; most of those had waited.
-const SLOWER: f64 = 0.02;
+const SLOWER: f64 = 0.1;
 /// Smallest prompt that tells of the rate, in tokens.
-const LEAST: u64 = 1_500;
+const LEAST: u64 = 500;
+/// Milliseconds that a prompt takes beside its tokens.
+const EACH_MS: f64 = 5.0;
 
 /// Rate by role.
 #[derive(Debug, Clone, Copy)]
@@ -35,7 +37,7 @@
         if tokens < LEAST || took_ms <= 0.0 {
             return;
         }
-        let seen = tokens as f64 / took_ms;
+        let seen = tokens as f64 / (took_ms - EACH_MS).max(1.0);
         let rate = &mut self.rates[slot(role)];
         let part = if seen > *rate { FASTER } else { SLOWER };
         *rate += (seen - *rate) * part;
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -1,6 +1,6 @@
 //! What can happen to forwarded calls.
 
-use crate::{Ask, Digest, GateSettings, Routing, TargetSpec};
+use crate::{Ask, Digest, GateSettings, OrderEnd, Routing, TargetSpec};
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
 
@@ -104,6 +104,19 @@
     Targets(Vec<TargetSpec>),
     /// The store answers again after it did not.
     StoreBack,
+    /// The store no longer answers.
+    StoreLost,
+    /// Time has passed.
+    Tick,
+    /// The store gave the lease with this fencing token, or refused it.
+    Lease(Option<u64>),
+    /// An order ended.
+    Ordered {
+        /// Target name.
+        target: String,
+        /// How.
+        end: OrderEnd,
+    },
     /// The process stops at `end`, and the balancer had its time to notice.
     Leaving {
         /// When the process ends.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,13 +1,16 @@
 //! The state and its one entry point.
 
 use crate::{
-    Digest, Effect, EngineRate, Event, GateSettings, LocalBudget, Read, Refusal, RefusalKind,
-    Routing, TargetList, WorkSum, call_state::CallState, placing::Placing,
+    Change, Digest, Effect, EngineRate, Event, GateSettings, LocalBudget, OpenSum, Read, Refusal,
+    RefusalKind, Routing, Target, TargetList, WorkSum, call_state::CallState, placing::Placing,
+    roles::Roles,
 };
 use rw_core::Suspects;
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
 
+/// Age from which another node's word no longer counts, in milliseconds.
+const SILENT_MS: u64 = 2_500;
 /// Age up to which suspects are told again, in milliseconds, since a digest may be lost.
 const TOLD_MS: u64 = 5_000;
 
@@ -28,6 +31,7 @@
     pub(crate) reads: Vec<Read>,
     pub(crate) random: fastrand::Rng,
     back: Option<Millis>,
+    pub(crate) roles: Roles,
     /// When this process ends, once it is stopping.
     pub(crate) end: Option<Millis>,
 }
@@ -47,6 +51,7 @@
             reads: Vec::new(),
             random: fastrand::Rng::with_seed(settings.seed),
             back: None,
+            roles: Roles::default(),
             end: None,
             settings,
         }
@@ -66,8 +71,18 @@
                 self.targets.put(spec);
             }
             Event::TargetGone { name } => self.target_gone(now, &name),
-            Event::Targets(specs) => self.replace_targets(now, specs),
-            Event::StoreBack => self.back = Some(now),
+            Event::Targets(specs) => {
+                self.roles.fit = true;
+                self.replace_targets(now, specs);
+            }
+            Event::StoreBack => {
+                self.back = Some(now);
+                self.roles.fit = true;
+            }
+            Event::StoreLost => self.roles.fit = false,
+            Event::Tick => self.look_at_roles(now, &mut effects),
+            Event::Lease(token) => self.lease_answered(now, token),
+            Event::Ordered { target, end } => self.order_ended(now, &target, end),
             Event::Leaving { end } => self.end = Some(end),
             Event::Settings(settings) => self.settings = settings,
             Event::Nodes(nodes) => self.nodes = nodes.max(1),
@@ -108,21 +123,34 @@
 
     /// What this node tells the others now.
     pub fn digest(&mut self, now: Millis) -> Digest {
-        let work = self.targets.all().iter().filter_map(|t| {
-            let (tokens, urgent) = t.work.own();
-            (tokens > 0).then(|| WorkSum {
+        let targets = self.targets.all();
+        let work = targets.iter().filter_map(|t| {
+            let jobs: Vec<_> = t.work.own(now).collect();
+            (!jobs.is_empty()).then(|| WorkSum {
                 target: t.spec.name.clone(),
-                tokens,
-                urgent,
+                jobs,
             })
         });
-        let work = work.collect();
+        let open = targets.iter().filter(|t| t.tokens > 0).map(|t| OpenSum {
+            target: t.spec.name.clone(),
+            calls: t.open,
+            tokens: t.tokens,
+        });
+        let changes = targets.iter().filter(|t| t.is_changing(now));
+        let changes = changes.map(|t| Change {
+            target: t.spec.name.clone(),
+            left_ms: t.changing.map_or(0, |until| until.since(now)),
+        });
+        let (work, open, changes) = (work.collect(), open.collect(), changes.collect());
         let mut suspects = self.suspects.export(now);
         suspects.retain(|s| s.age_ms < TOLD_MS);
         Digest {
             vm: self.settings.vm.clone(),
             version: self.routing.version,
+            fit: self.roles.fit,
             work,
+            open,
+            changes,
             read: std::mem::take(&mut self.reads),
             suspects,
         }
@@ -131,7 +159,8 @@
     /// Whether the next digest would tell anything.
     #[must_use]
     pub fn has_news(&self) -> bool {
-        !self.reads.is_empty() || self.targets.all().iter().any(|t| t.work.own().0 > 0)
+        let busy = |t: &Target| t.open > 0 && t.tokens > 0;
+        !self.reads.is_empty() || self.targets.all().iter().any(busy)
     }
 
     /// All calls that ended their targets, for a node that has just started.
@@ -215,10 +244,24 @@
     fn hear(&mut self, now: Millis, digest: &Digest) {
         self.suspects.merge(now, &digest.suspects);
         self.suspects.prune(now, self.settings.poison_ms);
+        self.roles.heard.retain(|(vm, ..)| *vm != digest.vm);
+        let heard = (digest.vm.clone(), now, digest.fit);
+        self.roles.heard.push(heard);
         for target in self.targets.iter_mut() {
-            let told = digest.work.iter().find(|w| w.target == target.spec.name);
-            let (tokens, urgent) = told.map_or((0, 0), |w| (w.tokens, w.urgent));
-            target.work.hear(now, &digest.vm, tokens, urgent);
+            let name = &target.spec.name;
+            let work = digest.work.iter().find(|w| w.target == *name);
+            let jobs = work.map_or(&[][..], |w| &w.jobs);
+            target.work.hear(now, &digest.vm, jobs);
+            target
+                .foreign
+                .retain(|f| f.0 != digest.vm && now.since(f.1) < SILENT_MS);
+            if let Some(open) = digest.open.iter().find(|o| o.target == *name) {
+                let told = (digest.vm.clone(), now, open.calls, open.tokens);
+                target.foreign.push(told);
+            }
+            if let Some(change) = digest.changes.iter().find(|c| c.target == *name) {
+                target.changing = Some(now.plus(change.left_ms));
+            }
         }
         for read in &digest.read {
             let routing = self.routing.clone();
--- a/crates/rw-gate/src/placing.rs
+++ b/crates/rw-gate/src/placing.rs
@@ -38,13 +38,19 @@
     pub(crate) first: f64,
     /// Whether no other prompt work is known there.
     pub(crate) alone: bool,
+    /// Tokens of the prompt.
+    tokens: u32,
     cost: f64,
 }
 
 impl fmt::Display for Choice {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { fill, first, .. } = self;
-        write!(f, "fill {fill} first {first:.0} alone {}", self.alone)
+        write!(
+            f,
+            "fill {fill} first {first:.0} alone {} tokens {}",
+            self.alone, self.tokens
+        )
     }
 }
 
@@ -75,7 +81,7 @@
             .filter(|t| t.spec.role != Role::Prefill);
         let choices = decode.map(|t| {
             let far = if t.spec.centre == filled_in { 0.0 } else { 1.0 };
-            let taken = f64::from(t.open) / f64::from(t.spec.slots.max(1));
+            let taken = f64::from(t.running()) / f64::from(t.spec.slots.max(1));
             let cost = self.burden(t, engine, prompt) + taken * 50.0 + far * 10.0;
             let wait = t.work.wait(self.now, call.priority, self.speed(t, service)) * 0.1;
             Choice {
@@ -85,6 +91,7 @@
                 filled: 0.0,
                 first: BASE_MS,
                 alone: false,
+                tokens: 0,
                 cost: cost + wait,
             }
         });
@@ -123,6 +130,7 @@
                 filled: wait + work + BASE_MS,
                 first,
                 alone: t.work.is_empty(),
+                tokens: prompt.tokens,
                 cost: first + work * COST_WEIGHT + burden + self.noise(t),
             })
         });
@@ -157,6 +165,7 @@
                 filled: 0.0,
                 first: BASE_MS,
                 alone: false,
+                tokens: 0,
                 cost: taken * 100.0 + sick + near + self.noise(t),
             }
         });
@@ -172,6 +181,7 @@
         self.gate.targets.all().iter().filter(move |t| {
             t.spec.service == service.name
                 && t.is_listed(self.now)
+                && !t.is_changing(self.now)
                 && t.holds(&prompt.model)
                 && !call.tried.contains(&t.spec.name)
         })
@@ -186,12 +196,12 @@
         };
         let told = t.load.filter(|(at, _)| self.now.since(*at) < LOAD_MS);
         let told = told.map_or(0, |(_, l)| l.running + l.waiting);
-        let full = if t.open.max(told) >= engine.slots {
+        let full = if t.running().max(told) >= engine.slots {
             FULL_MS
         } else {
             0.0
         };
-        let need = t.tokens + u64::from(prompt.tokens + prompt.output);
+        let need = t.held() + u64::from(prompt.tokens + prompt.output);
         let room = engine.memory as f64 * MEMORY_SHARE;
         let short = if need as f64 > room { FULL_MS } else { 0.0 };
         sick + full + short
--- /dev/null
+++ b/crates/rw-gate/src/roles.rs
@@ -0,0 +1,194 @@
+//! Which engines fill prompts and which decode, and the right to order a change.
+//!
+//! The load it answers: prompts that are long against their answers. An engine in the decode role
+//! fills prompts at a fraction of its speed and slows the streams beside them, so only as many
+//! engines decode as running streams need, and the others fill.
+
+use crate::{Effect, Gate, Service, Target};
+use rw_types::{Millis, Role};
+
+/// How long after it asked for the lease a holder may order, in milliseconds.
+const HOLD_MS: u64 = 2_500;
+/// Pause between looks at the roles, in milliseconds.
+const LOOK_MS: u64 = 500;
+/// Pause after a lease that was not had, in milliseconds.
+const REFUSED_MS: u64 = 2_000;
+/// Part of a service's engines that decode at least.
+const LEAST_DECODE: f64 = 0.3;
+/// Part of the decode engines' memory that streams should fill.
+const MEMORY_FILLED: f64 = 0.45;
+/// Part of the decode engines' slots that streams should fill.
+const SLOTS_FILLED: f64 = 0.6;
+/// Part of a service's engines that may change at once while calls run.
+const AT_ONCE: f64 = 0.1;
+/// Engines that the split must be off before a change pays for the absence.
+const WORTH: usize = 2;
+/// Milliseconds beyond the switch itself that a change may take, its drain included.
+const DRAIN_MS: u64 = 4_000;
+/// Age from which another node's word no longer counts, in milliseconds.
+const SILENT_MS: u64 = 2_500;
+
+/// The right to order, and what was ordered.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Roles {
+    /// Fencing token and the time until which it may be used.
+    lease: Option<(u64, Millis)>,
+    /// Set while the store is asked.
+    asked: Option<Millis>,
+    /// No look before this time.
+    next: Millis,
+    /// Nodes heard of: name, when, and whether it reaches the store.
+    pub(crate) heard: Vec<(String, Millis, bool)>,
+    /// Whether this node reaches the store.
+    pub(crate) fit: bool,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// It is being carried out, or held already.
+    Accepted,
+    /// It is refused for another reason than its token.
+    Refused,
+    /// A newer token was used: this node is no longer the holder.
+    Fenced,
+    /// No answer; it may be carried out yet.
+    Unknown,
+}
+
+impl Gate {
+    /// Looks at the roles, at most once in [`LOOK_MS`].
+    pub(crate) fn look_at_roles(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.targets.prune(now);
+        self.targets.iter_mut().for_each(|t| t.work.forget(now));
+        if now < self.roles.next || self.end.is_some() {
+            return;
+        }
+        self.roles.next = now.plus(LOOK_MS);
+        if !self.leads(now) {
+            return;
+        }
+        let wanted = self.wanted_change(now);
+        let Some((name, role)) = wanted else {
+            return;
+        };
+        match self.roles.lease.filter(|(_, until)| now < *until) {
+            Some((token, until)) => self.order(now, &name, role, token, until, effects),
+            None if self.roles.asked.is_none() => {
+                self.roles.asked = Some(now);
+                effects.push(Effect::TakeLease);
+            }
+            None => {}
+        }
+    }
+
+    /// The store gave the lease, or refused it.
+    pub(crate) fn lease_answered(&mut self, now: Millis, token: Option<u64>) {
+        let Some(asked) = self.roles.asked.take() else {
+            return;
+        };
+        // Counted from before the question, so that the store's own count ends later.
+        self.roles.lease = token.map(|token| (token, asked.plus(HOLD_MS)));
+        self.roles.next = match token {
+            Some(_) => now,
+            None => now.plus(REFUSED_MS),
+        };
+    }
+
+    pub(crate) fn order_ended(&mut self, now: Millis, name: &str, end: OrderEnd) {
+        match end {
+            OrderEnd::Accepted | OrderEnd::Unknown => {}
+            OrderEnd::Refused => {
+                if let Some(target) = self.targets.find_mut(name) {
+                    // Asked again after a pause, with what it reports then.
+                    target.changing = Some(now.plus(LOOK_MS * 2));
+                }
+            }
+            OrderEnd::Fenced => self.roles.lease = None,
+        }
+        if end == OrderEnd::Accepted {
+            self.roles.next = now;
+        }
+    }
+
+    fn order(
+        &mut self,
+        now: Millis,
+        name: &str,
+        role: Role,
+        token: u64,
+        until: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let routing = self.routing.clone();
+        let Some(target) = self.targets.find_mut(name) else {
+            return;
+        };
+        let engine = routing.service(&target.spec.service);
+        let engine = engine.and_then(|s| s.engine.as_ref());
+        let switch = engine.map_or(0, |e| e.switch_ms);
+        target.changing = Some(now.plus(switch + DRAIN_MS));
+        effects.push(Effect::Order {
+            target: name.to_owned(),
+            life: target.spec.life,
+            addr: target.spec.addr.clone(),
+            role,
+            token,
+            until,
+        });
+        effects.push(Effect::Tell);
+    }
+
+    /// Whether this node is the first of those that are heard and reach the store.
+    fn leads(&self, now: Millis) -> bool {
+        let heard = self.roles.heard.iter();
+        let fit = heard.filter(|(_, at, fit)| *fit && now.since(*at) < SILENT_MS);
+        self.roles.fit && fit.clone().all(|(vm, ..)| *vm > self.settings.vm)
+    }
+
+    /// The engine that should change its role now, and to which.
+    fn wanted_change(&self, now: Millis) -> Option<(String, Role)> {
+        let mut services = self.routing.services.iter();
+        services.find_map(|service| self.change_of(now, service))
+    }
+
+    fn change_of(&self, now: Millis, service: &Service) -> Option<(String, Role)> {
+        let engine = service.engine.as_ref()?;
+        let engines = || {
+            let all = self.targets.all().iter();
+            all.filter(|t| t.spec.service == service.name && t.is_listed(now))
+        };
+        let all = engines().count();
+        let idle = engines().all(|t| t.running() == 0);
+        let changing = engines().filter(|t| t.is_changing(now)).count();
+        let most = if idle {
+            all
+        } else {
+            (all as f64 * AT_ONCE).ceil() as usize
+        };
+        if all < 3 || changing >= most {
+            return None;
+        }
+        let decode = engines()
+            .filter(|t| t.next_role(now) != Role::Prefill)
+            .count();
+        let held: u64 = engines().map(Target::held).sum();
+        let calls: u32 = engines().map(Target::running).sum();
+        let least = (all as f64 * LEAST_DECODE).ceil();
+        let memory = held as f64 / (engine.memory as f64 * MEMORY_FILLED);
+        let slots = f64::from(calls) / (f64::from(engine.slots) * SLOTS_FILLED);
+        let wanted = least.max(memory.ceil()).max(slots.ceil()) as usize;
+        let wanted = wanted.clamp(1, all - 1);
+        let off = decode.abs_diff(wanted);
+        if off < if idle { 1 } else { WORTH } {
+            return None;
+        }
+        let (from, to) = match decode > wanted {
+            true => (Role::Decode, Role::Prefill),
+            false => (Role::Prefill, Role::Decode),
+        };
+        let free = engines().filter(|t| t.spec.role == from && !t.is_changing(now));
+        let least = free.min_by_key(|t| (t.running(), t.spec.name.clone()))?;
+        Some((least.spec.name.clone(), to))
+    }
+}
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -46,6 +46,10 @@
     pub open: u32,
     /// Tokens of generations of this node that are open on it.
     pub tokens: u64,
+    /// Generations of other nodes: VM, when it told, how many, and their tokens.
+    pub foreign: Vec<(String, Millis, u32, u64)>,
+    /// Set while it changes its role: back by then at the latest.
+    pub changing: Option<Millis>,
 }
 
 impl Target {
@@ -61,9 +65,39 @@
             health: Health::default(),
             open: 0,
             tokens: 0,
+            foreign: Vec::new(),
+            changing: None,
         }
     }
 
+    /// Whether it changes its role now.
+    #[must_use]
+    pub fn is_changing(&self, now: Millis) -> bool {
+        self.changing.is_some_and(|until| now < until)
+    }
+
+    /// Its role once a change under way is done.
+    #[must_use]
+    pub fn next_role(&self, now: Millis) -> Role {
+        match (self.is_changing(now), self.spec.role) {
+            (true, Role::Prefill) => Role::Decode,
+            (true, Role::Decode) => Role::Prefill,
+            (_, role) => role,
+        }
+    }
+
+    /// Generations that run on it, as far as known.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.open + self.foreign.iter().map(|f| f.2).sum::<u32>()
+    }
+
+    /// Tokens that they hold.
+    #[must_use]
+    pub fn held(&self) -> u64 {
+        self.tokens + self.foreign.iter().map(|f| f.3).sum::<u64>()
+    }
+
     /// Whether it may get new work.
     #[must_use]
     pub fn is_listed(&self, now: Millis) -> bool {
--- a/crates/rw-gate/src/target_list.rs
+++ b/crates/rw-gate/src/target_list.rs
@@ -40,6 +40,9 @@
         match self.index(&spec.name) {
             Ok(i) if self.list[i].spec.life == spec.life => {
                 let known = &mut self.list[i];
+                if known.spec.role != spec.role {
+                    known.changing = None;
+                }
                 known.spec = spec;
                 known.gone_at = None;
                 false
--- a/crates/rw-gate/src/work.rs
+++ b/crates/rw-gate/src/work.rs
@@ -15,83 +15,118 @@
     pub tokens: u64,
 }
 
-/// What another node told of its own work here.
+/// A prompt as far as it decides how long another waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Foreign {
+struct Job {
+    /// VM that told of it; empty for this node's own.
     vm: String,
+    id: u64,
     at: Millis,
+    priority: u8,
     tokens: u64,
-    urgent: u64,
 }
 
 /// How long another node's word is believed, in milliseconds; digests come far more often.
 const BELIEVED_MS: u64 = 1_000;
+/// Milliseconds that a prompt takes beside its tokens.
+const EACH_MS: f64 = 5.0;
 
-/// Prompt work of this node and of the others.
+/// Prompt work of this node and of the others. A target fills one prompt after another, the most
+/// urgent first, and finishes the one that it has begun.
 #[derive(Debug, Clone, Default)]
 pub struct Work {
-    /// Own prompts, in the order in which they were sent.
-    sent: Vec<Sent>,
-    foreign: Vec<Foreign>,
-    /// When the target last finished a prompt of this node.
+    jobs: Vec<Job>,
+    /// When the target last finished a prompt.
     moved: Millis,
+    /// When each VM last told of its work.
+    heard: Vec<(String, Millis)>,
 }
 
 impl Work {
     /// Counts a prompt.
     pub fn add(&mut self, sent: Sent) {
-        self.sent.push(sent);
+        self.jobs.push(Job {
+            vm: String::new(),
+            id: sent.id.0,
+            at: sent.at,
+            priority: sent.priority,
+            tokens: sent.tokens,
+        });
     }
 
-    /// A prompt is filled, or its call is over.
-    pub fn done(&mut self, now: Millis, id: RequestId) -> Option<Sent> {
-        let i = self.sent.iter().position(|s| s.id == id)?;
+    /// A prompt is filled, or its call is over; false if it was not known.
+    pub fn done(&mut self, now: Millis, id: RequestId) -> bool {
+        let own = |j: &Job| j.vm.is_empty() && j.id == id.0;
+        let Some(i) = self.jobs.iter().position(own) else {
+            return false;
+        };
+        self.jobs.remove(i);
         self.moved = now;
-        Some(self.sent.remove(i))
+        true
     }
 
-    /// Own tokens that wait, and those of the most urgent priority among them.
-    #[must_use]
-    pub fn own(&self) -> (u64, u64) {
-        let all = self.sent.iter().map(|s| s.tokens).sum();
-        let urgent = self.sent.iter().filter(|s| s.priority == 0);
-        (all, urgent.map(|s| s.tokens).sum())
+    /// Own prompts: call, milliseconds since it was sent, priority and tokens.
+    pub fn own(&self, now: Millis) -> impl Iterator<Item = (u64, u64, u8, u64)> + '_ {
+        let own = self.jobs.iter().filter(|j| j.vm.is_empty());
+        own.map(move |j| (j.id, now.since(j.at), j.priority, j.tokens))
     }
 
-    /// Takes over what another node says.
-    pub fn hear(&mut self, now: Millis, vm: &str, tokens: u64, urgent: u64) {
-        self.foreign
-            .retain(|f| f.vm != vm && now.since(f.at) < BELIEVED_MS);
-        if tokens > 0 {
-            self.foreign.push(Foreign {
-                vm: vm.to_owned(),
-                at: now,
-                tokens,
-                urgent,
-            });
+    /// Takes over what another node says: all of its prompts here.
+    pub fn hear(&mut self, now: Millis, vm: &str, told: &[(u64, u64, u8, u64)]) {
+        let gone = |j: &Job| j.vm == vm && !told.iter().any(|t| t.0 == j.id);
+        if self.jobs.iter().any(gone) {
+            self.moved = now;
         }
+        self.jobs.retain(|j| j.vm != vm);
+        let jobs = told.iter().map(|(id, age, priority, tokens)| Job {
+            vm: vm.to_owned(),
+            id: *id,
+            at: Millis(now.0.saturating_sub(*age)),
+            priority: *priority,
+            tokens: *tokens,
+        });
+        self.jobs.extend(jobs);
+        self.heard.retain(|(name, _)| name != vm);
+        self.heard.push((vm.to_owned(), now));
+    }
+
+    /// Forgets what silent nodes told.
+    pub fn forget(&mut self, now: Millis) {
+        self.heard.retain(|(_, at)| now.since(*at) < BELIEVED_MS);
+        let heard = &self.heard;
+        self.jobs
+            .retain(|j| j.vm.is_empty() || heard.iter().any(|(vm, _)| *vm == j.vm));
     }
 
     /// Whether anything waits, as far as known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.sent.is_empty() && self.foreign.is_empty()
+        self.jobs.is_empty()
     }
 
     /// Milliseconds until a new prompt of `priority` is begun, at `rate` tokens a millisecond.
     #[must_use]
     pub fn wait(&self, now: Millis, priority: u8, rate: f64) -> f64 {
-        let ahead = self.sent.iter().filter(|s| s.priority <= priority);
-        let own: u64 = ahead.map(|s| s.tokens).sum();
-        // What the target has done since it last finished one of ours.
-        let oldest = self.sent.first().map_or(now, |s| s.at.max(self.moved));
-        let own = (own as f64 - rate * now.since(oldest) as f64).max(0.0);
-        let foreign = self.foreign.iter().map(|f| {
-            let tokens = if priority == 0 { f.urgent } else { f.tokens };
-            let left = tokens as f64 - rate * now.since(f.at) as f64;
-            let believed = now.since(f.at) < BELIEVED_MS;
-            if believed { left.max(0.0) } else { 0.0 }
-        });
-        (own + foreign.sum::<f64>()) / rate
+        let Some(current) = self.current() else {
+            return 0.0;
+        };
+        let begun = current.at.max(self.moved);
+        let spent = now.since(begun) as f64;
+        let rest = (time(current, rate) - spent).max(0.0);
+        let ahead = self.jobs.iter().filter(|j| j.priority <= priority);
+        let ahead = ahead.filter(|j| !std::ptr::eq(*j, current));
+        rest + ahead.map(|j| time(j, rate)).sum::<f64>()
+    }
+
+    /// The prompt that is being filled: the most urgent of those that waited when the one before
+    /// it was finished, else the first that came since.
+    fn current(&self) -> Option<&Job> {
+        let waited = self.jobs.iter().filter(|j| j.at <= self.moved);
+        let next = waited.min_by_key(|j| (j.priority, j.at));
+        next.or_else(|| self.jobs.iter().min_by_key(|j| j.at))
     }
 }
+
+fn time(job: &Job, rate: f64) -> f64 {
+    job.tokens as f64 / rate + EACH_MS
+}
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -68,7 +68,9 @@
                 Effect::Dispatch { dispatch, .. } => Next::Dispatch(Box::new(dispatch)),
                 Effect::Deliver { .. } => Next::Deliver,
                 Effect::Refuse { refusal, .. } => Next::Refuse(refusal),
-                Effect::Free(_) | Effect::Tell => continue,
+                Effect::Free(_) | Effect::Tell | Effect::TakeLease | Effect::Order { .. } => {
+                    continue;
+                }
             };
         }
         next
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod link;
 mod membership;
 mod metrics;
+mod orders;
 mod peers;
 mod pool;
 mod registry;
@@ -28,7 +29,7 @@
 
 pub use body::Framing;
 pub use clock::BootClock;
-pub use dialect::{AnswerNotes, Dialect};
+pub use dialect::{AnswerNotes, Dialect, OrderCall, Report, RoleOrder};
 pub use head::{AnswerHead, Field, HeadError, RequestHead};
 pub use link::Link;
 pub use membership::{Peer, Peers};
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -20,9 +20,9 @@
 };
 
 /// Pause between digests while there is work.
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_millis(50);
 /// Digests without news between two that are sent all the same.
-const QUIET: u32 = 10;
+const QUIET: u32 = 20;
 /// Most nodes that get one digest.
 const FANOUT: usize = 16;
 /// Largest datagram, in bytes.
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -1,7 +1,7 @@
 //! Where routes, targets and the other nodes are registered.
 
 use crate::Peer;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use rw_gate::{Event, Routing, TargetSpec};
 use serde::{Deserialize, Serialize};
 use std::{future::Future, sync::Arc};
@@ -30,6 +30,12 @@
 
 /// The platform's register of routes, targets and nodes.
 pub trait Registry: 'static {
-    /// Registers this node as `me`, and tells all changes until the future is dropped.
-    fn watch(self, me: Peer, notices: Sender<Notice>) -> impl Future<Output = ()>;
+    /// Registers this node as `me`, tells all changes, and asks for the lease as often as it is
+    /// `wanted`, until the future is dropped.
+    fn watch(
+        self,
+        me: Peer,
+        notices: Sender<Notice>,
+        wanted: Receiver<()>,
+    ) -> impl Future<Output = ()>;
 }
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -32,6 +32,10 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     /// Wakes the sender of digests.
     pub(crate) tell: Sender<()>,
+    /// Asks for the lease on role changes.
+    pub(crate) wanted: Sender<()>,
+    /// Orders to be given.
+    pub(crate) orders: Sender<Effect>,
     /// Told to stop: not ready, but still serving.
     pub(crate) leaving: Cell<bool>,
     /// Idle connections are closed.
@@ -54,7 +58,7 @@
         dialect: D,
         metrics: Metrics,
         executor: Rc<LocalExecutor<'static>>,
-        tell: Sender<()>,
+        (tell, wanted, orders): (Sender<()>, Sender<()>, Sender<Effect>),
     ) -> Self {
         let clock = BootClock::start();
         Self {
@@ -67,6 +71,8 @@
             log: DecisionLog::new(clock),
             executor,
             tell,
+            wanted,
+            orders,
             leaving: Cell::new(false),
             closing: Cell::new(false),
             busy: Cell::new(0),
@@ -84,6 +90,9 @@
         for effect in &effects {
             match effect {
                 Effect::Free(handle) => self.free(handle.clone()),
+                // A full channel means that it is being asked for.
+                Effect::TakeLease => drop(self.wanted.try_send(())),
+                Effect::Order { .. } => self.give_order(effect.clone()),
                 // A full channel means that the sender is already awake.
                 Effect::Tell => drop(self.tell.try_send(())),
                 _ => {}
@@ -141,6 +150,12 @@
         self.step(Event::Nodes(nodes));
     }
 
+    fn give_order(&self, order: Effect) {
+        if self.orders.try_send(order).is_err() {
+            log::warn!("an order was dropped, since too many wait; it is planned again");
+        }
+    }
+
     fn free(&self, handle: Handle) {
         let Ok(addr) = handle.addr.parse::<SocketAddr>() else {
             return;
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -27,6 +27,10 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Pause between rounds of tidying.
 const TIDY: Duration = Duration::from_secs(2);
+/// Orders that wait to be given.
+const ORDERS: usize = 64;
+/// Pause between ticks of the reducer.
+const TICK: Duration = Duration::from_millis(250);
 /// Notices of the registry that wait to be taken.
 const NOTICES: usize = 1_024;
 
@@ -88,7 +92,10 @@
         let executor = Rc::new(LocalExecutor::new());
         let metrics = Metrics::new().map_err(|e| ServeError::Metrics(e.to_string()))?;
         let (tell, woken) = async_channel::bounded(1);
-        let relay = Relay::new(self.settings, dialect, metrics, executor.clone(), tell);
+        let (want, wanted) = async_channel::bounded(1);
+        let (order, orders) = async_channel::bounded(ORDERS);
+        let senders = (tell, want, order);
+        let relay = Relay::new(self.settings, dialect, metrics, executor.clone(), senders);
         let relay = Rc::new(relay);
         let (sender, notices) = async_channel::bounded(NOTICES);
         let spawn = |work| executor.spawn(work).detach();
@@ -102,9 +109,13 @@
             .spawn(relay.clone().gossip(self.digests, woken))
             .detach();
         executor.spawn(relay.clone().ask_seeds()).detach();
-        executor.spawn(registry.watch(relay.me(), sender)).detach();
+        executor
+            .spawn(registry.watch(relay.me(), sender, wanted))
+            .detach();
         spawn(Box::pin(take_notices(relay.clone(), notices)));
         executor.spawn(reload).detach();
+        executor.spawn(relay.clone().give_orders(orders)).detach();
+        executor.spawn(tick(relay.clone())).detach();
         executor
             .spawn(take_settings(relay.clone(), changed))
             .detach();
@@ -136,6 +147,13 @@
     executor.spawn(tidying).detach();
 }
 
+async fn tick<D: Dialect>(relay: Rc<Relay<D>>) {
+    loop {
+        Timer::after(TICK).await;
+        relay.step(Event::Tick);
+    }
+}
+
 async fn take_notices<D: Dialect>(relay: Rc<Relay<D>>, notices: Receiver<Notice>) {
     while let Ok(notice) = notices.recv().await {
         match notice {
