Engines fill by priority one after another, and roles are split under a lease

(3) Decode engines fill at a third to a half of the speed and slow the streams beside them. Ruled out: changes under calls by memory and slots. Tests: rw-gate targets::roles_*, only_the_first_node_*, a_fenced_or_lapsed_lease_*.

--- a/crates/rw-gate/src/placing.rs
+++ b/crates/rw-gate/src/placing.rs
@@ -14,7 +14,7 @@
 /// Milliseconds that a transfer takes to begin.
 const TRANSFER_MS: f64 = 5.0;
 /// Weight of the engine's time that a prompt takes, against the time until its first event.
-const COST_WEIGHT: f64 = 0.5;
+const COST_WEIGHT: f64 = 1.5;
 /// Cost of a target that fails calls, in milliseconds; it is taken when no other is left.
 const SICK_MS: f64 = 20_000.0;
 /// Cost of an engine whose slots are taken, in milliseconds.
@@ -120,14 +120,16 @@
             let fill = t.fill(prompt, engine);
             let wait = t.work.wait(self.now, call.priority, rate);
             let work = fill as f64 / rate;
+            let fixed = self.gate.rate(&service.name).fixed(t.spec.role);
             let way = if prefill { transfer + BASE_MS } else { 0.0 };
-            let first = wait + work + way + BASE_MS;
+            let filled = wait + work + fixed;
+            let first = filled + way;
             let burden = self.burden(t, engine, prompt);
             Some(Choice {
                 target: t.spec.name.clone(),
                 prefill,
                 fill,
-                filled: wait + work + BASE_MS,
+                filled,
                 first,
                 alone: t.work.is_empty(),
                 tokens: prompt.tokens,
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -1,10 +1,11 @@
 //! Which engines fill prompts and which decode, and the right to order a change.
 //!
 //! The load it answers: prompts that are long against their answers. An engine in the decode role
-//! fills prompts at a fraction of its speed and slows the streams beside them, so only as many
-//! engines decode as running streams need, and the others fill.
+//! fills prompts at a fraction of its speed and slows the streams beside them. The split is brought
+//! about while the engines are idle; under calls a change takes an engine away for seconds, so that
+//! only a split far off is mended.
 
-use crate::{Effect, Gate, Service, Target};
+use crate::{Effect, Gate, Service};
 use rw_types::{Millis, Role};
 
 /// How long after it asked for the lease a holder may order, in milliseconds.
@@ -13,16 +14,13 @@
 const LOOK_MS: u64 = 500;
 /// Pause after a lease that was not had, in milliseconds.
 const REFUSED_MS: u64 = 2_000;
-/// Part of a service's engines that decode at least.
-const LEAST_DECODE: f64 = 0.3;
-/// Part of the decode engines' memory that streams should fill.
-const MEMORY_FILLED: f64 = 0.45;
-/// Part of the decode engines' slots that streams should fill.
-const SLOTS_FILLED: f64 = 0.6;
+/// Part of a service's engines that decode.
+const DECODE_SHARE: f64 = 0.4;
 /// Part of a service's engines that may change at once while calls run.
 const AT_ONCE: f64 = 0.1;
-/// Engines that the split must be off before a change pays for the absence.
-const WORTH: usize = 2;
+/// Part of a service's engines that must be in the wrong role before a change pays for its
+/// absence while calls run.
+const WORTH: f64 = 0.34;
 /// Milliseconds beyond the switch itself that a change may take, its drain included.
 const DRAIN_MS: u64 = 4_000;
 /// Age from which another node's word no longer counts, in milliseconds.
@@ -153,7 +151,7 @@
     }
 
     fn change_of(&self, now: Millis, service: &Service) -> Option<(String, Role)> {
-        let engine = service.engine.as_ref()?;
+        service.engine.as_ref()?;
         let engines = || {
             let all = self.targets.all().iter();
             all.filter(|t| t.spec.service == service.name && t.is_listed(now))
@@ -172,15 +170,15 @@
         let decode = engines()
             .filter(|t| t.next_role(now) != Role::Prefill)
             .count();
-        let held: u64 = engines().map(Target::held).sum();
-        let calls: u32 = engines().map(Target::running).sum();
-        let least = (all as f64 * LEAST_DECODE).ceil();
-        let memory = held as f64 / (engine.memory as f64 * MEMORY_FILLED);
-        let slots = f64::from(calls) / (f64::from(engine.slots) * SLOTS_FILLED);
-        let wanted = least.max(memory.ceil()).max(slots.ceil()) as usize;
+        let wanted = (all as f64 * DECODE_SHARE).ceil() as usize;
         let wanted = wanted.clamp(1, all - 1);
         let off = decode.abs_diff(wanted);
-        if off < if idle { 1 } else { WORTH } {
+        let worth = if idle {
+            1.0
+        } else {
+            (all as f64 * WORTH).ceil()
+        };
+        if (off as f64) < worth {
             return None;
         }
         let (from, to) = match decode > wanted {
--- a/crates/rw-gate/src/work.rs
+++ b/crates/rw-gate/src/work.rs
@@ -29,7 +29,7 @@
 /// How long another node's word is believed, in milliseconds; digests come far more often.
 const BELIEVED_MS: u64 = 1_000;
 /// Milliseconds that a prompt takes beside its tokens.
-const EACH_MS: f64 = 5.0;
+const EACH_MS: f64 = 3.0;
 
 /// Prompt work of this node and of the others. A target fills one prompt after another, the most
 /// urgent first, and finishes the one that it has begun.
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rw_gate::{Event, Routing, TargetSpec};
+use rw_gate::{Digest, Effect, Event, GateSettings, OrderEnd, Role, Routing, TargetSpec};
 use std::sync::Arc;
 use support::*;
 
@@ -161,3 +161,204 @@
         assert_eq!(found, case.found, "{}", case.path);
     }
 }
+
+/// A fleet of `decode` and `prefill` engines that hears no other node.
+fn engines(decode: usize, prefill: usize) -> World {
+    let mut world = World::new();
+    let engine = |role, n: usize| move |i| target(&format!("{role:?}{i:02}{n}"), ENGINES, role);
+    let mut specs: Vec<TargetSpec> = (0..decode).map(engine(Role::Decode, 1)).collect();
+    specs.extend((0..prefill).map(engine(Role::Prefill, 2)));
+    world.step(Event::Targets(specs));
+    world
+}
+
+/// Orders of the next ten seconds, each accepted and shown in its target's entry.
+fn orders(world: &mut World) -> Vec<(Role, u64)> {
+    let mut orders = Vec::new();
+    for _ in 0..40 {
+        world.now += 250;
+        for effect in world.step(Event::Tick) {
+            match effect {
+                Effect::TakeLease => {
+                    world.step(Event::Lease(Some(world.now)));
+                }
+                Effect::Order {
+                    target,
+                    role,
+                    token,
+                    until,
+                    ..
+                } => {
+                    assert!(world.now < until.0);
+                    orders.push((role, token));
+                    let known = world.gate.targets().find(&target).expect("a target");
+                    let spec = TargetSpec {
+                        role,
+                        ..known.spec.clone()
+                    };
+                    world.step(Event::Ordered {
+                        target,
+                        end: OrderEnd::Accepted,
+                    });
+                    world.step(Event::Target(spec));
+                }
+                _ => {}
+            }
+        }
+    }
+    orders
+}
+
+#[test]
+fn roles_are_brought_to_their_split_while_the_engines_are_idle() {
+    struct Case {
+        decode: usize,
+        prefill: usize,
+        /// Calls that run meanwhile.
+        calls: usize,
+        orders: usize,
+        to: Role,
+    }
+    let cases = [
+        Case {
+            decode: 8,
+            prefill: 2,
+            calls: 0,
+            orders: 4,
+            to: Role::Prefill,
+        },
+        Case {
+            decode: 2,
+            prefill: 8,
+            calls: 0,
+            orders: 2,
+            to: Role::Decode,
+        },
+        Case {
+            decode: 4,
+            prefill: 6,
+            calls: 0,
+            orders: 0,
+            to: Role::Prefill,
+        },
+        // Under calls only a split far off is mended, and no further than that.
+        Case {
+            decode: 6,
+            prefill: 4,
+            calls: 3,
+            orders: 0,
+            to: Role::Prefill,
+        },
+        Case {
+            decode: 10,
+            prefill: 0,
+            calls: 3,
+            orders: 3,
+            to: Role::Prefill,
+        },
+    ];
+    for case in cases {
+        let mut world = engines(case.decode, case.prefill);
+        for _ in 0..case.calls {
+            world.arrive(prompt("/chat/1", (1, 100), (2, 100)));
+        }
+        let orders = orders(&mut world);
+        let what = format!("{} decode, {} calls", case.decode, case.calls);
+        assert_eq!(orders.len(), case.orders, "{what}");
+        assert!(orders.iter().all(|(to, _)| *to == case.to), "{what}");
+    }
+}
+
+#[test]
+fn only_the_first_node_that_reaches_the_store_orders() {
+    struct Case {
+        name: &'static str,
+        heard: &'static [(&'static str, bool)],
+        lost: bool,
+        orders: bool,
+    }
+    let cases = [
+        Case {
+            name: "alone",
+            heard: &[],
+            lost: false,
+            orders: true,
+        },
+        Case {
+            name: "first",
+            heard: &[("z", true)],
+            lost: false,
+            orders: true,
+        },
+        Case {
+            name: "second",
+            heard: &[("a", true)],
+            lost: false,
+            orders: false,
+        },
+        Case {
+            name: "the first is unfit",
+            heard: &[("a", false)],
+            lost: false,
+            orders: true,
+        },
+        Case {
+            name: "unfit itself",
+            heard: &[],
+            lost: true,
+            orders: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::with(GateSettings {
+            vm: "m".to_owned(),
+            ..GateSettings::default()
+        });
+        world.step(Event::Targets(
+            engines(8, 2)
+                .gate
+                .targets()
+                .all()
+                .iter()
+                .map(|t| t.spec.clone())
+                .collect(),
+        ));
+        if case.lost {
+            world.step(Event::StoreLost);
+        }
+        for (vm, fit) in case.heard {
+            let vm = (*vm).to_owned();
+            world.step(Event::Heard(Digest {
+                vm,
+                fit: *fit,
+                ..Digest::default()
+            }));
+        }
+        world.now += 600;
+        let asks = world.step(Event::Tick).contains(&Effect::TakeLease);
+        assert_eq!(asks, case.orders, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_fenced_or_lapsed_lease_is_never_used_again() {
+    let mut world = engines(8, 2);
+    world.now += 600;
+    assert!(world.step(Event::Tick).contains(&Effect::TakeLease));
+    world.step(Event::Lease(Some(9)));
+    world.now += 600;
+    let first = world.step(Event::Tick);
+    let Some(Effect::Order { target, .. }) = first.first() else {
+        panic!("no order: {first:?}");
+    };
+    world.step(Event::Ordered {
+        target: target.clone(),
+        end: OrderEnd::Fenced,
+    });
+    world.now += 600;
+    assert_eq!(world.step(Event::Tick), [Effect::TakeLease]);
+    world.step(Event::Lease(Some(12)));
+    // The process stood still for longer than the lease lasts.
+    world.now += 10_000;
+    assert_eq!(world.step(Event::Tick), [Effect::TakeLease]);
+}
