A body whose verdict is known is told so, whatever ended its attempt

Cause: beside busy processes a node's three dispatches of a body could be one crash and two targets that other nodes' runs of the same body had just ended; the attempts were spent and the answer was 503 `no-target` although the peers knew the verdict (tests/answers.rs, nodes_that_meet_such_a_body_at_once_add_one_target_each: 503 where 422 is right). Ruled out: the fixture; the nodes' own answers are true but miss what peers know. Change: before a further dispatch the verdict is looked at; when the attempts are spent and the body is a suspect, peers are asked once more. Test: rw-core requests::a_body_that_crashes_two_targets_is_refused, three cases more.

--- a/crates/rw-core/src/request.rs
+++ b/crates/rw-core/src/request.rs
@@ -22,6 +22,8 @@
     pub ran: bool,
     /// Whether a claim of it may be in the table although its write was not confirmed.
     pub stray: bool,
+    /// Whether peers were asked once more after its last dispatch.
+    pub shared: bool,
     /// Whether its claim was read again after the claimant had nothing on it.
     pub reread: bool,
     /// Ticket of this process that it runs under.
@@ -39,6 +41,7 @@
             tokens: 0,
             ran: false,
             stray: false,
+            shared: false,
             reread: false,
             ticket: None,
         }
--- a/crates/rw-core/src/request_flow.rs
+++ b/crates/rw-core/src/request_flow.rs
@@ -202,7 +202,22 @@
         let Some(i) = self.request_index(id) else {
             return;
         };
+        let fingerprint = self.requests[i].call.fingerprint;
+        if let Some(left) = self.poison_left(now, fingerprint) {
+            // Others may have met it meanwhile; what ended this attempt doesn't matter.
+            let turned = Turned {
+                kind: RefusalKind::Poison,
+                retry_ms: left,
+            };
+            return self.turn_away(now, id, claim, turned, out);
+        }
         if self.requests[i].attempts >= self.settings.attempts {
+            // Its targets may be down because others of this body ended them: peers know first.
+            let suspect = self.is_suspect(now, fingerprint) && claim.is_none();
+            if suspect && !self.requests[i].shared {
+                self.requests[i].shared = true;
+                return self.share_suspects(id, out);
+            }
             let turned = self.turned(RefusalKind::NoTarget);
             return self.turn_away(now, id, claim, turned, out);
         }
--- a/crates/rw-core/tests/requests.rs
+++ b/crates/rw-core/tests/requests.rs
@@ -514,6 +514,9 @@
         case("same target twice", Generate, vec![suspect(&["engine-9"]), suspect(&["engine-9"]), Step::Shared], Nothing, 1),
         case("aged out", Generate, vec![crashed(), Step::Shared, crashed(), Step::Wait(300_000), Step::Resend(BODY)], Nothing, 3),
         case("resent", Generate, vec![crashed(), Step::Shared, crashed(), Step::Resend(BODY)], Refused(Poison, NotRun), 2),
+        case("down, known meanwhile", Generate, vec![crashed(), Step::Shared, suspect(&["engine-9"]), Step::End(AttemptEnd::Unsent)], Refused(Poison, Unknown), 2),
+        case("all down, peers know why", Generate, vec![crashed(), Step::Shared, Step::End(AttemptEnd::Unsent), Step::End(AttemptEnd::Unsent), suspect(&["engine-9"]), Step::Shared], Refused(Poison, Unknown), 3),
+        case("all down, nobody knows why", Generate, vec![crashed(), Step::Shared, Step::End(AttemptEnd::Unsent), Step::End(AttemptEnd::Unsent), Step::Shared], Refused(NoTarget, Unknown), 3),
         case("keyed, known", Keyed, vec![suspect(&["engine-1", "engine-2"])], Refused(Poison, Unknown), 0),
     ]);
 }
