--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -59,9 +59,10 @@
         }
     }
 
-    pub(crate) fn gone(&self, call: &Call) {
+    pub(crate) fn gone(&self, call: &Call, begun: bool) {
         if self.may() {
-            log::info!(call = call.name.as_str(), n = call.id.0; "caller gone");
+            let waited_ms = self.clock.now().since(call.arrived);
+            log::info!(call = call.name.as_str(), n = call.id.0, path = call.head.path(), waited_ms, begun; "caller gone");
         }
     }
 
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -166,7 +166,7 @@
         let forwarded = async { self.forward(&call, &mut out).await.is_ok() };
         let answered = future::or(forwarded, gone).await;
         if !answered {
-            self.log.gone(&call);
+            self.log.gone(&call, out.is_started());
             self.step(Event::Gone { id });
         }
         self.metrics.answered(self.clock.now().since(started));
--- a/crates/rw-relay/src/link.rs
+++ b/crates/rw-relay/src/link.rs
@@ -7,12 +7,15 @@
 use rustix::net::sockopt;
 use smol::{
     Async, Timer,
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    io::{AsyncRead as _, AsyncWriteExt as _},
 };
 use std::{
+    future::poll_fn,
     io,
     net::{Shutdown, SocketAddr, TcpStream},
+    pin::Pin,
     rc::Rc,
+    task::{Poll, ready},
     time::Duration,
 };
 
@@ -190,10 +193,14 @@
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
-        let mut buf = [0; READ];
-        let n = (&*self.stream).read(&mut buf).await?;
-        self.ahead.extend_from_slice(&buf[..n]);
-        Ok(n)
+        // The buffer lives for one look only, so that a waiting connection holds none.
+        let read = poll_fn(|cx| {
+            let mut buf = [0; READ];
+            let n = ready!(Pin::new(&mut &*self.stream).poll_read(cx, &mut buf))?;
+            self.ahead.extend_from_slice(&buf[..n]);
+            Poll::Ready(io::Result::Ok(n))
+        });
+        read.await
     }
 }
 
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -88,7 +88,9 @@
                         log::info!(from:% = seed, version, targets = snapshot.targets.len(); "snapshot of another node taken");
                         self.take_snapshot(snapshot);
                     }
-                    Err(why) => log::debug!(from:% = seed, why; "no snapshot of another node"),
+                    Err(why) => {
+                        log::debug!(from:% = seed, why = why.as_str(); "no snapshot of another node")
+                    }
                 }
                 known = self.gate.borrow().is_ready();
                 if known {
