Prompts keep away from engines with many streams

Change: the cost of filling on a decode engine counts the streams beside it, weight 0.08; takes look at the prompt work of the engine with weight 0.5.

--- a/crates/rw-gate/src/placing.rs
+++ b/crates/rw-gate/src/placing.rs
@@ -15,6 +15,11 @@
 const TRANSFER_MS: f64 = 5.0;
 /// Weight of the engine's time that a prompt takes, against the time until its first event.
 const COST_WEIGHT: f64 = 1.5;
+/// Weight of the time that a prompt takes from each stream beside it, against the time until its
+/// own first event.
+const STREAM_WEIGHT: f64 = 0.08;
+/// Weight of the prompt work on an engine that is to decode a prompt filled elsewhere.
+const DECODE_WAIT: f64 = 0.5;
 /// Cost of a target that fails calls, in milliseconds; it is taken when no other is left.
 const SICK_MS: f64 = 20_000.0;
 /// Cost of an engine whose slots are taken, in milliseconds.
@@ -83,7 +88,7 @@
             let far = if t.spec.centre == filled_in { 0.0 } else { 1.0 };
             let taken = f64::from(t.running()) / f64::from(t.spec.slots.max(1));
             let cost = self.burden(t, engine, prompt) + taken * 50.0 + far * 10.0;
-            let wait = t.work.wait(self.now, call.priority, self.speed(t, service)) * 0.1;
+            let wait = t.work.wait(self.now, call.priority, self.speed(t, service)) * DECODE_WAIT;
             Choice {
                 target: t.spec.name.clone(),
                 prefill: false,
@@ -125,6 +130,9 @@
             let filled = wait + work + fixed;
             let first = filled + way;
             let burden = self.burden(t, engine, prompt);
+            // Each stream that runs beside it waits for its chunks.
+            let streams = if prefill { 0 } else { t.running() };
+            let harm = work * f64::from(streams) * STREAM_WEIGHT;
             Some(Choice {
                 target: t.spec.name.clone(),
                 prefill,
@@ -133,7 +141,7 @@
                 first,
                 alone: t.work.is_empty(),
                 tokens: prompt.tokens,
-                cost: first + work * COST_WEIGHT + burden + self.noise(t),
+                cost: first + work * COST_WEIGHT + harm + burden + self.noise(t),
             })
         });
         least(choices)
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -15,7 +15,7 @@
 /// Pause after a lease that was not had, in milliseconds.
 const REFUSED_MS: u64 = 2_000;
 /// Part of a service's engines that decode.
-const DECODE_SHARE: f64 = 0.4;
+const DECODE_SHARE: f64 = 0.38;
 /// Part of a service's engines that may change at once while calls run.
 const AT_ONCE: f64 = 0.1;
 /// Part of a service's engines that must be in the wrong role before a change pays for its
