--- a/crates/rw-cli/src/commands/check.rs
+++ b/crates/rw-cli/src/commands/check.rs
@@ -1,11 +1,12 @@
-//! `check`: the settings in force and where each came from.
+//! `check`: the settings in force and where each came from, or a settings file of `relay`.
 
 use super::CommandSpec;
 use crate::{
     CliError,
+    relay_settings::read_relay_file,
     settings::{describe, node_settings, with_settings},
 };
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command};
 
 /// The command.
 pub fn spec() -> CommandSpec {
@@ -19,12 +20,24 @@
 fn build() -> Command {
     with_settings(Command::new("check"))
         .about("Prints the settings of `serve` in force and where each came from")
+        .arg(
+            Arg::new("relay")
+                .long("relay")
+                .value_name("FILE")
+                .help("Checks a settings file of `relay` instead"),
+        )
         .after_help(
             "Example:\n  redwingweir check --vm vm-1 --centre cairo-a --platform 10.0.0.1:7000",
         )
 }
 
 fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    if let Some(path) = matches.get_one::<String>("relay") {
+        let file = read_relay_file(path)?;
+        println!("{:?}", file.relay);
+        println!("settings are complete");
+        return Ok(());
+    }
     describe(matches).iter().for_each(|line| println!("{line}"));
     node_settings(matches)?;
     println!("settings are complete");
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -258,3 +258,71 @@
         .map(|t| t.spec.role);
     assert_eq!(role, Some(Role::Decode));
 }
+
+#[test]
+fn prompts_keep_away_from_engines_with_many_streams() {
+    let mut world = World::new();
+    let engines = ["d1", "d2"].map(|name| target(name, ENGINES, Role::Decode));
+    world.step(Event::Targets(engines.to_vec()));
+    // Another node tells of twelve streams on one of two equal engines.
+    let open = rw_gate::OpenSum {
+        target: "d1".to_owned(),
+        calls: 12,
+        tokens: 50_000,
+    };
+    let digest = rw_gate::Digest {
+        vm: "z".to_owned(),
+        open: vec![open],
+        ..rw_gate::Digest::default()
+    };
+    world.step(Event::Heard(digest));
+    for n in 0..4 {
+        // Each prompt is filled before the next comes, so that only the streams differ.
+        let (id, sent) = world.arrive(prompt("/chat/1", (1, 4_000), (n, 2_000)));
+        assert_eq!(sent_to(&sent), "d2");
+        world.step(Event::First { id });
+        world.end(id, End::Delivered);
+        world.now += 100;
+    }
+}
+
+#[test]
+fn urgent_prompts_wait_for_the_one_begun_and_pass_the_others() {
+    struct Case {
+        priority: u8,
+        /// Milliseconds until it is begun, at 10 tokens a millisecond.
+        wait: f64,
+    }
+    let mut work = rw_gate::Work::default();
+    let sent = |id, priority, tokens| rw_gate::Sent {
+        id: rw_types::RequestId(id),
+        at: rw_types::Millis(1_000),
+        priority,
+        tokens,
+    };
+    work.add(sent(1, 2, 4_000));
+    work.add(sent(2, 2, 3_000));
+    work.add(sent(3, 0, 500));
+    let now = rw_types::Millis(1_100);
+    // 300 ms are left of the first; each prompt takes 3 ms beside its tokens.
+    for case in [
+        Case {
+            priority: 0,
+            wait: 303.0 + 53.0,
+        },
+        Case {
+            priority: 1,
+            wait: 303.0 + 53.0,
+        },
+        Case {
+            priority: 2,
+            wait: 303.0 + 53.0 + 303.0,
+        },
+    ] {
+        let wait = work.wait(now, case.priority, 10.0);
+        assert!((wait - case.wait).abs() < 1.0, "{}: {wait}", case.priority);
+    }
+    // Once the first is filled, the urgent one is begun.
+    work.done(now, rw_types::RequestId(1));
+    assert!((work.wait(now, 0, 10.0) - 53.0).abs() < 1.0);
+}
