--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -152,7 +152,10 @@
             }
         };
         let peers = self.peers.borrow().all().to_vec();
-        let others = peers.iter().filter(|p| p.vm != self.settings.gate.vm);
+        // Those that follow in the order of names, so that each node hears as many as it tells.
+        let me = peers.partition_point(|p| p.vm <= self.settings.gate.vm);
+        let after = peers[me..].iter().chain(&peers[..me]);
+        let others = after.filter(|p| p.vm != self.settings.gate.vm);
         for peer in others.take(FANOUT) {
             // A datagram that is lost is made up for by the next.
             if let Err(error) = socket.send_to(text.as_bytes(), peer.digests).await {
