One record of a call's progress, one way to make a bare choice

Cause: read as a newcomer: an exchange took eight arguments, a choice without a prompt was written out twice, and the cache's look-up took a size that it didn't use. Change: Progress and Passing carry what belongs together; Choice::bare; no change of behaviour.

--- a/crates/rw-gate/src/placing.rs
+++ b/crates/rw-gate/src/placing.rs
@@ -48,6 +48,22 @@
     cost: f64,
 }
 
+impl Choice {
+    /// A target that has no prompt to fill for the call.
+    fn bare(t: &Target, cost: f64) -> Self {
+        Self {
+            target: t.spec.name.clone(),
+            prefill: false,
+            fill: 0,
+            filled: 0.0,
+            first: BASE_MS,
+            alone: false,
+            tokens: 0,
+            cost,
+        }
+    }
+}
+
 impl fmt::Display for Choice {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { fill, first, .. } = self;
@@ -89,16 +105,7 @@
             let taken = f64::from(t.running()) / f64::from(t.spec.slots.max(1));
             let cost = self.burden(t, engine, prompt) + taken * 50.0 + far * 10.0;
             let wait = t.work.wait(self.now, call.priority, self.speed(t, service)) * DECODE_WAIT;
-            Choice {
-                target: t.spec.name.clone(),
-                prefill: false,
-                fill: 0,
-                filled: 0.0,
-                first: BASE_MS,
-                alone: false,
-                tokens: 0,
-                cost: cost + wait,
-            }
+            Choice::bare(t, cost + wait)
         });
         least(choices)
     }
@@ -122,7 +129,7 @@
                 return None;
             }
             let rate = self.speed(t, service);
-            let fill = t.fill(prompt, engine);
+            let fill = t.fill(prompt);
             let wait = t.work.wait(self.now, call.priority, rate);
             let work = fill as f64 / rate;
             let fixed = self.gate.rate(&service.name).fixed(t.spec.role);
@@ -168,16 +175,7 @@
             } else {
                 2.0
             };
-            Choice {
-                target: t.spec.name.clone(),
-                prefill: false,
-                fill: 0,
-                filled: 0.0,
-                first: BASE_MS,
-                alone: false,
-                tokens: 0,
-                cost: taken * 100.0 + sick + near + self.noise(t),
-            }
+            Choice::bare(t, taken * 100.0 + sick + near + self.noise(t))
         });
         least(choices)
     }
--- a/crates/rw-gate/src/prefix_cache.rs
+++ b/crates/rw-gate/src/prefix_cache.rs
@@ -24,7 +24,7 @@
 impl PrefixCache {
     /// Tokens at the head of `parts` that are cached.
     #[must_use]
-    pub fn hits(&self, parts: &[Part], _memory: u64) -> u64 {
+    pub fn hits(&self, parts: &[Part]) -> u64 {
         let cached = chains(parts).zip(parts);
         let cached = cached.take_while(|(chain, _)| self.index(*chain).is_ok());
         cached.map(|(_, part)| u64::from(part.tokens)).sum()
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -1,6 +1,6 @@
 //! One target and what is believed of it.
 
-use crate::{EngineSpec, Health, Load, PrefixCache, Prompt, Work};
+use crate::{Health, Load, PrefixCache, Prompt, Work};
 use rw_types::{Millis, Role};
 use serde::{Deserialize, Serialize};
 
@@ -106,8 +106,8 @@
 
     /// Prompt tokens that it would have to fill.
     #[must_use]
-    pub fn fill(&self, prompt: &Prompt, engine: &EngineSpec) -> u64 {
-        let hits = self.cache.hits(&prompt.parts, engine.memory);
+    pub fn fill(&self, prompt: &Prompt) -> u64 {
+        let hits = self.cache.hits(&prompt.parts);
         u64::from(prompt.tokens).saturating_sub(hits).max(1)
     }
 
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -46,6 +46,35 @@
     pub(crate) body: Vec<u8>,
 }
 
+/// How far a call's answer is, over all its dispatches.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// The way to the caller.
+    pub(crate) out: AnswerOut,
+    /// An answer that waits for the reducer's word.
+    pub(crate) kept: Option<Kept>,
+    /// Last event that the caller has.
+    last: Option<u64>,
+}
+
+impl Progress {
+    pub(crate) fn new(out: AnswerOut) -> Self {
+        Self {
+            out,
+            kept: None,
+            last: None,
+        }
+    }
+}
+
+/// An answer whose body is passed on as it comes.
+#[derive(Debug)]
+struct Passing {
+    link: TargetLink,
+    head: AnswerHead,
+    body: Body,
+}
+
 /// The caller's connection broke.
 #[derive(Debug)]
 pub(crate) struct CallerGone;
@@ -72,8 +101,7 @@
         &self,
         call: &Call,
         dispatch: &Dispatch,
-        out: &mut AnswerOut,
-        kept: &mut Option<Kept>,
+        progress: &mut Progress,
     ) -> Result<End, CallerGone> {
         let due = Instant::now() + Duration::from_millis(dispatch.left_ms) + LAST_WORD;
         let Ok(addr) = dispatch.addr.parse::<SocketAddr>() else {
@@ -90,12 +118,12 @@
             Some(Err(NoLink::Full)) => return Ok(End::Declined { status: 0 }),
             Some(Err(NoLink::Failed)) | None => return Ok(End::Unsent),
         };
-        let mut last = dispatch.resume;
-        let run = self.exchange(call, dispatch, link, out, kept, &mut last);
+        progress.last = dispatch.resume;
+        let run = self.exchange(call, dispatch, link, progress);
         let Some(ended) = until(due, run).await else {
             self.pool.forget(addr);
             return Ok(End::TimedOut {
-                delivered: out.is_started(),
+                delivered: progress.out.is_started(),
             });
         };
         match ended {
@@ -105,7 +133,8 @@
                 self.pool.forget(addr);
                 let crashed = self.pool.is_down(addr).await;
                 self.log.broken(call, dispatch, &error, crashed);
-                let delivered = out.is_started().then(|| last.unwrap_or(0));
+                let begun = progress.out.is_started();
+                let delivered = begun.then(|| progress.last.unwrap_or(0));
                 Ok(End::Broken { crashed, delivered })
             }
         }
@@ -116,9 +145,7 @@
         call: &Call,
         dispatch: &Dispatch,
         mut link: TargetLink,
-        out: &mut AnswerOut,
-        kept: &mut Option<Kept>,
-        last: &mut Option<u64>,
+        progress: &mut Progress,
     ) -> Result<End, Stop> {
         let bytes = self.request_bytes(call, dispatch);
         let stream = link.link.stream();
@@ -155,14 +182,13 @@
         let long = matches!(head.framing, Framing::Length(n) if n > MAX_KEPT);
         let events = dispatch.stream && (200..300).contains(&head.status);
         if events || long {
-            return self
-                .pass_on(call, dispatch, link, &head, body, out, last)
-                .await;
+            let passing = Passing { link, head, body };
+            return self.pass_on(call, dispatch, passing, progress).await;
         }
         let whole = body.whole(&mut link.link, MAX_KEPT as usize).await?;
         let status = head.status;
         self.give_back(link, &head, written.get());
-        *kept = Some(Kept { head, body: whole });
+        progress.kept = Some(Kept { head, body: whole });
         Ok(End::Whole { status })
     }
 
@@ -217,17 +243,19 @@
     }
 
     /// Passes a body on as it comes.
-    #[expect(clippy::too_many_arguments, reason = "one exchange's parts, used once")]
     async fn pass_on(
         &self,
         call: &Call,
         dispatch: &Dispatch,
-        mut link: TargetLink,
-        head: &AnswerHead,
-        mut body: Body,
-        out: &mut AnswerOut,
-        last: &mut Option<u64>,
+        passing: Passing,
+        progress: &mut Progress,
     ) -> Result<End, Stop> {
+        let Passing {
+            mut link,
+            head,
+            mut body,
+        } = passing;
+        let Progress { out, last, .. } = progress;
         let mut splitter = EventSplitter::after(*last);
         let mut first = true;
         while let Some(bytes) = body.next(&mut link.link).await? {
@@ -247,7 +275,7 @@
             if out.is_started() {
                 to_caller(out.piece(&bytes).await)?;
             } else {
-                to_caller(out.begin(head, &bytes).await)?;
+                to_caller(out.begin(&head, &bytes).await)?;
             }
             *last = splitter.last();
         }
@@ -255,10 +283,10 @@
             return Err(malformed().into());
         }
         if !out.is_started() {
-            to_caller(out.begin(head, b"").await)?;
+            to_caller(out.begin(&head, b"").await)?;
         }
         to_caller(out.end().await)?;
-        self.give_back(link, head, true);
+        self.give_back(link, &head, true);
         Ok(End::Delivered)
     }
 
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::{
     Dialect, Relay,
     answer_out::AnswerOut,
-    attempt::{Call, CallerGone, Kept},
+    attempt::{Call, CallerGone, Progress},
 };
 use rw_gate::{Dispatch, Effect, Event, Refusal};
 
@@ -18,24 +18,27 @@
 
 impl<D: Dialect> Relay<D> {
     /// Brings a call to its final answer.
-    pub(crate) async fn forward(&self, call: &Call, out: &mut AnswerOut) -> Result<(), CallerGone> {
+    pub(crate) async fn forward(
+        &self,
+        call: &Call,
+        progress: &mut Progress,
+    ) -> Result<(), CallerGone> {
         let id = call.id;
         let ask = self.dialect.ask(&call.head, &call.body);
-        let mut kept: Option<Kept> = None;
         let mut next = self.step_call(Event::Arrived { id, ask });
         loop {
             match next {
                 Next::Dispatch(dispatch) => {
                     self.log.dispatch(call, &dispatch);
                     self.metrics.dispatched(&dispatch);
-                    let end = self.attempt(call, &dispatch, out, &mut kept).await?;
+                    let end = self.attempt(call, &dispatch, progress).await?;
                     self.log.ended(call, &dispatch, &end);
                     self.metrics.ended(&end);
                     next = self.step_call(Event::Ended { id, end });
                 }
                 Next::Deliver => {
-                    let sent = match &kept {
-                        Some(kept) => out.whole(&kept.head, &kept.body).await,
+                    let sent = match &progress.kept {
+                        Some(kept) => progress.out.whole(&kept.head, &kept.body).await,
                         None => Ok(()),
                     };
                     return sent.map_err(|_| CallerGone);
@@ -43,7 +46,7 @@
                 Next::Refuse(refusal) => {
                     self.log.refuse(call, &refusal);
                     self.metrics.refused(refusal.kind);
-                    return self.refuse(&refusal, out).await;
+                    return self.refuse(&refusal, &mut progress.out).await;
                 }
                 Next::Over => return Ok(()),
             }
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -1,8 +1,11 @@
 //! Callers' connections.
 
 use crate::{
-    BootClock, Dialect, HeadError, Link, Relay, RequestHead, answer_out::AnswerOut, attempt::Call,
-    body::Body, within::within,
+    BootClock, Dialect, HeadError, Link, Relay, RequestHead,
+    answer_out::AnswerOut,
+    attempt::{Call, Progress},
+    body::Body,
+    within::within,
 };
 use rw_gate::{CallLimits, Event};
 use smol::{Async, future};
@@ -147,7 +150,8 @@
         let id = self.next_id();
         let close = !head.keep || self.leaving.get();
         let keep = head.keep;
-        let mut out = AnswerOut::new(link.stream(), &head.method, close);
+        let out = AnswerOut::new(link.stream(), &head.method, close);
+        let mut progress = Progress::new(out);
         let name = self.dialect.call_name(&head).to_owned();
         let started = self.clock.now();
         let call = Call {
@@ -163,8 +167,9 @@
             Link::gone(&stream).await;
             false
         };
-        let forwarded = async { self.forward(&call, &mut out).await.is_ok() };
+        let forwarded = async { self.forward(&call, &mut progress).await.is_ok() };
         let answered = future::or(forwarded, gone).await;
+        let out = &progress.out;
         if !answered {
             self.log.gone(&call, out.is_started());
             self.step(Event::Gone { id });
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    io::{BufRead as _, BufReader, Read as _, Write as _},
+    io::{BufReader, Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, ChildStdout, Command, Stdio},
