--- a/crates/rw-core/src/member.rs
+++ b/crates/rw-core/src/member.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Members {
     vms: Vec<Vm>,
+    /// Number of VMs that are not leaving, counted when the list is read.
+    present: usize,
 }
 
 impl Members {
@@ -13,6 +15,7 @@
     pub fn replace(&mut self, mut vms: Vec<Vm>) -> bool {
         vms.sort_by(|a, b| a.name.cmp(&b.name));
         let changed = vms != self.vms;
+        self.present = vms.iter().filter(|v| !v.leaving).count();
         self.vms = vms;
         changed
     }
@@ -26,8 +29,7 @@
     /// Number of VMs that are not leaving, at least one.
     #[must_use]
     pub fn present(&self) -> f64 {
-        let present = self.vms.iter().filter(|v| !v.leaving).count();
-        present.max(1) as f64
+        self.present.max(1) as f64
     }
 
     /// The VM of that name.
