--- /dev/null
+++ b/crates/rw-relay/tests/head.rs
@@ -0,0 +1,138 @@
+//! Heads are read in one way only, or refused.
+
+use proptest::prelude::*;
+use rw_relay::{AnswerHead, Framing, HeadError, RequestHead};
+
+struct Case {
+    name: &'static str,
+    fields: &'static str,
+    framing: Result<Framing, HeadError>,
+}
+
+#[test]
+fn a_request_says_in_one_way_where_its_body_ends() {
+    let cases = [
+        Case {
+            name: "nothing",
+            fields: "",
+            framing: Ok(Framing::Length(0)),
+        },
+        Case {
+            name: "a length",
+            fields: "Content-Length: 12\r\n",
+            framing: Ok(Framing::Length(12)),
+        },
+        Case {
+            name: "chunks",
+            fields: "Transfer-Encoding: Chunked\r\n",
+            framing: Ok(Framing::Chunked),
+        },
+        Case {
+            name: "the same length twice",
+            fields: "Content-Length: 1\r\nContent-Length: 1\r\n",
+            framing: Err(HeadError::Framing),
+        },
+        Case {
+            name: "a list of lengths",
+            fields: "Content-Length: 1, 1\r\n",
+            framing: Err(HeadError::Framing),
+        },
+        Case {
+            name: "an empty length",
+            fields: "Content-Length: \r\n",
+            framing: Err(HeadError::Framing),
+        },
+        Case {
+            name: "a length over the largest number",
+            fields: "Content-Length: 99999999999999999999\r\n",
+            framing: Err(HeadError::Framing),
+        },
+        Case {
+            name: "chunks twice",
+            fields: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            framing: Err(HeadError::Framing),
+        },
+        Case {
+            name: "both",
+            fields: "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n",
+            framing: Err(HeadError::Framing),
+        },
+        Case {
+            name: "a space before the colon",
+            fields: "Content-Length : 1\r\n",
+            framing: Err(HeadError::Malformed),
+        },
+    ];
+    for case in cases {
+        let head = format!("POST /a HTTP/1.1\r\nHost: a\r\n{}\r\n", case.fields);
+        let read = RequestHead::parse(head.as_bytes()).map(|h| h.framing);
+        assert_eq!(read, case.framing, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    struct Case {
+        method: &'static str,
+        head: &'static str,
+        framing: Framing,
+        keep: bool,
+    }
+    let cases = [
+        Case {
+            method: "GET",
+            head: "HTTP/1.1 200 OK\r\n\r\n",
+            framing: Framing::Close,
+            keep: false,
+        },
+        Case {
+            method: "HEAD",
+            head: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+            framing: Framing::Length(0),
+            keep: true,
+        },
+        Case {
+            method: "GET",
+            head: "HTTP/1.1 204 No Content\r\n\r\n",
+            framing: Framing::Length(0),
+            keep: true,
+        },
+        Case {
+            method: "GET",
+            head: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: Close\r\n\r\n",
+            framing: Framing::Length(9),
+            keep: false,
+        },
+        Case {
+            method: "GET",
+            head: "HTTP/1.0 200 OK\r\nContent-Length: 9\r\n\r\n",
+            framing: Framing::Length(9),
+            keep: false,
+        },
+    ];
+    for case in cases {
+        let head = AnswerHead::parse(case.head.as_bytes(), case.method).expect(case.head);
+        assert_eq!(
+            (head.framing, head.keep),
+            (case.framing, case.keep),
+            "{}",
+            case.head
+        );
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_break_the_reader(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _any_result = RequestHead::parse(&bytes);
+        let _any_result = AnswerHead::parse(&bytes, "GET");
+    }
+
+    #[test]
+    fn a_head_with_a_bare_line_feed_is_never_read(at in 0_usize..60) {
+        let mut head = b"GET /a HTTP/1.1\r\nHost: a\r\nX-Some: other\r\nY: z\r\n\r\n".to_vec();
+        let at = at.min(head.len() - 1);
+        head.insert(at, b'\n');
+        prop_assert!(RequestHead::parse(&head).is_err());
+    }
+}
