A node that was cut off alone no longer keeps targets that left meanwhile

Cause: entries that vanish just after the store's return stay in use for 2.2 s, since they lapse while the store is away. Ruled out: the feed's rest of 200 ms (the tombstone was in the first answer). Change: digests say for how long their node has reached the store; one that did for longer than entries take to return shows that the store stood, and what vanished is gone at once, also if heard only then. Test: rw-gate targets::entries_decide_who_gets_work, three cases more; the first fails without it.

--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -49,8 +49,8 @@
     pub vm: String,
     /// Version of its configuration.
     pub version: u64,
-    /// Whether it reaches the store, so that it can hold a lease.
-    pub fit: bool,
+    /// Milliseconds for which it has reached the store without a break; zero if it doesn't.
+    pub reach_ms: u64,
     /// Its prompt work; a target that is left out has none.
     pub work: Vec<WorkSum>,
     /// Its generations; a target that is left out has none.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -2,15 +2,15 @@
 
 use crate::{
     Change, Digest, Effect, EngineRate, Event, GateSettings, LocalBudget, OpenSum, Read, Refusal,
-    RefusalKind, Routing, Target, TargetList, WorkSum, call_state::CallState, placing::Placing,
-    roles::Roles,
+    RefusalKind, Routing, Target, TargetList, WorkSum,
+    call_state::CallState,
+    placing::Placing,
+    roles::{Heard, Roles, SILENT_MS},
 };
 use rw_core::Suspects;
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
 
-/// Age from which another node's word no longer counts, in milliseconds.
-const SILENT_MS: u64 = 2_500;
 /// Age up to which suspects are told again, in milliseconds, since a digest may be lost.
 const TOLD_MS: u64 = 5_000;
 
@@ -72,14 +72,14 @@
             }
             Event::TargetGone { name } => self.target_gone(now, &name),
             Event::Targets(specs) => {
-                self.roles.fit = true;
+                self.roles.reached.get_or_insert(now);
                 self.replace_targets(now, specs);
             }
             Event::StoreBack => {
                 self.back = Some(now);
-                self.roles.fit = true;
+                self.roles.reached = Some(now);
             }
-            Event::StoreLost => self.roles.fit = false,
+            Event::StoreLost => self.roles.reached = None,
             Event::Tick => self.look_at_roles(now, &mut effects),
             Event::Lease(token) => self.lease_answered(now, token),
             Event::Ordered { target, end } => self.order_ended(now, &target, end),
@@ -147,7 +147,7 @@
         Digest {
             vm: self.settings.vm.clone(),
             version: self.routing.version,
-            fit: self.roles.fit,
+            reach_ms: self.reach_ms(now),
             work,
             open,
             changes,
@@ -216,11 +216,27 @@
 
     /// Time at which a target whose entry vanished now is out of use.
     fn out_at(&self, now: Millis) -> Millis {
+        // Another node that reached the store all along shows that only this one was cut off.
+        if self.store_stood(now) {
+            return now;
+        }
         // Entries lapse while the store is away and return shortly after it.
         let back = self.back.map(|at| at.plus(self.settings.return_ms));
         back.filter(|until| now < *until).unwrap_or(now)
     }
 
+    /// Whether some other node has reached the store for longer than entries take to return.
+    fn store_stood(&self, now: Millis) -> bool {
+        let heard = self.roles.heard.iter();
+        let mut lately = heard.filter(|h| now.since(h.at) < SILENT_MS);
+        lately.any(|h| h.reach_ms > self.settings.return_ms)
+    }
+
+    /// Milliseconds for which this node has reached the store without a break.
+    fn reach_ms(&self, now: Millis) -> u64 {
+        self.roles.reached.map_or(0, |at| now.since(at).max(1))
+    }
+
     fn target_gone(&mut self, now: Millis, name: &str) {
         let at = self.out_at(now);
         self.targets.remove(name, now, at);
@@ -244,9 +260,15 @@
     fn hear(&mut self, now: Millis, digest: &Digest) {
         self.suspects.merge(now, &digest.suspects);
         self.suspects.prune(now, self.settings.poison_ms);
-        self.roles.heard.retain(|(vm, ..)| *vm != digest.vm);
-        let heard = (digest.vm.clone(), now, digest.fit);
-        self.roles.heard.push(heard);
+        self.roles.heard.retain(|h| h.vm != digest.vm);
+        self.roles.heard.push(Heard {
+            vm: digest.vm.clone(),
+            at: now,
+            reach_ms: digest.reach_ms,
+        });
+        if self.store_stood(now) {
+            self.targets.drop_lapsed();
+        }
         for target in self.targets.iter_mut() {
             let name = &target.spec.name;
             let work = digest.work.iter().find(|w| w.target == *name);
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -24,7 +24,7 @@
 /// Milliseconds beyond the switch itself that a change may take, its drain included.
 const DRAIN_MS: u64 = 4_000;
 /// Age from which another node's word no longer counts, in milliseconds.
-const SILENT_MS: u64 = 2_500;
+pub(crate) const SILENT_MS: u64 = 2_500;
 
 /// The right to order, and what was ordered.
 #[derive(Debug, Clone, Default)]
@@ -35,10 +35,19 @@
     asked: Option<Millis>,
     /// No look before this time.
     next: Millis,
-    /// Nodes heard of: name, when, and whether it reaches the store.
-    pub(crate) heard: Vec<(String, Millis, bool)>,
-    /// Whether this node reaches the store.
-    pub(crate) fit: bool,
+    /// Nodes heard of.
+    pub(crate) heard: Vec<Heard>,
+    /// Since when this node reaches the store.
+    pub(crate) reached: Option<Millis>,
+}
+
+/// What another node told of its reach.
+#[derive(Debug, Clone)]
+pub(crate) struct Heard {
+    pub(crate) vm: String,
+    pub(crate) at: Millis,
+    /// Milliseconds for which it had reached the store then; zero if it didn't.
+    pub(crate) reach_ms: u64,
 }
 
 /// How an order ended.
@@ -140,8 +149,8 @@
     /// Whether this node is the first of those that are heard and reach the store.
     fn leads(&self, now: Millis) -> bool {
         let heard = self.roles.heard.iter();
-        let fit = heard.filter(|(_, at, fit)| *fit && now.since(*at) < SILENT_MS);
-        self.roles.fit && fit.clone().all(|(vm, ..)| *vm > self.settings.vm)
+        let mut fit = heard.filter(|h| h.reach_ms > 0 && now.since(h.at) < SILENT_MS);
+        self.roles.reached.is_some() && fit.all(|h| h.vm > self.settings.vm)
     }
 
     /// The engine that should change its role now, and to which.
--- a/crates/rw-gate/src/target_list.rs
+++ b/crates/rw-gate/src/target_list.rs
@@ -77,6 +77,11 @@
         self.list.retain(|t| t.gone_at.is_none_or(|at| now < at));
     }
 
+    /// Takes out what lapsed, without waiting for its return.
+    pub fn drop_lapsed(&mut self) {
+        self.list.retain(|t| t.gone_at.is_none());
+    }
+
     /// Targets in order, to be changed.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
         self.list.iter_mut()
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -38,6 +38,13 @@
         leaving: true,
         ..p1()
     };
+    let heard = |reach_ms| {
+        Event::Heard(Digest {
+            vm: "z".to_owned(),
+            reach_ms,
+            ..Digest::default()
+        })
+    };
     let cases = [
         Case {
             name: "all",
@@ -68,6 +75,21 @@
             ],
             used: &["p2", "p3"],
         },
+        Case {
+            name: "where others reached the store all along, it is gone",
+            events: vec![(0, Event::StoreBack), (0, heard(9_000)), (100, gone())],
+            used: &["p2", "p3"],
+        },
+        Case {
+            name: "also if they are heard only then",
+            events: vec![(0, Event::StoreBack), (100, gone()), (20, heard(9_000))],
+            used: &["p2", "p3"],
+        },
+        Case {
+            name: "where they regained it a moment ago, it may return",
+            events: vec![(0, Event::StoreBack), (0, heard(300)), (100, gone())],
+            used: &["p1", "p2", "p3"],
+        },
         Case {
             name: "and one that had said it leaves does not wait",
             events: vec![
@@ -330,7 +352,7 @@
             let vm = (*vm).to_owned();
             world.step(Event::Heard(Digest {
                 vm,
-                fit: *fit,
+                reach_ms: u64::from(*fit),
                 ..Digest::default()
             }));
         }
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -17,6 +17,7 @@
     refusals: IntCounterVec,
     rejects: IntCounterVec,
     turned: IntCounter,
+    skipped: IntCounter,
     opened: IntGauge,
     dropped: IntGauge,
     first: Histogram,
@@ -67,6 +68,7 @@
                 "kind",
             )?,
             turned: counter("rw_turned_away_total", "connections over the limit")?,
+            skipped: counter("rw_rows_skipped_total", "rows that name no target")?,
             opened: gauge(
                 "rw_target_connections_opened",
                 "connections opened to targets",
@@ -89,6 +91,10 @@
         self.turned.inc();
     }
 
+    pub(crate) fn row_skipped(&self) {
+        self.skipped.inc();
+    }
+
     pub(crate) fn dispatched(&self, dispatch: &Dispatch) {
         self.dispatches
             .with_label_values(&[mode(&dispatch.mode)])
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -11,6 +11,8 @@
 pub enum Notice {
     /// Something that the reducer decides by.
     Event(Box<Event>),
+    /// A row that names no target; it was skipped.
+    Skipped,
     /// The registered nodes, this one included.
     Peers(Vec<Peer>),
 }
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -158,6 +158,7 @@
     while let Ok(notice) = notices.recv().await {
         match notice {
             Notice::Event(event) => drop(relay.step(*event)),
+            Notice::Skipped => relay.metrics.row_skipped(),
             Notice::Peers(peers) => relay.take_peers(peers),
         }
     }
