--- a/crates/rw-gate/src/placing.rs
+++ b/crates/rw-gate/src/placing.rs
@@ -26,6 +26,14 @@
 const FULL_MS: f64 = 300.0;
 /// Part of an engine's memory that running calls may fill.
 const MEMORY_SHARE: f64 = 0.8;
+/// Cost of a decode engine whose slots are all taken, in milliseconds, before it is full.
+const DECODE_TAKEN_MS: f64 = 50.0;
+/// Cost of a plain target whose slots are all taken, in milliseconds.
+const PLAIN_TAKEN_MS: f64 = 100.0;
+/// Cost of moving a KV cache to another data centre, in milliseconds.
+const FAR_TRANSFER_MS: f64 = 10.0;
+/// Cost of a plain call to another data centre, in milliseconds.
+const FAR_CALL_MS: f64 = 2.0;
 /// Age up to which a told load is believed, in milliseconds.
 const LOAD_MS: u64 = 400;
 
@@ -101,9 +109,13 @@
             .open(call, service, prompt)
             .filter(|t| t.spec.role != Role::Prefill);
         let choices = decode.map(|t| {
-            let far = if t.spec.centre == filled_in { 0.0 } else { 1.0 };
+            let far = if t.spec.centre == filled_in {
+                0.0
+            } else {
+                FAR_TRANSFER_MS
+            };
             let taken = f64::from(t.running()) / f64::from(t.spec.slots.max(1));
-            let cost = self.burden(t, engine, prompt) + taken * 50.0 + far * 10.0;
+            let cost = self.burden(t, engine, prompt) + taken * DECODE_TAKEN_MS + far;
             let wait = t.work.wait(self.now, call.priority, self.speed(t, service)) * DECODE_WAIT;
             Choice::bare(t, cost + wait)
         });
@@ -170,12 +182,12 @@
             } else {
                 0.0
             };
-            let near = if t.spec.centre == self.gate.settings.centre {
+            let far = if t.spec.centre == self.gate.settings.centre {
                 0.0
             } else {
-                2.0
+                FAR_CALL_MS
             };
-            Choice::bare(t, taken * 100.0 + sick + near + self.noise(t))
+            Choice::bare(t, taken * PLAIN_TAKEN_MS + sick + far + self.noise(t))
         });
         least(choices)
     }
