A call whose first target failed it is never told that it has not run

Change: the first target's whole answer is kept and delivered in place of any refusal but a cut. Test: rw-gate calls::a_kept_failure_is_the_answer_whatever_became_of_the_repeat, four ends.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -68,6 +68,7 @@
             sends: 0,
             tried: Vec::new(),
             unknown: false,
+            kept: false,
             prefilled: false,
             current: None,
             handle: None,
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -244,6 +244,7 @@
         // A failure of the target's own may not happen elsewhere; if nothing else can be tried,
         // it is the answer.
         let failed = status >= 500 && call.repeat.is_repeatable() && call.runs < call.attempts;
+        call.kept = failed;
         if failed && self.repeat(now, i, effects) {
             return;
         }
@@ -358,7 +359,12 @@
 
     fn refuse(&mut self, i: usize, refusal: Refusal, effects: &mut Vec<Effect>) {
         let id = self.calls[i].id;
-        effects.push(Effect::Refuse { id, refusal });
+        // It has run, and a target's own answer says more than a refusal.
+        let deliver = self.calls[i].kept && refusal.kind != RefusalKind::Cut;
+        effects.push(match deliver {
+            true => Effect::Deliver { id },
+            false => Effect::Refuse { id, refusal },
+        });
         self.finish(i, effects);
     }
 
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -40,6 +40,8 @@
     pub(crate) tried: Vec<String>,
     /// Whether a run of it may have happened without a known end.
     pub(crate) unknown: bool,
+    /// Whether a target's whole answer, a failure, is kept while the call is tried elsewhere.
+    pub(crate) kept: bool,
     /// Whether a prefill was accepted, which the budget doesn't count.
     pub(crate) prefilled: bool,
     pub(crate) current: Option<Current>,
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -100,6 +100,35 @@
     assert!(matches!(last[..], [rw_gate::Effect::Deliver { .. }]));
 }
 
+#[test]
+fn a_kept_failure_is_the_answer_whatever_became_of_the_repeat() {
+    let ends = [
+        End::Unsent,
+        DECLINED,
+        BROKEN,
+        End::TimedOut { delivered: false },
+    ];
+    for end in ends {
+        let mut world = World::new();
+        let (id, _) = world.arrive(ask("/safe/1"));
+        let again = world.end(id, End::Whole { status: 500 });
+        assert!(dispatch(&again).is_some());
+        // No third target: whatever the second does is the last.
+        for name in ["p1", "p2", "p3"] {
+            world.step(Event::TargetGone {
+                name: name.to_owned(),
+            });
+        }
+        let last = world.end(id, end.clone());
+        // A refusal would say that it has not run.
+        assert_eq!(refused(&last), None, "{end:?}");
+        let delivered = last
+            .iter()
+            .any(|e| matches!(e, rw_gate::Effect::Deliver { .. }));
+        assert!(delivered, "{end:?}");
+    }
+}
+
 #[test]
 fn repeats_stay_within_the_nodes_part_of_the_budget() {
     struct Case {
