--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -142,17 +142,22 @@
         let Some(target) = self.targets.find_mut(&choice.target) else {
             return;
         };
+        let mut counted = None;
         let prompt = call.ask.prompt.as_ref();
         let held = prompt.map_or(0, |p| u64::from(p.tokens + p.output));
         target.open += 1;
         target.tokens += held;
         if let (Some(prompt), Some(memory)) = (prompt, memory) {
-            if choice.fill > 0 {
+            if choice.fill.tokens > 0 && call.sends == 0 {
+                let busy = choice.work;
+                counted = Some((call.service.clone(), busy));
+            }
+            if choice.fill.tokens > 0 {
                 target.work.add(Sent {
                     id: call.id,
                     at: now,
-                    priority: call.priority,
-                    tokens: choice.fill,
+                    rank: call.priority,
+                    fill: choice.fill,
                 });
             }
             let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
@@ -181,6 +186,7 @@
             life: target.spec.life,
             addr: target.spec.addr.clone(),
             mode,
+            fetch: choice.fetch.clone(),
             left_ms: call.due.since(now),
             priority: call.priority,
             resume: call.resume,
@@ -192,6 +198,9 @@
         };
         let id = call.id;
         effects.push(Effect::Dispatch { id, dispatch });
+        if let Some((service, busy)) = counted {
+            self.mix_mut(&service).add(busy);
+        }
     }
 
     fn connections(&self, service: &str) -> u32 {
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -1,6 +1,6 @@
 //! An open call.
 
-use crate::{Ask, Handle, Mode, Repeat};
+use crate::{Ask, Fill, Handle, Mode, Repeat};
 use rw_types::{Millis, RequestId};
 
 /// A call's dispatch that has not ended.
@@ -10,8 +10,8 @@
     pub(crate) life: u64,
     pub(crate) mode: Mode,
     pub(crate) sent: Millis,
-    /// Tokens that the target is expected to fill.
-    pub(crate) fill: u64,
+    /// What the target is expected to fill.
+    pub(crate) fill: Fill,
     /// Tokens held there while it runs.
     pub(crate) held: u64,
     /// Whether the target had no other prompt work, as far as known.
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -1,5 +1,6 @@
 //! What nodes tell each other.
 
+use crate::Job;
 use rw_types::Suspect;
 use serde::{Deserialize, Serialize};
 
@@ -8,9 +9,8 @@
 pub struct WorkSum {
     /// Target name.
     pub target: String,
-    /// Prompts that wait or are being filled: call, milliseconds since it was sent, priority and
-    /// tokens.
-    pub jobs: Vec<(u64, u64, u8, u64)>,
+    /// Prompts that wait or are being filled.
+    pub jobs: Vec<Job>,
 }
 
 /// A prompt that a target read since the digest before.
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -25,6 +25,8 @@
     pub addr: String,
     /// What is asked.
     pub mode: Mode,
+    /// `ip:port` of another target from which the beginning of the prompt is fetched.
+    pub fetch: Option<String>,
     /// Milliseconds that are left to the call.
     pub left_ms: u64,
     /// Rank among the target's work, zero first.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Change, Digest, Effect, EngineRate, Event, GateSettings, LocalBudget, OpenSum, Read, Refusal,
-    RefusalKind, Routing, Target, TargetList, WorkSum,
+    RefusalKind, Routing, SizeMix, Target, TargetList, WorkSum,
     call_state::CallState,
     placing::Placing,
     roles::{Heard, Roles, SILENT_MS},
@@ -27,6 +27,8 @@
     pub(crate) nodes: usize,
     /// Engine speeds by service, sorted.
     pub(crate) rates: Vec<(String, EngineRate)>,
+    /// How prompt work is spread, by service, sorted.
+    pub(crate) mixes: Vec<(String, SizeMix)>,
     /// Prompts read since the latest digest.
     pub(crate) reads: Vec<Read>,
     pub(crate) random: fastrand::Rng,
@@ -48,6 +50,7 @@
             suspects: Suspects::default(),
             nodes: settings.nodes,
             rates: Vec::new(),
+            mixes: Vec::new(),
             reads: Vec::new(),
             random: fastrand::Rng::with_seed(settings.seed),
             back: None,
@@ -173,6 +176,28 @@
         self.calls.binary_search_by_key(&id, |c| c.id).ok()
     }
 
+    pub(crate) fn mix(&self, service: &str) -> Option<&SizeMix> {
+        let found = self
+            .mixes
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        found.ok().map(|i| &self.mixes[i].1)
+    }
+
+    pub(crate) fn mix_mut(&mut self, service: &str) -> &mut SizeMix {
+        let found = self
+            .mixes
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        let i = match found {
+            Ok(i) => i,
+            Err(i) => {
+                self.mixes
+                    .insert(i, (service.to_owned(), SizeMix::default()));
+                i
+            }
+        };
+        &mut self.mixes[i].1
+    }
+
     pub(crate) fn rate(&self, service: &str) -> EngineRate {
         let found = self
             .rates
--- a/crates/rw-gate/src/health.rs
+++ b/crates/rw-gate/src/health.rs
@@ -10,6 +10,8 @@
 const HALVES_MS: f64 = 2_500.0;
 /// Weight of the latest measure of speed.
 const LATEST_SPEED: f64 = 0.15;
+/// Weight of the latest measure of speed if it was slower: it may have met work of other nodes.
+const LATEST_SLOWER: f64 = 0.06;
 /// Bounds of the slowness that is believed.
 const SLOWNESS: (f64, f64) = (0.7, 8.0);
 
@@ -66,6 +68,11 @@
     /// Counts how long a prompt took against what was expected, both in milliseconds.
     pub fn measure(&mut self, took: f64, expected: f64) {
         let seen = (took / expected.max(1.0)).clamp(SLOWNESS.0, SLOWNESS.1);
-        self.slowness += (seen - self.slowness) * LATEST_SPEED;
+        let weight = if seen > self.slowness {
+            LATEST_SLOWER
+        } else {
+            LATEST_SPEED
+        };
+        self.slowness += (seen - self.slowness) * weight;
     }
 }
--- a/crates/rw-gate/src/prefix_cache.rs
+++ b/crates/rw-gate/src/prefix_cache.rs
@@ -12,6 +12,8 @@
     chain: u64,
     tokens: u32,
     used: Millis,
+    /// When it was first read.
+    since: Millis,
 }
 
 /// Cached parts, sorted by the hash of their chain.
@@ -30,6 +32,17 @@
         cached.map(|(_, part)| u64::from(part.tokens)).sum()
     }
 
+    /// Tokens at the head of `parts` that were read before `then`.
+    #[must_use]
+    pub fn held_since(&self, then: Millis, parts: &[Part]) -> u64 {
+        let held = chains(parts).zip(parts);
+        let held = held.take_while(|(chain, _)| {
+            let found = self.index(*chain);
+            found.is_ok_and(|i| self.entries[i].since <= then)
+        });
+        held.map(|(_, part)| u64::from(part.tokens)).sum()
+    }
+
     /// The target reads `parts`; what was used longest ago yields.
     pub fn read(&mut self, now: Millis, parts: &[Part], memory: u64) {
         let read: Vec<(u64, u32)> = chains(parts).zip(parts.iter().map(|p| p.tokens)).collect();
@@ -46,6 +59,7 @@
                         chain: *chain,
                         tokens: *tokens,
                         used: now,
+                        since: now,
                     };
                     self.entries.insert(i, entry);
                     self.tokens += u64::from(*tokens);
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -14,8 +14,11 @@
 const LOOK_MS: u64 = 500;
 /// Pause after a lease that was not had, in milliseconds.
 const REFUSED_MS: u64 = 2_000;
-/// Part of a service's engines that decode.
-const DECODE_SHARE: f64 = 0.38;
+/// Part of a service's engines that decode, times the calls that one runs at once: the fewer fit
+/// into an engine, the more engines the streams need.
+const DECODE_SLOTS: f64 = 19.2;
+/// Bounds of the part of a service's engines that decode.
+const DECODE_SHARE: (f64, f64) = (0.28, 0.45);
 /// Part of a service's engines that may change at once while calls run.
 const AT_ONCE: f64 = 0.1;
 /// Part of a service's engines that must be in the wrong role before a change pays for its
@@ -160,7 +163,7 @@
     }
 
     fn change_of(&self, now: Millis, service: &Service) -> Option<(String, Role)> {
-        service.engine.as_ref()?;
+        let engine = service.engine.as_ref()?;
         let engines = || {
             let all = self.targets.all().iter();
             all.filter(|t| t.spec.service == service.name && t.is_listed(now))
@@ -179,7 +182,9 @@
         let decode = engines()
             .filter(|t| t.next_role(now) != Role::Prefill)
             .count();
-        let wanted = (all as f64 * DECODE_SHARE).ceil() as usize;
+        let share = DECODE_SLOTS / f64::from(engine.slots.max(1));
+        let share = share.clamp(DECODE_SHARE.0, DECODE_SHARE.1);
+        let wanted = (all as f64 * share).ceil() as usize;
         let wanted = wanted.clamp(1, all - 1);
         let off = decode.abs_diff(wanted);
         let worth = if idle {
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -1,6 +1,6 @@
 //! One target and what is believed of it.
 
-use crate::{Health, Load, PrefixCache, Prompt, Work};
+use crate::{Fill, Health, Load, PrefixCache, Prompt, Work};
 use rw_types::{Millis, Role};
 use serde::{Deserialize, Serialize};
 
@@ -104,11 +104,12 @@
         !self.spec.leaving && self.gone_at.is_none_or(|at| now < at)
     }
 
-    /// Prompt tokens that it would have to fill.
+    /// What it would have to fill of a prompt.
     #[must_use]
-    pub fn fill(&self, prompt: &Prompt) -> u64 {
-        let hits = self.cache.hits(&prompt.parts);
-        u64::from(prompt.tokens).saturating_sub(hits).max(1)
+    pub fn fill(&self, prompt: &Prompt) -> Fill {
+        let cached = self.cache.hits(&prompt.parts);
+        let tokens = u64::from(prompt.tokens).saturating_sub(cached).max(1);
+        Fill { tokens, cached }
     }
 
     /// Whether it holds `model`.
--- a/crates/rw-gate/src/work.rs
+++ b/crates/rw-gate/src/work.rs
@@ -1,6 +1,8 @@
 //! Prompt work that waits on a target.
 
+use crate::Fill;
 use rw_types::{Millis, RequestId};
+use serde::{Deserialize, Serialize};
 
 /// A prompt of this node that its target has not finished filling.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -9,21 +11,34 @@
     pub id: RequestId,
     /// When it was sent.
     pub at: Millis,
-    /// Its priority; zero goes first.
-    pub priority: u8,
-    /// Tokens to fill.
-    pub tokens: u64,
+    /// Its rank; zero goes first.
+    pub rank: u8,
+    /// What is filled.
+    pub fill: Fill,
+}
+
+/// A prompt that waits or is being filled, as one node tells the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Call at the node that tells of it.
+    pub id: u64,
+    /// Milliseconds since it was sent.
+    pub age_ms: u64,
+    /// Its rank; zero goes first.
+    pub rank: u8,
+    /// What is filled.
+    pub fill: Fill,
 }
 
 /// A prompt as far as it decides how long another waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Job {
+struct Queued {
     /// VM that told of it; empty for this node's own.
     vm: String,
     id: u64,
     at: Millis,
-    priority: u8,
-    tokens: u64,
+    rank: u8,
+    fill: Fill,
 }
 
 /// How long another node's word is believed, in milliseconds; digests come far more often.
@@ -35,7 +50,7 @@
 /// urgent first, and finishes the one that it has begun.
 #[derive(Debug, Clone, Default)]
 pub struct Work {
-    jobs: Vec<Job>,
+    jobs: Vec<Queued>,
     /// When the target last finished a prompt.
     moved: Millis,
     /// When each VM last told of its work.
@@ -45,18 +60,18 @@
 impl Work {
     /// Counts a prompt.
     pub fn add(&mut self, sent: Sent) {
-        self.jobs.push(Job {
+        self.jobs.push(Queued {
             vm: String::new(),
             id: sent.id.0,
             at: sent.at,
-            priority: sent.priority,
-            tokens: sent.tokens,
+            rank: sent.rank,
+            fill: sent.fill,
         });
     }
 
     /// A prompt is filled, or its call is over; false if it was not known.
     pub fn done(&mut self, now: Millis, id: RequestId) -> bool {
-        let own = |j: &Job| j.vm.is_empty() && j.id == id.0;
+        let own = |j: &Queued| j.vm.is_empty() && j.id == id.0;
         let Some(i) = self.jobs.iter().position(own) else {
             return false;
         };
@@ -65,25 +80,30 @@
         true
     }
 
-    /// Own prompts: call, milliseconds since it was sent, priority and tokens.
-    pub fn own(&self, now: Millis) -> impl Iterator<Item = (u64, u64, u8, u64)> + '_ {
+    /// Own prompts.
+    pub fn own(&self, now: Millis) -> impl Iterator<Item = Job> + '_ {
         let own = self.jobs.iter().filter(|j| j.vm.is_empty());
-        own.map(move |j| (j.id, now.since(j.at), j.priority, j.tokens))
+        own.map(move |j| Job {
+            id: j.id,
+            age_ms: now.since(j.at),
+            rank: j.rank,
+            fill: j.fill,
+        })
     }
 
     /// Takes over what another node says: all of its prompts here.
-    pub fn hear(&mut self, now: Millis, vm: &str, told: &[(u64, u64, u8, u64)]) {
-        let gone = |j: &Job| j.vm == vm && !told.iter().any(|t| t.0 == j.id);
+    pub fn hear(&mut self, now: Millis, vm: &str, told: &[Job]) {
+        let gone = |j: &Queued| j.vm == vm && !told.iter().any(|t| t.id == j.id);
         if self.jobs.iter().any(gone) {
             self.moved = now;
         }
         self.jobs.retain(|j| j.vm != vm);
-        let jobs = told.iter().map(|(id, age, priority, tokens)| Job {
+        let jobs = told.iter().map(|told| Queued {
             vm: vm.to_owned(),
-            id: *id,
-            at: Millis(now.0.saturating_sub(*age)),
-            priority: *priority,
-            tokens: *tokens,
+            id: told.id,
+            at: Millis(now.0.saturating_sub(told.age_ms)),
+            rank: told.rank,
+            fill: told.fill,
         });
         self.jobs.extend(jobs);
         self.heard.retain(|(name, _)| name != vm);
@@ -104,29 +124,27 @@
         self.jobs.is_empty()
     }
 
-    /// Milliseconds until a new prompt of `priority` is begun, at `rate` tokens a millisecond.
+    /// Milliseconds until a new prompt of `rank` is begun, if the target is busy with a prompt for
+    /// the milliseconds that `busy` tells.
     #[must_use]
-    pub fn wait(&self, now: Millis, priority: u8, rate: f64) -> f64 {
+    pub fn wait(&self, now: Millis, rank: u8, busy: impl Fn(Fill) -> f64) -> f64 {
         let Some(current) = self.current() else {
             return 0.0;
         };
         let begun = current.at.max(self.moved);
         let spent = now.since(begun) as f64;
-        let rest = (time(current, rate) - spent).max(0.0);
-        let ahead = self.jobs.iter().filter(|j| j.priority <= priority);
+        let time = |j: &Queued| busy(j.fill) + EACH_MS;
+        let rest = (time(current) - spent).max(0.0);
+        let ahead = self.jobs.iter().filter(|j| j.rank <= rank);
         let ahead = ahead.filter(|j| !std::ptr::eq(*j, current));
-        rest + ahead.map(|j| time(j, rate)).sum::<f64>()
+        rest + ahead.map(time).sum::<f64>()
     }
 
     /// The prompt that is being filled: the most urgent of those that waited when the one before
     /// it was finished, else the first that came since.
-    fn current(&self) -> Option<&Job> {
+    fn current(&self) -> Option<&Queued> {
         let waited = self.jobs.iter().filter(|j| j.at <= self.moved);
-        let next = waited.min_by_key(|j| (j.priority, j.at));
+        let next = waited.min_by_key(|j| (j.rank, j.at));
         next.or_else(|| self.jobs.iter().min_by_key(|j| j.at))
     }
 }
-
-fn time(job: &Job, rate: f64) -> f64 {
-    job.tokens as f64 / rate + EACH_MS
-}
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -318,40 +318,41 @@
 #[test]
 fn urgent_prompts_wait_for_the_one_begun_and_pass_the_others() {
     struct Case {
-        priority: u8,
+        rank: u8,
         /// Milliseconds until it is begun, at 10 tokens a millisecond.
         wait: f64,
     }
     let mut work = rw_gate::Work::default();
-    let sent = |id, priority, tokens| rw_gate::Sent {
+    let sent = |id, rank, tokens| rw_gate::Sent {
         id: rw_types::RequestId(id),
         at: rw_types::Millis(1_000),
-        priority,
-        tokens,
+        rank,
+        fill: rw_gate::Fill { tokens, cached: 0 },
     };
     work.add(sent(1, 2, 4_000));
     work.add(sent(2, 2, 3_000));
     work.add(sent(3, 0, 500));
     let now = rw_types::Millis(1_100);
+    let busy = |fill: rw_gate::Fill| fill.tokens as f64 / 10.0;
     // 300 ms are left of the first; each prompt takes 3 ms beside its tokens.
     for case in [
         Case {
-            priority: 0,
+            rank: 0,
             wait: 303.0 + 53.0,
         },
         Case {
-            priority: 1,
+            rank: 1,
             wait: 303.0 + 53.0,
         },
         Case {
-            priority: 2,
+            rank: 2,
             wait: 303.0 + 53.0 + 303.0,
         },
     ] {
-        let wait = work.wait(now, case.priority, 10.0);
-        assert!((wait - case.wait).abs() < 1.0, "{}: {wait}", case.priority);
+        let wait = work.wait(now, case.rank, busy);
+        assert!((wait - case.wait).abs() < 1.0, "{}: {wait}", case.rank);
     }
     // Once the first is filled, the urgent one is begun.
     work.done(now, rw_types::RequestId(1));
-    assert!((work.wait(now, 0, 10.0) - 53.0).abs() < 1.0);
+    assert!((work.wait(now, 0, busy) - 53.0).abs() < 1.0);
 }
--- /dev/null
+++ b/crates/rw-gate/tests/placing.rs
@@ -0,0 +1,84 @@
+//! Where prompts are filled.
+
+mod support;
+
+use rw_gate::{End, Mode};
+use support::*;
+
+/// Fills the prompt of `ask` at 50 tokens a millisecond and lets the call go.
+fn fill(world: &mut World, ask: rw_gate::Ask) -> String {
+    let tokens = ask.prompt.as_ref().map_or(0, |p| p.tokens);
+    let (id, sent) = world.arrive(ask);
+    let target = sent_to(&sent).to_owned();
+    world.now += u64::from(tokens) / 50 + 5;
+    world.step(rw_gate::Event::First { id });
+    world.end(id, End::Delivered);
+    world.now += 1;
+    target
+}
+
+#[test]
+fn long_prompts_keep_to_engines_of_their_own() {
+    let mut world = World::new();
+    let mut long = Vec::new();
+    // More than half of the work are short prompts.
+    for n in 0..800 {
+        let is_long = n % 40 == 0;
+        let tokens = if is_long { 20_000 } else { 2_000 };
+        let target = fill(&mut world, prompt("/chat/1", (n, 1), (n, tokens)));
+        if is_long && n > 200 {
+            long.push(target);
+        }
+    }
+    assert!(long.iter().all(|t| t == "f2"), "{long:?}");
+}
+
+#[test]
+fn a_beginning_that_another_engine_holds_is_fetched() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds since the beginning was read.
+        age: u64,
+        /// Tokens of the beginning.
+        shared: u32,
+        fetched: bool,
+    }
+    for case in [
+        Case {
+            name: "held",
+            age: 1_000,
+            shared: 6_000,
+            fetched: true,
+        },
+        Case {
+            name: "not read yet",
+            age: 50,
+            shared: 6_000,
+            fetched: false,
+        },
+        Case {
+            name: "too short to pay",
+            age: 1_000,
+            shared: 20,
+            fetched: false,
+        },
+    ] {
+        let mut world = World::new();
+        let first = fill(&mut world, prompt("/chat/1", (1, case.shared), (2, 500)));
+        let holder = world.gate.targets().find(&first).expect("the first target");
+        let addr = holder.spec.addr.clone();
+        world.now += case.age;
+        // The engine that holds the beginning has much to do, so another gets the next prompts.
+        let more = (3..9).map(|n| {
+            let (_, sent) = world.arrive(prompt("/chat/1", (1, case.shared), (n, 9_000)));
+            let dispatch = dispatch(&sent).expect("a dispatch").clone();
+            assert_eq!(dispatch.mode, Mode::Prefill, "{}", case.name);
+            dispatch
+        });
+        let more: Vec<_> = more.filter(|d| d.target != first).collect();
+        assert!(!more.is_empty(), "{}", case.name);
+        let next = &more[0];
+        assert_eq!(next.fetch.is_some(), case.fetched, "{}", case.name);
+        assert!(next.fetch.iter().all(|from| *from == addr), "{}", case.name);
+    }
+}
