Calls whose callers would leave first are refused at once; prompts that hang are filled elsewhere

Callers leave a stream after two seconds of silence, four objectives or eight pauses, and admission looked at the deadline of ten seconds only: 2 s of an engine went to prompts whose callers were gone.

Test: placing.rs, hangs, patience, patience of a stream that goes on.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -57,6 +57,11 @@
             return Err(self.refusal(RefusalKind::NoTarget, self.settings.retry_ms));
         };
         let wait = ask.deadline_ms.unwrap_or(route.timeout_ms);
+        let patience = match route.repeat.is_stream() {
+            true => route.patience_ms.min(wait),
+            false => wait,
+        };
+        let patience = patience.min(route.timeout_ms);
         Ok(CallState {
             id,
             service,
@@ -64,6 +69,8 @@
             priority: route.priority,
             attempts: route.attempts.max(1),
             due: now.plus(wait.min(route.timeout_ms)),
+            patience,
+            first_due: now.plus(patience),
             runs: 0,
             sends: 0,
             tried: Vec::new(),
@@ -99,7 +106,7 @@
 
     /// Whether a call whose best choice is this one can still be answered in time.
     pub(crate) fn in_time(&self, now: Millis, call: &CallState, choice: &Choice) -> bool {
-        choice.first <= call.left(now) as f64 * MARGIN
+        choice.first <= call.first_due.since(now) as f64 * MARGIN
     }
 
     /// Time to come back after a refusal, spread so that callers don't return together.
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -10,6 +10,8 @@
 
 /// Most dispatches of one call, declined ones included.
 const MOST_SENDS: u32 = 4;
+/// Time after which a prompt is taken to hang: times the expected, and milliseconds beside it.
+const STALL: (f64, f64) = (2.0, 500.0);
 /// Part of a target's connections that the nodes use together.
 const CONNECTION_SHARE: f64 = 0.8;
 /// Fewest connections that one node may open to a target.
@@ -85,7 +87,7 @@
             End::Whole { status } => self.end_whole(now, i, status, effects),
             End::Delivered => self.finish(i, effects),
             End::Prefilled(handle) => self.end_prefill(now, i, handle, &current, effects),
-            End::Unsent | End::Declined { .. } => {
+            End::Unsent | End::Declined { .. } | End::Stalled => {
                 self.calls[i].tried.push(current.target.clone());
                 self.again(now, i, effects);
             }
@@ -181,6 +183,7 @@
             alone: choice.alone,
             expected: choice.filled,
         });
+        let stall_ms = (mode == Mode::Prefill).then(|| (choice.filled * STALL.0 + STALL.1) as u64);
         let dispatch = Dispatch {
             target: choice.target.clone(),
             life: target.spec.life,
@@ -188,6 +191,7 @@
             mode,
             fetch: choice.fetch.clone(),
             left_ms: call.due.since(now),
+            stall_ms,
             priority: call.priority,
             resume: call.resume,
             generation: call.ask.prompt.is_some(),
@@ -236,7 +240,7 @@
             }
             End::Declined { .. } => {}
             End::Unsent | End::Broken { crashed: false, .. } => target.health.note(now, true),
-            End::TimedOut { .. } => target.health.note(now, true),
+            End::TimedOut { .. } | End::Stalled => target.health.note(now, true),
             End::Broken { crashed: true, .. } => {
                 target.health.down(now);
                 self.suspects.crash(now, fingerprint, &current.target);
@@ -302,6 +306,7 @@
         }
         if delivered.is_some() {
             call.resume = delivered;
+            call.first_due = now.plus(call.patience);
         }
         let may = !call.unknown || (call.repeat.is_repeatable() && call.runs < call.attempts);
         if may && self.repeat(now, i, effects) {
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -32,6 +32,10 @@
     pub(crate) attempts: u32,
     /// When its final answer is due.
     pub(crate) due: Millis,
+    /// Milliseconds after which its caller leaves if nothing comes.
+    pub(crate) patience: u64,
+    /// When the next of its answer must have come, or its caller leaves.
+    pub(crate) first_due: Millis,
     /// Targets that may have run it.
     pub(crate) runs: u32,
     /// Dispatches so far.
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -29,6 +29,8 @@
     pub fetch: Option<String>,
     /// Milliseconds that are left to the call.
     pub left_ms: u64,
+    /// Milliseconds after which a prompt is filled elsewhere instead; only where it doesn't run.
+    pub stall_ms: Option<u64>,
     /// Rank among the target's work, zero first.
     pub priority: u8,
     /// Event after which a stream goes on.
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -50,6 +50,8 @@
         /// Last event that the caller has, if any of the answer has gone to it.
         delivered: Option<u64>,
     },
+    /// A prompt was not filled in the time given for it; nothing ran.
+    Stalled,
     /// Its time ran out.
     TimedOut {
         /// Whether any of the answer has gone to the caller.
--- a/crates/rw-gate/src/routing.rs
+++ b/crates/rw-gate/src/routing.rs
@@ -56,6 +56,8 @@
     pub objective_ms: u64,
     /// Longest pause between events that is on time, in milliseconds.
     pub gap_ms: u64,
+    /// Time after which callers leave a stream that tells nothing, in milliseconds.
+    pub patience_ms: u64,
     /// Rank; zero is the most urgent.
     pub priority: u8,
     /// Services and their weights.
--- a/crates/rw-gate/src/work.rs
+++ b/crates/rw-gate/src/work.rs
@@ -43,6 +43,9 @@
 
 /// How long another node's word is believed, in milliseconds; digests come far more often.
 const BELIEVED_MS: u64 = 1_000;
+/// Milliseconds over the expected time from which a prompt counts as overdue; digests and answers
+/// are on their way for less.
+const OVERDUE_MS: f64 = 150.0;
 /// Milliseconds that a prompt takes beside its tokens.
 const EACH_MS: f64 = 3.0;
 
@@ -134,7 +137,13 @@
         let begun = current.at.max(self.moved);
         let spent = now.since(begun) as f64;
         let time = |j: &Queued| busy(j.fill) + EACH_MS;
-        let rest = (time(current) - spent).max(0.0);
+        let over = spent - time(current);
+        // One that is overdue is taken to need as long again: its target may hang.
+        let rest = if over > OVERDUE_MS {
+            over
+        } else {
+            (-over).max(0.0)
+        };
         let ahead = self.jobs.iter().filter(|j| j.rank <= rank);
         let ahead = ahead.filter(|j| !std::ptr::eq(*j, current));
         rest + ahead.map(time).sum::<f64>()
--- a/crates/rw-gate/tests/placing.rs
+++ b/crates/rw-gate/tests/placing.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rw_gate::{End, Mode};
+use rw_gate::{End, Mode, RefusalKind};
 use support::*;
 
 /// Fills the prompt of `ask` at 50 tokens a millisecond and lets the call go.
@@ -82,3 +82,73 @@
         assert!(next.fetch.iter().all(|from| *from == addr), "{}", case.name);
     }
 }
+
+#[test]
+fn a_prompt_that_hangs_is_filled_elsewhere() {
+    let mut world = World::new();
+    let (id, sent) = world.arrive(prompt("/chat/1", (1, 10), (2, 8_000)));
+    let first = dispatch(&sent).expect("a dispatch").clone();
+    assert_eq!(first.mode, Mode::Prefill);
+    // Far longer than it should take, and far shorter than its caller waits.
+    let stall = first.stall_ms.expect("a time after which it hangs");
+    assert!((300..1_500).contains(&stall), "{stall}");
+    world.now += stall;
+    let again = world.end(id, End::Stalled);
+    assert_ne!(sent_to(&again), first.target);
+    // What runs is never given up for its time.
+    let (_, run) = world.arrive(ask("/safe/1"));
+    assert_eq!(dispatch(&run).expect("a dispatch").stall_ms, None);
+}
+
+#[test]
+fn a_call_whose_caller_would_leave_first_is_refused_at_once() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        /// Tokens of the prompt.
+        tokens: u32,
+        refused: Option<RefusalKind>,
+    }
+    // Callers leave a stream after two seconds of silence, and have five in all.
+    for case in [
+        Case {
+            name: "in time",
+            path: "/chat/1",
+            tokens: 8_000,
+            refused: None,
+        },
+        Case {
+            name: "within the deadline, after the caller has left",
+            path: "/chat/1",
+            tokens: 100_000,
+            refused: Some(RefusalKind::TooLate),
+        },
+        Case {
+            name: "no prompt",
+            path: "/safe/1",
+            tokens: 0,
+            refused: None,
+        },
+    ] {
+        let mut world = World::new();
+        let call = match case.tokens {
+            0 => ask(case.path),
+            tokens => prompt(case.path, (1, 10), (2, tokens)),
+        };
+        let (_, effects) = world.arrive(call);
+        assert_eq!(refused(&effects), case.refused, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_stream_that_goes_on_has_its_callers_patience_anew() {
+    let mut world = World::new();
+    let (id, _) = world.arrive(prompt("/brief/1", (1, 100), (2, 100)));
+    world.now += 3_000;
+    let broken = End::Broken {
+        crashed: false,
+        delivered: Some(4),
+    };
+    let resumed = world.end(id, broken);
+    assert_eq!(dispatch(&resumed).and_then(|d| d.resume), Some(4));
+}
--- a/crates/rw-gate/tests/support/mod.rs
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -32,6 +32,7 @@
         timeout_ms: 5_000,
         objective_ms: 300,
         gap_ms: 250,
+        patience_ms: 2_000,
         priority: 1,
         shares: vec![Share {
             service: service.to_owned(),
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -120,8 +120,15 @@
         };
         progress.last = dispatch.resume;
         let run = self.exchange(call, dispatch, link, progress);
-        let Some(ended) = until(due, run).await else {
+        let stall = dispatch.stall_ms.map(Duration::from_millis);
+        let stall = stall
+            .map(|stall| Instant::now() + stall)
+            .filter(|at| *at < due);
+        let Some(ended) = until(stall.unwrap_or(due), run).await else {
             self.pool.forget(addr);
+            if stall.is_some() {
+                return Ok(End::Stalled);
+            }
             return Ok(End::TimedOut {
                 delivered: progress.out.is_started(),
             });
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -157,6 +157,7 @@
         End::Declined { .. } => "declined",
         End::Broken { crashed: true, .. } => "crashed",
         End::Broken { .. } => "broken",
+        End::Stalled => "stalled",
         End::TimedOut { .. } => "timed-out",
     }
 }
