--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -8,11 +8,14 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use rw_core::Split;
 use rw_load::{
-    Comparison, Experiment, Fault, FaultAt, Profile, Variant, compare, decisions, html,
-    run_sockets, run_virtual, table,
+    Comparison, Experiment, Fault, FaultAt, Profile, Sheet, Variant, compare, decisions, html,
+    run_relay, run_sockets, run_virtual, table,
 };
 use std::path::Path;
 
+/// Seconds of a day that `--relay` plays.
+const RELAY_SECONDS: f64 = 34.0;
+
 /// The command.
 pub fn spec() -> CommandSpec {
     CommandSpec {
@@ -55,6 +58,11 @@
             "find-splits",
             "Tries every split on each phase and takes the best in place of the profile's",
         ))
+        .arg(flag(
+            "relay",
+            "Plays a quiet day of the profile's users through the relay's own decisions, on engines as their sheet tells",
+        ))
+        .arg(number("seeds", "1", "With --relay: days with seeds from --seed on"))
         .arg(flag("sockets", "Runs over sockets on loopback, not on virtual time; ours, or ours and --only one"))
         .arg(number("speed", "4", "With --sockets: factor by which time runs faster"))
         .arg(
@@ -68,6 +76,28 @@
         .after_help("Example:\n  redwingweir load --profile khabar-saar --compare --fault 90:withdraw=3")
 }
 
+/// Plays days of forwarded calls and prints what callers got.
+fn play_relay(matches: &ArgMatches) -> Result<(), CliError> {
+    let sheet = match text(matches, "profile")? {
+        "khabar-saar" => Sheet::khabar_saar(),
+        _ => Sheet::nilebell(),
+    };
+    let load: f64 = parse(matches, "load", "a number")?;
+    let seed: u64 = parse(matches, "seed", "a whole number")?;
+    let seeds: u64 = parse(matches, "seeds", "a whole number")?;
+    let mut timely = 0.0;
+    for seed in seed..seed + seeds {
+        let result = run_relay(&sheet, load, RELAY_SECONDS, seed);
+        println!(
+            "{} at {load} times its rates, seed {seed}\n{result}",
+            sheet.name
+        );
+        timely += result.timely();
+    }
+    println!("on time: {:.4}", timely / seeds.max(1) as f64);
+    Ok(())
+}
+
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).help(help)
 }
@@ -84,6 +114,9 @@
         print!("{}", decisions());
         return Ok(());
     }
+    if matches.get_flag("relay") {
+        return play_relay(matches);
+    }
     let experiment = experiment(matches)?;
     let mut variants = Variant::all(&experiment);
     if let Some(only) = matches.get_one::<String>("only") {
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -183,7 +183,8 @@
             alone: choice.alone,
             expected: choice.filled,
         });
-        let stall_ms = (mode == Mode::Prefill).then(|| (choice.filled * STALL.0 + STALL.1) as u64);
+        let stall_ms =
+            (mode == Mode::Prefill).then_some((choice.filled * STALL.0 + STALL.1) as u64);
         let dispatch = Dispatch {
             target: choice.target.clone(),
             life: target.spec.life,
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other.
 
 use crate::Job;
-use rw_types::Suspect;
+use rw_types::{Role, Suspect};
 use serde::{Deserialize, Serialize};
 
 /// Prompt work of one node on one target.
@@ -38,6 +38,8 @@
 pub struct Change {
     /// Target name.
     pub target: String,
+    /// Role that it is to have; one that has it already is back.
+    pub role: Role,
     /// Milliseconds until it is back at the latest.
     pub left_ms: u64,
 }
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -139,10 +139,13 @@
             calls: t.open,
             tokens: t.tokens,
         });
-        let changes = targets.iter().filter(|t| t.is_changing(now));
-        let changes = changes.map(|t| Change {
-            target: t.spec.name.clone(),
-            left_ms: t.changing.map_or(0, |until| until.since(now)),
+        let changing = targets.iter().filter(|t| t.is_changing(now));
+        let changes = changing.filter_map(|t| {
+            t.changing.map(|(until, role)| Change {
+                target: t.spec.name.clone(),
+                role,
+                left_ms: until.since(now),
+            })
         });
         let (work, open, changes) = (work.collect(), open.collect(), changes.collect());
         let mut suspects = self.suspects.export(now);
@@ -306,8 +309,10 @@
                 let told = (digest.vm.clone(), now, open.calls, open.tokens);
                 target.foreign.push(told);
             }
-            if let Some(change) = digest.changes.iter().find(|c| c.target == *name) {
-                target.changing = Some(now.plus(change.left_ms));
+            let change = digest.changes.iter().find(|c| c.target == *name);
+            // Another node may learn later than this one that a change is done.
+            if let Some(change) = change.filter(|c| c.role != target.spec.role) {
+                target.changing = Some((now.plus(change.left_ms), change.role));
             }
         }
         for read in &digest.read {
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -111,7 +111,8 @@
             OrderEnd::Refused => {
                 if let Some(target) = self.targets.find_mut(name) {
                     // Asked again after a pause, with what it reports then.
-                    target.changing = Some(now.plus(LOOK_MS * 2));
+                    let role = target.spec.role;
+                    target.changing = Some((now.plus(LOOK_MS * 2), role));
                 }
             }
             OrderEnd::Fenced => self.roles.lease = None,
@@ -137,7 +138,7 @@
         let engine = routing.service(&target.spec.service);
         let engine = engine.and_then(|s| s.engine.as_ref());
         let switch = engine.map_or(0, |e| e.switch_ms);
-        target.changing = Some(now.plus(switch + DRAIN_MS));
+        target.changing = Some((now.plus(switch + DRAIN_MS), role));
         effects.push(Effect::Order {
             target: name.to_owned(),
             life: target.spec.life,
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -48,8 +48,8 @@
     pub tokens: u64,
     /// Generations of other nodes: VM, when it told, how many, and their tokens.
     pub foreign: Vec<(String, Millis, u32, u64)>,
-    /// Set while it changes its role: back by then at the latest.
-    pub changing: Option<Millis>,
+    /// Set while it changes its role: back by then at the latest, in this role.
+    pub changing: Option<(Millis, Role)>,
 }
 
 impl Target {
@@ -73,17 +73,14 @@
     /// Whether it changes its role now.
     #[must_use]
     pub fn is_changing(&self, now: Millis) -> bool {
-        self.changing.is_some_and(|until| now < until)
+        self.changing.is_some_and(|(until, _)| now < until)
     }
 
     /// Its role once a change under way is done.
     #[must_use]
     pub fn next_role(&self, now: Millis) -> Role {
-        match (self.is_changing(now), self.spec.role) {
-            (true, Role::Prefill) => Role::Decode,
-            (true, Role::Decode) => Role::Prefill,
-            (_, role) => role,
-        }
+        let change = self.changing.filter(|(until, _)| now < *until);
+        change.map_or(self.spec.role, |(_, role)| role)
     }
 
     /// Generations that run on it, as far as known.
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -384,3 +384,40 @@
     world.now += 10_000;
     assert_eq!(world.step(Event::Tick), [Effect::TakeLease]);
 }
+
+#[test]
+fn a_change_that_another_node_still_believes_is_not_begun_anew() {
+    struct Case {
+        name: &'static str,
+        /// Role that the other node believes it is changing to.
+        told: Role,
+        changing: bool,
+    }
+    for case in [
+        Case {
+            name: "done as this node knows",
+            told: Role::Prefill,
+            changing: false,
+        },
+        Case {
+            name: "under way",
+            told: Role::Decode,
+            changing: true,
+        },
+    ] {
+        let mut world = World::new();
+        world.step(Event::Heard(rw_gate::Digest {
+            vm: "other".to_owned(),
+            changes: vec![rw_gate::Change {
+                target: "f1".to_owned(),
+                role: case.told,
+                left_ms: 4_000,
+            }],
+            ..rw_gate::Digest::default()
+        }));
+        let target = world.gate.targets().find("f1").expect("an engine");
+        let now = rw_types::Millis(world.now);
+        assert_eq!(target.is_changing(now), case.changing, "{}", case.name);
+        assert_eq!(target.next_role(now), case.told, "{}", case.name);
+    }
+}
--- a/crates/rw-load/src/lib.rs
+++ b/crates/rw-load/src/lib.rs
@@ -6,6 +6,7 @@
 mod experiment;
 mod fleet_config;
 mod profile;
+mod relay;
 mod report;
 mod result;
 mod socket_fleet;
@@ -18,6 +19,9 @@
 pub use decide::decisions;
 pub use experiment::{Experiment, Fault, FaultAt, Hand};
 pub use profile::{KindProfile, PhaseProfile, Profile, Shape};
+pub use relay::{
+    CallerResult, ChainSheet, EngineSheet, KindSheet, RelayResult, Sheet, Surge, run_relay,
+};
 pub use report::{html, table};
 pub use result::{KindResult, RunResult, Spread};
 pub use socket_fleet::{SocketError, run_sockets};
--- /dev/null
+++ b/crates/rw-load/tests/relay.rs
@@ -0,0 +1,80 @@
+//! Forwarded calls under the users' load, on engines that behave as their sheets tell.
+
+use rw_load::{RelayResult, Sheet, run_relay};
+
+/// Part of its calls by which a kind may be answered less often than a less urgent one.
+const LESS_OFTEN: f64 = 0.05;
+/// Part of its calls by which a kind may be on time less often than a less urgent one.
+const LESS_TIMELY: f64 = 0.15;
+/// Least part of any kind that is answered, against the part of all calls.
+const LEAST_OF_ALL: f64 = 0.25;
+/// Most calls that may end refused or failed.
+const MOST_UNSERVED: f64 = 0.6;
+/// Seconds that are played.
+const SECONDS: f64 = 34.0;
+
+struct LoadCase {
+    name: &'static str,
+    sheet: Sheet,
+    /// Times the sheet's rates.
+    load: f64,
+}
+
+fn cases() -> Vec<LoadCase> {
+    let case = |name, sheet, load| LoadCase { name, sheet, load };
+    vec![
+        case("nilebell", Sheet::nilebell(), 1.0),
+        case("nilebell, doubled", Sheet::nilebell(), 2.0),
+        case("khabar-saar", Sheet::khabar_saar(), 1.0),
+        case("khabar-saar, doubled", Sheet::khabar_saar(), 2.0),
+    ]
+}
+
+fn served(result: &RelayResult, kind: usize) -> f64 {
+    let k = &result.kinds[kind];
+    (k.on_time + k.late) as f64 / k.asked.max(1) as f64
+}
+
+#[test]
+fn no_kind_is_starved_for_another() {
+    for case in cases() {
+        for seed in 1..=2 {
+            let result = run_relay(&case.sheet, case.load, SECONDS, seed);
+            let name = case.name;
+            let kinds = &case.sheet.kinds;
+            let asked: u64 = result.kinds.iter().map(|k| k.asked).sum();
+            let answered: u64 = result.kinds.iter().map(|k| k.on_time + k.late).sum();
+            let all = answered as f64 / asked as f64;
+            assert!(1.0 - all <= MOST_UNSERVED, "{name} {seed}\n{result}");
+            for (i, kind) in kinds.iter().enumerate() {
+                let own = served(&result, i);
+                assert!(own >= all * LEAST_OF_ALL, "{name} {seed}\n{result}");
+                let lesser = (0..kinds.len()).filter(|j| kinds[*j].priority > kind.priority);
+                for j in lesser {
+                    let rare = served(&result, j) - own;
+                    let tardy = result.kinds[j].timely() - result.kinds[i].timely();
+                    assert!(rare <= LESS_OFTEN, "{name} {seed}\n{result}");
+                    assert!(tardy <= LESS_TIMELY, "{name} {seed}\n{result}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn every_call_ends() {
+    for case in cases() {
+        let result = run_relay(&case.sheet, case.load, SECONDS, 3);
+        for k in &result.kinds {
+            let ended = k.on_time + k.late + k.refused + k.failed;
+            assert_eq!(ended, k.asked, "{}\n{result}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_run_repeats() {
+    let sheet = Sheet::khabar_saar();
+    let run = || run_relay(&sheet, 1.0, 5.0, 4);
+    assert_eq!(run(), run());
+}
