Calls that later ones would pass until their callers leave are refused at once; placing split by step

The estimate at the arrival knows nothing of the more urgent calls that come later.

Ruled out: ranking by lateness or length (docs/POLICY.md), which let callers of long prompts leave.

Change: Overrun learns by kind how far prompts exceed their estimate; admission counts the wait ahead, not the call's own length, times that and 2.0.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -7,6 +7,8 @@
 
 /// Part of the time left that an estimate may fill.
 const MARGIN: f64 = 0.9;
+/// Factor on the wait ahead of a call, beside what was seen of late.
+const CAUTION: f64 = 2.0;
 /// Time in which a plain call ends, in milliseconds.
 const PLAIN_MS: u64 = 1_500;
 /// Time to come back after a refusal by a node that stops, in milliseconds: any other node will do.
@@ -104,9 +106,15 @@
         picked.map(|s| s.service.clone())
     }
 
-    /// Whether a call whose best choice is this one can still be answered in time.
-    pub(crate) fn in_time(&self, now: Millis, call: &CallState, choice: &Choice) -> bool {
-        choice.first <= call.first_due.since(now) as f64 * MARGIN
+    /// Milliseconds until a call's answer begins at `choice`, what passes it on the way included.
+    pub(crate) fn begins_in(&self, call: &CallState, choice: &Choice) -> f64 {
+        let overrun = self.overrun.of(&call.service, call.priority);
+        choice.work + (choice.first - choice.work) * overrun * CAUTION
+    }
+
+    /// Whether an answer that begins in `ms` is still awaited then.
+    pub(crate) fn in_time(&self, now: Millis, call: &CallState, ms: f64) -> bool {
+        ms <= call.first_due.since(now) as f64 * MARGIN
     }
 
     /// Time to come back after a refusal, spread so that callers don't return together.
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -22,12 +22,13 @@
         let Some(i) = self.call_index(id) else {
             return;
         };
-        match self.placing(now).choose(&self.calls[i]) {
-            Some(choice) if self.in_time(now, &self.calls[i], &choice) => {
-                self.dispatch(now, i, choice, effects);
-            }
-            Some(choice) => self.refuse_wait(i, RefusalKind::TooLate, choice.first, effects),
-            None => self.refuse_wait(i, RefusalKind::NoTarget, 0.0, effects),
+        let Some(choice) = self.placing(now).choose(&self.calls[i]) else {
+            return self.refuse_wait(i, RefusalKind::NoTarget, 0.0, effects);
+        };
+        let begins = self.begins_in(&self.calls[i], &choice);
+        match self.in_time(now, &self.calls[i], begins) {
+            true => self.dispatch(now, i, choice, effects),
+            false => self.refuse_wait(i, RefusalKind::TooLate, begins, effects),
         }
     }
 
@@ -48,6 +49,7 @@
             return;
         };
         let service = self.calls[i].service.clone();
+        let priority = self.calls[i].priority;
         let Some(current) = self.calls[i].current.clone() else {
             return;
         };
@@ -60,8 +62,12 @@
         let role = target.spec.role;
         let took = now.since(current.sent) as f64;
         target.health.measure(took, current.expected);
+        self.overrun
+            .note(&service, priority, took, current.expected);
         if current.alone {
-            self.rate_mut(&service).sample(role, current.fill, took);
+            self.learnt_mut(&service)
+                .rate
+                .sample(role, current.fill, took);
         }
     }
 
@@ -110,11 +116,23 @@
             return;
         };
         if let Some(current) = self.calls[i].current.take() {
+            self.note_left(now, i, &current);
             self.release(now, id, &current);
         }
         self.finish(i, effects);
     }
 
+    /// A caller left: what it waited for took longer than that.
+    fn note_left(&mut self, now: Millis, i: usize, current: &Current) {
+        let call = &self.calls[i];
+        let waits = self.targets.alive(&current.target, current.life);
+        let took = now.since(current.sent) as f64;
+        if took > current.expected && waits.is_some_and(|t| t.work.has(call.id)) {
+            self.overrun
+                .note(&call.service, call.priority, took, current.expected);
+        }
+    }
+
     fn current(&self, id: RequestId) -> Option<&Current> {
         self.calls[self.call_index(id)?].current.as_ref()
     }
@@ -204,7 +222,7 @@
         let id = call.id;
         effects.push(Effect::Dispatch { id, dispatch });
         if let Some((service, busy)) = counted {
-            self.mix_mut(&service).add(busy);
+            self.learnt_mut(&service).mix.add(busy);
         }
     }
 
@@ -345,7 +363,8 @@
         let Some(choice) = self.placing(now).choose(call) else {
             return false;
         };
-        if !self.in_time(now, &self.calls[i], &choice) {
+        let begins = self.begins_in(call, &choice);
+        if !self.in_time(now, call, begins) {
             return false;
         }
         let service = self.calls[i].service.clone();
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,9 +1,10 @@
 //! The state and its one entry point.
 
 use crate::{
-    Change, Digest, Effect, EngineRate, Event, GateSettings, LocalBudget, OpenSum, Read, Refusal,
-    RefusalKind, Routing, SizeMix, Target, TargetList, WorkSum,
+    Change, Digest, Effect, Event, GateSettings, LocalBudget, OpenSum, Overrun, Read, Refusal,
+    RefusalKind, Routing, Target, TargetList, WorkSum,
     call_state::CallState,
+    learnt::Learnt,
     placing::Placing,
     roles::{Heard, Roles, SILENT_MS},
 };
@@ -25,10 +26,10 @@
     pub(crate) budget: LocalBudget,
     pub(crate) suspects: Suspects,
     pub(crate) nodes: usize,
-    /// Engine speeds by service, sorted.
-    pub(crate) rates: Vec<(String, EngineRate)>,
-    /// How prompt work is spread, by service, sorted.
-    pub(crate) mixes: Vec<(String, SizeMix)>,
+    /// What answers told of engines, by service, sorted.
+    pub(crate) learnt: Vec<(String, Learnt)>,
+    /// How far prompts exceed their expected time.
+    pub(crate) overrun: Overrun,
     /// Prompts read since the latest digest.
     pub(crate) reads: Vec<Read>,
     pub(crate) random: fastrand::Rng,
@@ -49,8 +50,8 @@
             budget: LocalBudget::default(),
             suspects: Suspects::default(),
             nodes: settings.nodes,
-            rates: Vec::new(),
-            mixes: Vec::new(),
+            learnt: Vec::new(),
+            overrun: Overrun::default(),
             reads: Vec::new(),
             random: fastrand::Rng::with_seed(settings.seed),
             back: None,
@@ -179,48 +180,27 @@
         self.calls.binary_search_by_key(&id, |c| c.id).ok()
     }
 
-    pub(crate) fn mix(&self, service: &str) -> Option<&SizeMix> {
-        let found = self
-            .mixes
-            .binary_search_by(|(name, _)| name.as_str().cmp(service));
-        found.ok().map(|i| &self.mixes[i].1)
+    /// What answers told of a service's engines.
+    pub(crate) fn learnt(&self, service: &str) -> Learnt {
+        let found = self.learnt_index(service);
+        found.map_or_else(|_| Learnt::default(), |i| self.learnt[i].1)
     }
 
-    pub(crate) fn mix_mut(&mut self, service: &str) -> &mut SizeMix {
-        let found = self
-            .mixes
-            .binary_search_by(|(name, _)| name.as_str().cmp(service));
-        let i = match found {
+    pub(crate) fn learnt_mut(&mut self, service: &str) -> &mut Learnt {
+        let i = match self.learnt_index(service) {
             Ok(i) => i,
             Err(i) => {
-                self.mixes
-                    .insert(i, (service.to_owned(), SizeMix::default()));
+                let new = (service.to_owned(), Learnt::default());
+                self.learnt.insert(i, new);
                 i
             }
         };
-        &mut self.mixes[i].1
+        &mut self.learnt[i].1
     }
 
-    pub(crate) fn rate(&self, service: &str) -> EngineRate {
-        let found = self
-            .rates
-            .binary_search_by(|(name, _)| name.as_str().cmp(service));
-        found.map_or_else(|_| EngineRate::default(), |i| self.rates[i].1)
-    }
-
-    pub(crate) fn rate_mut(&mut self, service: &str) -> &mut EngineRate {
-        let found = self
-            .rates
-            .binary_search_by(|(name, _)| name.as_str().cmp(service));
-        let i = match found {
-            Ok(i) => i,
-            Err(i) => {
-                self.rates
-                    .insert(i, (service.to_owned(), EngineRate::default()));
-                i
-            }
-        };
-        &mut self.rates[i].1
+    fn learnt_index(&self, service: &str) -> Result<usize, usize> {
+        self.learnt
+            .binary_search_by(|(name, _)| name.as_str().cmp(service))
     }
 
     pub(crate) fn placing(&self, now: Millis) -> Placing<'_> {
--- a/crates/rw-gate/src/placing.rs
+++ b/crates/rw-gate/src/placing.rs
@@ -5,29 +5,16 @@
 //! ahead of it on the target, what the cache doesn't hold of the prompt itself, and the way of the
 //! KV cache where another engine fills it.
 
-use crate::{EngineSpec, Fill, Gate, Prompt, Service, Target, call_state::CallState};
+use crate::{
+    EngineSpec, Fill, Gate, Prompt, Service, Target,
+    call_state::CallState,
+    engine_look::{EngineLook, Holder},
+};
 use rw_types::{Millis, Role};
 use std::fmt;
 
 /// Milliseconds of an engine's step and of the way there and back.
-const BASE_MS: f64 = 10.0;
-/// Fewest tokens that are worth a fetch from another engine.
-const FETCH_TOKENS: u64 = 100;
-/// Age from which a prompt that was sent to an engine is taken to be read there, in milliseconds.
-const READ_MS: u64 = 400;
-/// Milliseconds that a transfer takes to begin.
-const TRANSFER_MS: f64 = 5.0;
-/// Weight of the engine's time that a prompt takes, against the time until its first event.
-const COST_WEIGHT: f64 = 1.5;
-/// Weight of the time that a prompt takes from each stream beside it, against the time until its
-/// own first event.
-const STREAM_WEIGHT: f64 = 0.08;
-/// Weight of the time that a prompt takes from an engine meant for shorter ones, for the whole way
-/// between the lanes.
-const LANE_WEIGHT: f64 = 6.0;
-/// Cost of filling on an engine that decodes, for each square millisecond: the calls that it could
-/// take over meanwhile grow with the time, and so does the wait of each.
-const TAKE_WEIGHT: f64 = 0.003;
+pub(crate) const BASE_MS: f64 = 10.0;
 /// Weight of the prompt work on an engine that is to decode a prompt filled elsewhere.
 const DECODE_WAIT: f64 = 1.0;
 /// Cost of a target that fails calls, in milliseconds; it is taken when no other is left.
@@ -66,8 +53,8 @@
     /// Whether no other prompt work is known there.
     pub(crate) alone: bool,
     /// Tokens of the prompt.
-    tokens: u32,
-    cost: f64,
+    pub(crate) tokens: u32,
+    pub(crate) cost: f64,
 }
 
 impl Choice {
@@ -100,26 +87,6 @@
     }
 }
 
-/// A target that holds the beginning of a prompt.
-#[derive(Debug)]
-struct Holder<'a> {
-    addr: &'a str,
-    /// Tokens that it holds.
-    tokens: u64,
-    /// Whether it fills prompts: memory that streams don't fill keeps them longer.
-    fills: bool,
-}
-
-impl Holder<'_> {
-    /// What is left to fill once its tokens are fetched.
-    fn fill(&self, prompt: &Prompt) -> Fill {
-        Fill {
-            tokens: u64::from(prompt.tokens).saturating_sub(self.tokens).max(1),
-            cached: self.tokens,
-        }
-    }
-}
-
 /// One look at all targets.
 #[derive(Debug)]
 pub(crate) struct Placing<'a> {
@@ -142,6 +109,7 @@
         let service = self.gate.routing.service(&call.service)?;
         let engine = service.engine.as_ref()?;
         let prompt = call.ask.prompt.as_ref()?;
+        let learnt = self.gate.learnt(&service.name);
         let decode = self
             .open(call, service, prompt)
             .filter(|t| t.spec.role != Role::Prefill);
@@ -153,7 +121,7 @@
             };
             let taken = f64::from(t.running()) / f64::from(t.spec.slots.max(1));
             let cost = self.burden(t, engine, prompt) + taken * DECODE_TAKEN_MS + far;
-            let wait = self.wait(call, t, service) * DECODE_WAIT;
+            let wait = learnt.wait(self.now, call, t) * DECODE_WAIT;
             Choice::bare(t, cost + wait)
         });
         least(choices)
@@ -166,55 +134,25 @@
         engine: &EngineSpec,
         prompt: &Prompt,
     ) -> Option<Choice> {
-        let with_decode = self
-            .open(call, service, prompt)
-            .any(|t| t.spec.role != Role::Prefill && !t.health.is_sick(self.now));
-        let may_prefill = call.resume.is_none() && call.ask.last_event.is_none() && with_decode;
-        let transfer = transfer_ms(engine, u64::from(prompt.tokens));
-        let holder = self.holder(call, service, prompt);
-        let lanes = self.lanes(service);
-        let mix = self.gate.mix(&service.name);
-        let open = self.open(call, service, prompt);
-        let choices = open.filter_map(|t| {
-            let prefill = t.spec.role == Role::Prefill;
-            if prefill && (call.prefilled || !may_prefill) {
-                return None;
-            }
-            let own = t.fill(prompt);
-            let fetch = holder
-                .as_ref()
-                .filter(|h| h.tokens >= own.cached + FETCH_TOKENS);
-            let (fill, fetched_ms) = match fetch {
-                Some(h) => (h.fill(prompt), transfer_ms(engine, h.tokens - own.cached)),
-                None => (own, 0.0),
-            };
-            let wait = self.wait(call, t, service);
-            let work = self.busy(t, service, fill);
-            let fixed = self.gate.rate(&service.name).fixed(t.spec.role);
-            let way = if prefill { transfer + BASE_MS } else { 0.0 };
-            let filled = wait + fetched_ms + work + fixed;
-            let first = filled + way;
-            let burden = self.burden(t, engine, prompt);
-            let harm = if prefill {
-                let share = mix.map_or(0.0, |m| m.below(work));
-                work * LANE_WEIGHT * (share - lane(&lanes, t)).max(0.0)
-            } else {
-                // Each stream that runs beside it waits for its chunks, and each that is taken over
-                // meanwhile for its end.
-                work * (f64::from(t.running()) * STREAM_WEIGHT + work * TAKE_WEIGHT)
-            };
-            Some(Choice {
-                target: t.spec.name.clone(),
-                prefill,
-                fill,
-                fetch: fetch.map(|h| h.addr.to_owned()),
-                work,
-                filled,
-                first,
-                alone: t.work.is_empty(),
-                tokens: prompt.tokens,
-                cost: first + work * COST_WEIGHT + harm + burden + self.noise(t),
-            })
+        let open = || self.open(call, service, prompt);
+        let with_decode =
+            open().any(|t| t.spec.role != Role::Prefill && !t.health.is_sick(self.now));
+        let look = EngineLook {
+            now: self.now,
+            call,
+            engine,
+            prompt,
+            learnt: self.gate.learnt(&service.name),
+            lanes: self.lanes(service),
+            holder: Holder::find(self.now, open(), prompt),
+            fills: call.resume.is_none()
+                && call.ask.last_event.is_none()
+                && !call.prefilled
+                && with_decode,
+        };
+        let choices = open().filter_map(|t| {
+            let beside = self.burden(t, engine, prompt) + self.noise(t);
+            look.choice(t, beside)
         });
         least(choices)
     }
@@ -280,26 +218,6 @@
         sick + full + short
     }
 
-    /// The target that holds most of the shared beginning of a prompt.
-    fn holder<'b>(
-        &'b self,
-        call: &'b CallState,
-        service: &'b Service,
-        prompt: &'b Prompt,
-    ) -> Option<Holder<'b>> {
-        let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
-        let then = Millis(self.now.0.saturating_sub(READ_MS));
-        let sound = self
-            .open(call, service, prompt)
-            .filter(|t| !t.health.is_sick(self.now));
-        let holders = sound.map(|t| Holder {
-            addr: &t.spec.addr,
-            tokens: t.cache.held_since(then, shared),
-            fills: t.spec.role == Role::Prefill,
-        });
-        holders.max_by_key(|h| (h.tokens, h.fills))
-    }
-
     /// Names of the engines that fill prompts, sorted.
     fn lanes(&self, service: &Service) -> Vec<&str> {
         let all = self.gate.targets.all().iter();
@@ -312,19 +230,6 @@
         lanes
     }
 
-    /// Milliseconds for which a target is busy with `fill`.
-    fn busy(&self, t: &Target, service: &Service, fill: Fill) -> f64 {
-        self.gate.rate(&service.name).busy(t.spec.role, fill) * t.health.slowness()
-    }
-
-    /// Milliseconds until a target begins with the call's prompt.
-    fn wait(&self, call: &CallState, t: &Target, service: &Service) -> f64 {
-        let rate = self.gate.rate(&service.name);
-        let slowness = t.health.slowness();
-        let busy = |fill| rate.busy(t.spec.role, fill) * slowness;
-        t.work.wait(self.now, call.priority, busy)
-    }
-
     /// Parts equals alike on no two nodes.
     fn noise(&self, t: &Target) -> f64 {
         let seed = rw_core::mix(
@@ -335,20 +240,6 @@
     }
 }
 
-/// Milliseconds to move the KV cache of `tokens`.
-fn transfer_ms(engine: &EngineSpec, tokens: u64) -> f64 {
-    let bits = tokens as f64 * engine.token_bytes as f64 * 8.0;
-    let per_ms = (engine.link_mbps * 1e3).max(1.0);
-    TRANSFER_MS + bits / per_ms
-}
-
-/// Place of an engine among those that fill prompts, from 0 to 1: the higher, the longer the
-/// prompts that it is meant for.
-fn lane(lanes: &[&str], t: &Target) -> f64 {
-    let i = lanes.partition_point(|name| *name < t.spec.name.as_str());
-    (i + 1) as f64 / lanes.len().max(1) as f64
-}
-
 fn least(choices: impl Iterator<Item = Choice>) -> Option<Choice> {
     choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
--- a/crates/rw-gate/src/size_mix.rs
+++ b/crates/rw-gate/src/size_mix.rs
@@ -8,7 +8,7 @@
 const FADING: f64 = 0.997;
 
 /// Fading work by the length of its prompts.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct SizeMix {
     work: [f64; BUCKETS],
 }
--- a/crates/rw-gate/src/work.rs
+++ b/crates/rw-gate/src/work.rs
@@ -83,6 +83,12 @@
         true
     }
 
+    /// Whether a prompt of this node still waits or is being filled.
+    #[must_use]
+    pub fn has(&self, id: RequestId) -> bool {
+        self.jobs.iter().any(|j| j.vm.is_empty() && j.id == id.0)
+    }
+
     /// Own prompts.
     pub fn own(&self, now: Millis) -> impl Iterator<Item = Job> + '_ {
         let own = self.jobs.iter().filter(|j| j.vm.is_empty());
--- a/crates/rw-load/src/relay/sheet.rs
+++ b/crates/rw-load/src/relay/sheet.rs
@@ -61,6 +61,8 @@
     pub deadline_ms: u64,
     /// Rank; zero is the most urgent.
     pub priority: u8,
+    /// Worth of a late answer against one on time.
+    pub late_worth: f64,
     /// Mean events of an answer.
     pub events: f64,
     /// Spread of the logarithm of the events.
@@ -153,6 +155,7 @@
             gap_ms: 250,
             deadline_ms,
             priority,
+            late_worth: 0.1,
             events: 27.3,
             event_spread: 0.44,
             tokens: 6_610.0,
@@ -215,6 +218,7 @@
             gap_ms: 200,
             deadline_ms,
             priority,
+            late_worth: 0.3,
             events: 42.5,
             event_spread: 0.44,
             tokens: 6_610.0,
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -269,7 +269,7 @@
             if first {
                 self.step(Event::First { id: call.id });
                 self.metrics.first(call.arrived, self.clock.now());
-                log::debug!(call = call.name.as_str(), at = dispatch.target.as_str(); "FIRST");
+                log::debug!(call = call.name.as_str(), at = dispatch.target.as_str(); "first event");
                 first = false;
             }
             let bytes = match dispatch.resumable {
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -39,7 +39,7 @@
 
     pub(crate) fn dispatch(&self, call: &Call, d: &Dispatch) {
         if self.may() {
-            log::info!(call = call.name.as_str(), n = call.id.0, to = d.target.as_str(), mode = mode(&d.mode), priority = d.priority, left_ms = d.left_ms, resume:? = d.resume, why = d.why.as_str(); "dispatch");
+            log::info!(call = call.name.as_str(), n = call.id.0, to = d.target.as_str(), mode = mode(&d.mode), priority = d.priority, fetch = d.fetch.as_deref().unwrap_or_default(), left_ms = d.left_ms, resume:? = d.resume, why = d.why.as_str(); "dispatch");
         }
     }
 
