Too few engines that decode are mended under calls once they are crowded

The log shows why: scale_in took four of the six engines that decode, and the two left got 577 takes in 3 s and declined 487. A change under calls waited until a third of all engines were in the wrong role.

Change: if fewer engines decode than planned and calls fill 0.8 of their slots, one is changed at a time.

Test: too_few_engines_that_decode_..., which failed before.

--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -5,7 +5,7 @@
 //! about while the engines are idle; under calls a change takes an engine away for seconds, so that
 //! only a split far off is mended.
 
-use crate::{Effect, Gate, Service};
+use crate::{Effect, Gate, Service, Target};
 use rw_types::{Millis, Role};
 
 /// How long after it asked for the lease a holder may order, in milliseconds.
@@ -24,6 +24,9 @@
 /// Part of a service's engines that must be in the wrong role before a change pays for its
 /// absence while calls run.
 const WORTH: f64 = 0.34;
+/// Part of the decoding engines' slots that calls fill, from which too few of them are mended while
+/// calls run, however few are missing: others left or died.
+const CROWDED: f64 = 0.8;
 /// Milliseconds beyond the switch itself that a change may take, its drain included.
 const DRAIN_MS: u64 = 4_000;
 /// Age from which another node's word no longer counts, in milliseconds.
@@ -188,7 +191,11 @@
         let wanted = (all as f64 * share).ceil() as usize;
         let wanted = wanted.clamp(1, all - 1);
         let off = decode.abs_diff(wanted);
-        let worth = if idle {
+        let slots = decode as f64 * f64::from(engine.slots);
+        let running = engines().filter(|t| t.spec.role != Role::Prefill);
+        let running: u32 = running.map(Target::running).sum();
+        let crowded = decode < wanted && f64::from(running) >= slots * CROWDED;
+        let worth = if idle || crowded {
             1.0
         } else {
             (all as f64 * WORTH).ceil()
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -421,3 +421,56 @@
         assert_eq!(target.next_role(now), case.told, "{}", case.name);
     }
 }
+
+#[test]
+fn too_few_engines_that_decode_are_mended_under_calls_once_they_are_crowded() {
+    struct Case {
+        name: &'static str,
+        decode: usize,
+        prefill: usize,
+        /// Streams on each engine that decodes, of 48 slots.
+        streams: u32,
+        orders: bool,
+    }
+    let case = |name, decode, prefill, streams, orders| Case {
+        name,
+        decode,
+        prefill,
+        streams,
+        orders,
+    };
+    for case in [
+        case("crowded after others left", 2, 10, 45, true),
+        case("room left", 2, 10, 20, false),
+        case("crowded, and as many as planned", 5, 7, 48, false),
+    ] {
+        let mut world = engines(case.decode, case.prefill);
+        let open = (0..case.decode).map(|i| rw_gate::OpenSum {
+            target: format!("Decode{i:02}1"),
+            calls: case.streams,
+            tokens: 1_000,
+        });
+        let digest = rw_gate::Digest {
+            vm: "z".to_owned(),
+            open: open.collect(),
+            ..rw_gate::Digest::default()
+        };
+        world.step(Event::StoreBack);
+        let mut orders = Vec::new();
+        for _ in 0..12 {
+            world.now += 250;
+            world.step(Event::Heard(digest.clone()));
+            for effect in world.step(Event::Tick) {
+                match effect {
+                    Effect::TakeLease => {
+                        world.step(Event::Lease(Some(world.now)));
+                    }
+                    Effect::Order { role, .. } => orders.push(role),
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!(!orders.is_empty(), case.orders, "{}", case.name);
+        assert!(orders.iter().all(|r| *r == Role::Decode), "{}", case.name);
+    }
+}
