--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -152,7 +152,7 @@
         }
     }
 
-    fn active_dispatch(&self, id: RequestId) -> Option<&ActiveDispatch> {
+    pub(crate) fn active_dispatch(&self, id: RequestId) -> Option<&ActiveDispatch> {
         self.calls[self.call_index(id)?].active.as_ref()
     }
 
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,8 +1,8 @@
 //! State of the reducer and its entry point.
 
 use crate::{
-    CacheInsert, Digest, Effect, Event, GateSettings, LocalRetryBudget, Overrun, Refusal,
-    RefusalKind, RoleChange, Routing, Target, TargetList, TargetPrefills, TargetUsage,
+    CacheInsert, Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun,
+    Refusal, RefusalKind, RoleChange, Routing, Target, TargetList, TargetPrefills, TargetUsage,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placement::Placer,
@@ -125,6 +125,13 @@
         self.calls.len()
     }
 
+    /// Target and mode of the open dispatch of a call.
+    #[must_use]
+    pub fn open_dispatch(&self, id: RequestId) -> Option<(&str, &DispatchMode)> {
+        let dispatch = self.active_dispatch(id)?;
+        Some((dispatch.target.as_str(), &dispatch.mode))
+    }
+
     /// Whether the node can serve: a configuration is loaded and at least one target is known.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -5,7 +5,7 @@
     attempt::Call,
     metrics::{mode_label, outcome_label},
 };
-use rw_gate::{Dispatch, DispatchOutcome, Refusal};
+use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Refusal};
 use std::{cell::Cell, io};
 
 /// Maximum number of lines in a window. A node of the present size handles some tens of calls per
@@ -60,10 +60,17 @@
         }
     }
 
-    pub(crate) fn caller_disconnected(&self, call: &Call, begun: bool) {
+    /// The caller disconnected while `dispatch` was open, if there was one.
+    pub(crate) fn caller_disconnected(
+        &self,
+        call: &Call,
+        dispatch: Option<(&str, &DispatchMode)>,
+        begun: bool,
+    ) {
         if self.allow_line() {
             let waited_ms = self.clock.now().since(call.arrived);
-            log::info!(call = call.call_id.as_str(), n = call.id.0, path = call.head.path(), waited_ms, begun; "caller gone");
+            let (at, mode) = dispatch.map_or(("", ""), |(at, mode)| (at, mode_label(mode)));
+            log::info!(call = call.call_id.as_str(), n = call.id.0, path = call.head.path(), at, mode, waited_ms, begun; "caller gone");
         }
     }
 
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -180,7 +180,11 @@
         let completed = future::or(forwarded, disconnected).await;
         let out = &progress.out;
         if !completed {
-            self.log.caller_disconnected(&call, out.is_started());
+            let gate = self.gate.borrow();
+            let dispatch = gate.open_dispatch(id);
+            self.log
+                .caller_disconnected(&call, dispatch, out.is_started());
+            drop(gate);
             self.step(Event::CallerDisconnected { id });
         }
         self.metrics.call_finished(self.clock.now().since(started));
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -6,6 +6,7 @@
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, RefusalKind};
 use rw_types::Millis;
+use std::time::Duration;
 
 /// Counters, gauges and latency histograms of a node.
 #[derive(Debug, Clone)]
@@ -22,6 +23,25 @@
     dropped_lines: IntGauge,
     first_event: Histogram,
     response_time: Histogram,
+    digests: IntCounterVec,
+    digest_bytes: IntCounterVec,
+    timer_delay: Histogram,
+}
+
+/// Which way a digest travels.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Direction {
+    Sent,
+    Received,
+}
+
+impl Direction {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        }
+    }
 }
 
 impl Metrics {
@@ -91,6 +111,20 @@
                 "rw_answer_seconds",
                 "time from arrival to the end of the response",
             )?,
+            digests: labelled(
+                "rw_digests_total",
+                "digests exchanged with other nodes, by direction",
+                "direction",
+            )?,
+            digest_bytes: labelled(
+                "rw_digest_bytes_total",
+                "bytes of digests exchanged with other nodes, by direction",
+                "direction",
+            )?,
+            timer_delay: histogram(
+                "rw_timer_delay_seconds",
+                "how late the node's periodic timer fires",
+            )?,
             registry,
         })
     }
@@ -135,6 +169,18 @@
         self.first_event.observe(now.since(arrived) as f64 / 1e3);
     }
 
+    pub(crate) fn digest(&self, direction: Direction, bytes: usize) {
+        let label = [direction.as_str()];
+        self.digests.with_label_values(&label).inc();
+        self.digest_bytes
+            .with_label_values(&label)
+            .inc_by(bytes as u64);
+    }
+
+    pub(crate) fn timer_fired(&self, late: Duration) {
+        self.timer_delay.observe(late.as_secs_f64());
+    }
+
     /// Encodes all metrics in the Prometheus text format, with the given numbers of connections
     /// opened to targets and of log lines dropped.
     pub(crate) fn encode(&self, opened: u64, dropped: u64) -> Vec<u8> {
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -6,6 +6,7 @@
 use crate::{
     Dialect, Peer, Relay, RequestHead, Snapshot,
     endpoint_server::{EndpointHandler, EndpointResponse},
+    metrics::Direction,
 };
 use async_channel::Receiver;
 use jsonrpsee_types::{Id, Request, Response, ResponsePayload};
@@ -164,8 +165,11 @@
         let others = after.filter(|p| p.vm != self.settings.gate.vm);
         for peer in others.take(FANOUT) {
             // A lost datagram is superseded by the next one.
-            if let Err(error) = socket.send_to(text.as_bytes(), peer.digests).await {
-                log::debug!(to = peer.vm.as_str(), error:%; "digest not sent");
+            match socket.send_to(text.as_bytes(), peer.digests).await {
+                Ok(bytes) => self.metrics.digest(Direction::Sent, bytes),
+                Err(error) => {
+                    log::debug!(to = peer.vm.as_str(), error:%; "digest not sent")
+                }
             }
         }
     }
@@ -177,6 +181,7 @@
                 Timer::after(DIGEST_INTERVAL).await;
                 continue;
             };
+            self.metrics.digest(Direction::Received, n);
             match parse_digest(&buf[..n]) {
                 Ok(digest) => {
                     self.step(Event::DigestReceived(digest));
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -150,7 +150,9 @@
 
 async fn tick<D: Dialect>(relay: Rc<Relay<D>>) {
     loop {
-        Timer::after(TICK_INTERVAL).await;
+        let due = Instant::now() + TICK_INTERVAL;
+        Timer::at(due).await;
+        relay.metrics.timer_fired(due.elapsed());
         relay.step(Event::Tick);
     }
 }
