Digests tell changes, and keep to a share of the link

What callers saw: answers, closes and readiness a second late and more on nodes with links of 10 Mbit/s; work that went on after they had left (GONE), answers after their route's time and a configuration that was not in force on nodes that had lost the store before (CONFIG).

Cause: each node sent its whole state to 16 others each 50 ms, whatever its size, and repeated every suspect request that it knew of for 5 s, also those that it had been told of. Bytes grew with open calls and with the crashes of the whole fleet. The links were full of digests; everything else waited behind them.

Change: a digest lists the targets whose work has changed, and repeats unchanged ones after 1.5 s; reports expire after 3.5 s. It has at most 16 reports and prefills, 16 hashes and 4 suspects; what doesn't fit follows. A suspect is told in two digests, those with the most crashes first. Digests are paced to 1.5% of the slowest link among sender and receivers (link-mbps), 18 KB/s where it isn't known: within the stated 23 KB/s for control. Cache inserts beyond one digest now wait instead of being lost.

--- a/crates/rw-cli/src/relay_settings.rs
+++ b/crates/rw-cli/src/relay_settings.rs
@@ -2,7 +2,7 @@
 
 use crate::CliError;
 use rw_gate::GateSettings;
-use rw_relay::RelaySettings;
+use rw_relay::{DEFAULT_DIGEST_BYTES_PER_S, RelaySettings};
 use serde::Deserialize;
 use std::{fs, net::SocketAddr, time::Duration};
 
@@ -12,6 +12,9 @@
 /// Minimum limit of caller connections, even if `descriptors` leaves fewer.
 const MIN_CONNECTIONS: usize = 64;
 
+/// Bytes per second in digests for each Mbit/s of the VM's link: 1.5% of the link.
+const DIGEST_BYTES_PER_MBIT: f64 = 1_875.0;
+
 /// The settings file as written; see [`RelaySettings`] and [`GateSettings`] for the meaning of most
 /// fields. The names of durations end with their unit.
 #[derive(Debug, Deserialize)]
@@ -33,6 +36,9 @@
     /// Number of file descriptors that the process may open.
     #[serde(default = "default_descriptors")]
     descriptors: usize,
+    /// Bandwidth of the VM's link; 0 if it is not known.
+    #[serde(default)]
+    link_mbps: f64,
     #[serde(default = "default_grace_s")]
     grace_s: f64,
     #[serde(default = "default_retry_ratio")]
@@ -87,6 +93,7 @@
 
 fn validate(file: &RelayFile) -> Result<(), String> {
     let not_negative = [
+        ("link-mbps", file.link_mbps),
         ("grace-s", file.grace_s),
         ("retry-ratio", file.retry_ratio),
         ("retry-slack", file.retry_slack),
@@ -127,6 +134,7 @@
         ready: file.ready,
         control,
         digests: file.digests,
+        digest_bytes_per_s: digest_bytes_per_s(file.link_mbps),
         metrics: file.metrics,
         seeds: file.seeds,
         connections: connections.max(MIN_CONNECTIONS),
@@ -138,6 +146,14 @@
     })
 }
 
+/// Bytes per second in digests on a link of `link_mbps`.
+fn digest_bytes_per_s(link_mbps: f64) -> u32 {
+    match link_mbps > 0.0 {
+        true => (link_mbps * DIGEST_BYTES_PER_MBIT) as u32,
+        false => DEFAULT_DIGEST_BYTES_PER_S,
+    }
+}
+
 /// Joins the lines of a message into one.
 fn join_lines(text: &str) -> String {
     let lines = text.lines().map(str::trim);
--- a/crates/rw-core/src/suspect.rs
+++ b/crates/rw-core/src/suspect.rs
@@ -51,12 +51,20 @@
     /// All suspects with their ages, to be sent to peers.
     #[must_use]
     pub fn export(&self, now: Millis) -> Vec<Suspect> {
+        self.export_recent(now, u64::MAX)
+    }
+
+    /// The suspects whose latest crash is less than `max_age_ms` ago.
+    #[must_use]
+    pub fn export_recent(&self, now: Millis, max_age_ms: u64) -> Vec<Suspect> {
+        let recent = self.entries.iter();
+        let recent = recent.filter(|k| now.since(k.last_crash) < max_age_ms);
         let export = |k: &Entry| Suspect {
             fingerprint: k.fingerprint,
             targets: k.targets.clone(),
             age_ms: now.since(k.last_crash),
         };
-        self.entries.iter().map(export).collect()
+        recent.map(export).collect()
     }
 
     /// Merges suspects received from a peer.
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -203,7 +203,7 @@
             target.cache.insert(now, shared, kv_tokens);
             if !shared.is_empty() {
                 let tokens = shared.iter().map(|p| p.tokens);
-                self.cache_inserts.push(CacheInsert {
+                self.publication.push_insert(CacheInsert {
                     target: placement.target.clone(),
                     prefix_hashes: prefix_hashes(shared).zip(tokens).collect(),
                 });
@@ -299,6 +299,7 @@
                 self.suspects
                     .record_crash(now, fingerprint, &current.target);
                 self.suspects.prune(now, self.settings.poison_ms);
+                self.publication.note_crash(fingerprint);
                 effects.push(Effect::PublishDigest);
             }
         }
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -1,20 +1,92 @@
 //! Digests that nodes exchange.
+//!
+//! Reports and jobs are serialized as arrays without field names, because every node sends them to
+//! several others many times a second.
 
-use crate::PrefillJob;
+use crate::{PrefillJob, PrefillSize};
 use rw_types::{Role, Suspect};
 use serde::{Deserialize, Serialize};
 
-/// Prefills of one node on one target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetPrefills {
+/// Time for which a report about a target is valid, in milliseconds, unless a newer one replaces
+/// it. It is longer than two intervals between repetitions, so that one lost digest does no harm.
+pub(crate) const REPORT_TTL_MS: u64 = 3_500;
+
+/// Serialized form of a [`PrefillJob`]: identifier, age, priority, tokens and cached tokens.
+pub(crate) type JobFields = (u64, u64, u8, u64, u64);
+
+/// Serialized form of a [`WorkReport`], its fields in order.
+type ReportFields = (String, Vec<PrefillJob>, u32, u64, Option<RoleChange>);
+
+impl From<JobFields> for PrefillJob {
+    fn from((id, age_ms, priority, tokens, cached): JobFields) -> Self {
+        let size = PrefillSize { tokens, cached };
+        Self {
+            id,
+            age_ms,
+            priority,
+            size,
+        }
+    }
+}
+
+impl From<PrefillJob> for JobFields {
+    fn from(job: PrefillJob) -> Self {
+        let PrefillSize { tokens, cached } = job.size;
+        (job.id, job.age_ms, job.priority, tokens, cached)
+    }
+}
+
+/// What one node reports about one target. A report without any work withdraws the previous one.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "ReportFields", into = "ReportFields")]
+pub struct WorkReport {
     /// Target name.
     pub target: String,
-    /// Prefills that are queued or running.
-    pub jobs: Vec<PrefillJob>,
+    /// Prefills of the node that are queued or running there.
+    pub prefills: Vec<PrefillJob>,
+    /// Number of its generations that are open there.
+    pub calls: u32,
+    /// Tokens that they hold in the KV cache.
+    pub tokens: u64,
+    /// Role change under way, if any.
+    pub role_change: Option<RoleChange>,
+}
+
+impl From<ReportFields> for WorkReport {
+    fn from((target, prefills, calls, tokens, role_change): ReportFields) -> Self {
+        Self {
+            target,
+            prefills,
+            calls,
+            tokens,
+            role_change,
+        }
+    }
+}
+
+impl From<WorkReport> for ReportFields {
+    fn from(r: WorkReport) -> Self {
+        (r.target, r.prefills, r.calls, r.tokens, r.role_change)
+    }
+}
+
+impl WorkReport {
+    /// Whether there is nothing to report.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.prefills.is_empty() && self.calls == 0 && self.role_change.is_none()
+    }
+
+    /// Whether both reports describe the same work, whatever its age.
+    pub(crate) fn has_same_work(&self, other: &Self) -> bool {
+        let role = |r: &Self| r.role_change.map(|c| c.role);
+        let ids = |r: &Self| r.prefills.iter().map(|j| j.id).collect::<Vec<_>>();
+        (self.calls, self.tokens, role(self)) == (other.calls, other.tokens, role(other))
+            && ids(self) == ids(other)
+    }
 }
 
-/// A prompt that a target has received since the previous digest, and now holds in its prefix
-/// cache.
+/// A prompt that a target has received, and now holds in its prefix cache.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheInsert {
     /// Target name.
@@ -24,29 +96,17 @@
     pub prefix_hashes: Vec<(u64, u32)>,
 }
 
-/// Generations of one node that are running on a target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetUsage {
-    /// Target name.
-    pub target: String,
-    /// Number of generations.
-    pub calls: u32,
-    /// Tokens that they hold in the KV cache.
-    pub tokens: u64,
-}
-
 /// A role change of a target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoleChange {
-    /// Target name.
-    pub target: String,
     /// The new role. A target that already has this role has completed the change.
     pub role: Role,
     /// Maximum number of milliseconds until the target is available again.
     pub left_ms: u64,
 }
 
-/// State that one node publishes to the others.
+/// What one node publishes to the others. It is bounded: what doesn't fit follows in the next
+/// digests.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// VM of the node.
@@ -57,17 +117,13 @@
     /// not reach it.
     #[serde(rename = "reach_ms")]
     pub connected_ms: u64,
-    /// Its prefills; targets without any are omitted.
-    #[serde(rename = "work")]
-    pub prefills: Vec<TargetPrefills>,
-    /// Its running generations; targets without any are omitted.
-    #[serde(rename = "open")]
-    pub usage: Vec<TargetUsage>,
-    /// Prompts sent to targets since the previous digest.
-    #[serde(rename = "read")]
+    /// Reports that have changed or are due to be repeated; the others stay valid.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub reports: Vec<WorkReport>,
+    /// Prompts sent to targets that no earlier digest has told.
+    #[serde(rename = "read", default, skip_serializing_if = "Vec::is_empty")]
     pub cache_inserts: Vec<CacheInsert>,
-    /// Role changes under way.
-    pub changes: Vec<RoleChange>,
     /// Requests that crashed their targets.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<Suspect>,
 }
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,21 +1,18 @@
 //! State of the reducer and its entry point.
 
 use crate::{
-    CacheInsert, Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun,
-    Refusal, RefusalKind, RoleChange, Routing, Target, TargetList, TargetPrefills, TargetUsage,
+    Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun, Refusal,
+    RefusalKind, Routing, TargetList, WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placement::Placer,
+    publication::Publication,
     roles::{PEER_TIMEOUT_MS, PeerConnection, Roles},
 };
 use rw_core::Suspects;
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
 
-/// Age up to which suspect requests are published again, in milliseconds, since a digest may be
-/// lost.
-const SUSPECT_PUBLISH_MS: u64 = 5_000;
-
 /// Decides which target gets each forwarded call, whether a call is retried or refused, and which
 /// engines change their roles.
 ///
@@ -37,8 +34,7 @@
     pub(crate) estimates: Vec<(String, EngineEstimates)>,
     /// Ratio of actual to expected prefill times.
     pub(crate) overrun: Overrun,
-    /// Prompts sent to targets since the previous digest.
-    pub(crate) cache_inserts: Vec<CacheInsert>,
+    pub(crate) publication: Publication,
     pub(crate) rng: fastrand::Rng,
     /// Time at which the store became reachable again after the latest outage, if any.
     reconnected_at: Option<Millis>,
@@ -60,7 +56,7 @@
             nodes: settings.nodes,
             estimates: Vec::new(),
             overrun: Overrun::default(),
-            cache_inserts: Vec::new(),
+            publication: Publication::default(),
             rng: fastrand::Rng::with_seed(settings.seed),
             reconnected_at: None,
             roles: Roles::default(),
@@ -144,56 +140,6 @@
         self.nodes
     }
 
-    /// The digest to publish to the other nodes now. It takes the cache inserts recorded since the
-    /// previous digest.
-    pub fn digest(&mut self, now: Millis) -> Digest {
-        let targets = self.targets.all();
-        let prefills = targets.iter().filter_map(|t| {
-            let jobs: Vec<_> = t.queue.local_jobs(now).collect();
-            (!jobs.is_empty()).then(|| TargetPrefills {
-                target: t.spec.name.clone(),
-                jobs,
-            })
-        });
-        let usage = targets
-            .iter()
-            .filter(|t| t.open_tokens > 0)
-            .map(|t| TargetUsage {
-                target: t.spec.name.clone(),
-                calls: t.open_calls,
-                tokens: t.open_tokens,
-            });
-        let changing = targets.iter().filter(|t| t.is_changing_role(now));
-        let changes = changing.filter_map(|t| {
-            t.role_change.map(|(until, role)| RoleChange {
-                target: t.spec.name.clone(),
-                role,
-                left_ms: until.since(now),
-            })
-        });
-        let (prefills, usage, changes) = (prefills.collect(), usage.collect(), changes.collect());
-        let mut suspects = self.suspects.export(now);
-        suspects.retain(|s| s.age_ms < SUSPECT_PUBLISH_MS);
-        Digest {
-            vm: self.settings.vm.clone(),
-            version: self.routing.version,
-            connected_ms: self.connected_ms(now),
-            prefills,
-            usage,
-            changes,
-            cache_inserts: std::mem::take(&mut self.cache_inserts),
-            suspects,
-        }
-    }
-
-    /// Whether the next digest would contain updates: prompts were sent to targets, or generations
-    /// of this node are running.
-    #[must_use]
-    pub fn has_updates(&self) -> bool {
-        let busy = |t: &Target| t.open_calls > 0 && t.open_tokens > 0;
-        !self.cache_inserts.is_empty() || self.targets.all().iter().any(busy)
-    }
-
     /// All suspect requests, for a node that has just started.
     #[must_use]
     pub fn suspects(&self, now: Millis) -> Vec<rw_types::Suspect> {
@@ -269,7 +215,7 @@
 
     /// Milliseconds for which this node has reached the store without interruption; zero if it does
     /// not reach it.
-    fn connected_ms(&self, now: Millis) -> u64 {
+    pub(crate) fn connected_ms(&self, now: Millis) -> u64 {
         self.roles
             .connected_since
             .map_or(0, |at| now.since(at).max(1))
@@ -309,23 +255,8 @@
         if self.peer_stayed_connected(now) {
             self.targets.remove_lapsed();
         }
-        for target in self.targets.iter_mut() {
-            let name = &target.spec.name;
-            let prefills = digest.prefills.iter().find(|p| p.target == *name);
-            let jobs = prefills.map_or(&[][..], |p| &p.jobs);
-            target.queue.update_remote(now, &digest.vm, jobs);
-            target
-                .remote_usage
-                .retain(|u| u.0 != digest.vm && now.since(u.1) < PEER_TIMEOUT_MS);
-            if let Some(usage) = digest.usage.iter().find(|u| u.target == *name) {
-                let usage = (digest.vm.clone(), now, usage.calls, usage.tokens);
-                target.remote_usage.push(usage);
-            }
-            let change = digest.changes.iter().find(|c| c.target == *name);
-            // Another node may learn of a completed change later than this one.
-            if let Some(change) = change.filter(|c| c.role != target.spec.role) {
-                target.role_change = Some((now.plus(change.left_ms), change.role));
-            }
+        for report in &digest.reports {
+            self.receive_report(now, &digest.vm, report);
         }
         for insert in &digest.cache_inserts {
             let routing = self.routing.clone();
@@ -341,4 +272,20 @@
             }
         }
     }
+    fn receive_report(&mut self, now: Millis, vm: &str, report: &WorkReport) {
+        let Some(target) = self.targets.find_mut(&report.target) else {
+            return;
+        };
+        target.queue.update_remote(now, vm, &report.prefills);
+        target.remote_usage.retain(|u| u.0 != vm);
+        if report.calls > 0 {
+            let usage = (vm.to_owned(), now, report.calls, report.tokens);
+            target.remote_usage.push(usage);
+        }
+        // Another node may learn of a completed change later than this one.
+        let change = report.role_change.filter(|c| c.role != target.spec.role);
+        if let Some(change) = change {
+            target.role_change = Some((now.plus(change.left_ms), change.role));
+        }
+    }
 }
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -23,6 +23,7 @@
 mod prefill_queue;
 mod prefill_size;
 mod prefix_cache;
+mod publication;
 mod roles;
 mod routing;
 mod settings;
@@ -30,7 +31,7 @@
 mod target_list;
 
 pub use call_request::{CallRequest, Prompt, PromptPart};
-pub use digest::{CacheInsert, Digest, RoleChange, TargetPrefills, TargetUsage};
+pub use digest::{CacheInsert, Digest, RoleChange, WorkReport};
 pub use effect::{Dispatch, DispatchMode, Effect, Refusal, RefusalKind};
 pub use event::{DispatchOutcome, Event, KvHandle, TargetLoad};
 pub use gate::Gate;
--- a/crates/rw-gate/src/prefill_queue.rs
+++ b/crates/rw-gate/src/prefill_queue.rs
@@ -1,6 +1,9 @@
 //! Prefill queue of a target.
 
-use crate::PrefillSize;
+use crate::{
+    PrefillSize,
+    digest::{JobFields, REPORT_TTL_MS},
+};
 use rw_types::{Millis, RequestId};
 use serde::{Deserialize, Serialize};
 
@@ -19,16 +22,15 @@
 
 /// A queued or running prefill, as nodes report it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "JobFields", into = "JobFields")]
 pub struct PrefillJob {
     /// Identifier of the call at the reporting node.
     pub id: u64,
     /// Milliseconds since it was sent.
     pub age_ms: u64,
     /// Priority; zero is the most urgent.
-    #[serde(rename = "rank")]
     pub priority: u8,
     /// Work of the prefill.
-    #[serde(rename = "fill")]
     pub size: PrefillSize,
 }
 
@@ -43,9 +45,6 @@
     size: PrefillSize,
 }
 
-/// Time for which the report of another node is valid, in milliseconds. Digests arrive far more
-/// often.
-const REMOTE_TTL_MS: u64 = 1_000;
 /// Milliseconds beyond the expected time from which a prefill counts as overdue. Digests and
 /// responses are in transit for less than this.
 const OVERDUE_MS: f64 = 150.0;
@@ -127,7 +126,7 @@
     /// Removes the prefills of nodes whose latest report has expired.
     pub fn expire_remote(&mut self, now: Millis) {
         self.reports
-            .retain(|(_, at)| now.since(*at) < REMOTE_TTL_MS);
+            .retain(|(_, at)| now.since(*at) < REPORT_TTL_MS);
         let reports = &self.reports;
         self.jobs
             .retain(|j| j.vm.is_empty() || reports.iter().any(|(vm, _)| *vm == j.vm));
--- /dev/null
+++ b/crates/rw-gate/src/publication.rs
@@ -0,0 +1,241 @@
+//! Publication of this node's state to the other nodes.
+//!
+//! A digest tells what has changed since the previous one and repeats a part of the rest, so that
+//! its size does not grow with the number of open calls.
+
+use crate::{CacheInsert, Digest, Gate, RoleChange, Target, WorkReport};
+use rw_types::{Millis, Suspect};
+use std::{cmp::Reverse, collections::VecDeque};
+
+/// Age from which an unchanged report is repeated, in milliseconds.
+const REPEAT_MS: u64 = 1_500;
+/// Time without a digest after which one is published even without news, in milliseconds.
+const KEEPALIVE_MS: u64 = 1_000;
+/// Maximum number of reports and of prefills in them that one digest carries.
+const MAX_REPORT_ITEMS: usize = 16;
+/// Maximum number of prefix hashes that one digest carries.
+const MAX_HASHES: usize = 16;
+/// Maximum number of suspect requests that one digest carries.
+const MAX_SUSPECTS: usize = 4;
+/// Maximum number of cache inserts that wait to be published; older ones are dropped, because the
+/// targets evict them first.
+const MAX_WAITING_INSERTS: usize = 64;
+/// Age up to which suspect requests are published, in milliseconds.
+const SUSPECT_PUBLISH_MS: u64 = 5_000;
+/// Number of digests that tell a suspect request, since one may be lost.
+const SUSPECT_TELLINGS: u32 = 2;
+
+/// A report as it was last published.
+#[derive(Debug, Clone)]
+struct PublishedReport {
+    report: WorkReport,
+    at: Millis,
+}
+
+/// A suspect request that was published or that this node has found.
+#[derive(Debug, Clone, Copy)]
+struct ToldSuspect {
+    fingerprint: u64,
+    /// Number of crashed targets that the digests told.
+    targets: usize,
+    /// Number of digests that told it with these targets.
+    tellings: u32,
+    /// Whether it crashed a target while this node ran it.
+    is_own: bool,
+}
+
+/// What this node has published, and what waits to be published.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Publication {
+    /// Latest report on each target that has work, sorted by target name.
+    reports: Vec<PublishedReport>,
+    /// Prompts sent to targets that no digest has told, the oldest first.
+    inserts: VecDeque<CacheInsert>,
+    /// Recent suspect requests, sorted by fingerprint.
+    suspects: Vec<ToldSuspect>,
+    /// Whether the next digest must not wait for other news.
+    is_urgent: bool,
+    published_at: Option<Millis>,
+}
+
+impl Publication {
+    /// Queues a cache insert for the next digests.
+    pub(crate) fn push_insert(&mut self, insert: CacheInsert) {
+        if self.inserts.len() == MAX_WAITING_INSERTS {
+            self.inserts.pop_front();
+        }
+        self.inserts.push_back(insert);
+    }
+
+    /// Makes the next digest due at once.
+    pub(crate) fn set_urgent(&mut self) {
+        self.is_urgent = true;
+    }
+
+    /// Notes that a request of this node crashed its target.
+    pub(crate) fn note_crash(&mut self, fingerprint: u64) {
+        self.told_suspect(fingerprint).is_own = true;
+        self.set_urgent();
+    }
+
+    fn told_suspect(&mut self, fingerprint: u64) -> &mut ToldSuspect {
+        let found = self
+            .suspects
+            .binary_search_by_key(&fingerprint, |s| s.fingerprint);
+        let i = found.unwrap_or_else(|i| {
+            let new = ToldSuspect {
+                fingerprint,
+                targets: 0,
+                tellings: 0,
+                is_own: false,
+            };
+            self.suspects.insert(i, new);
+            i
+        });
+        &mut self.suspects[i]
+    }
+
+    /// The suspects among `recent` that were not told often enough: first those that crashed the
+    /// most targets, then those that this node found. Within [`MAX_SUSPECTS`].
+    fn take_suspects(&mut self, recent: Vec<Suspect>) -> Vec<Suspect> {
+        self.suspects
+            .retain(|s| recent.iter().any(|r| r.fingerprint == s.fingerprint));
+        let mut due: Vec<(bool, Suspect)> = Vec::new();
+        for suspect in recent {
+            let told = self.told_suspect(suspect.fingerprint);
+            if told.targets < suspect.targets.len() {
+                told.targets = suspect.targets.len();
+                told.tellings = 0;
+            }
+            if told.tellings < SUSPECT_TELLINGS {
+                due.push((told.is_own, suspect));
+            }
+        }
+        due.sort_by_key(|(is_own, s)| (Reverse(s.targets.len()), !is_own, s.age_ms));
+        let taken: Vec<Suspect> = due.into_iter().take(MAX_SUSPECTS).map(|(_, s)| s).collect();
+        for suspect in &taken {
+            self.told_suspect(suspect.fingerprint).tellings += 1;
+        }
+        taken
+    }
+
+    fn is_due(&self, now: Millis) -> bool {
+        let is_silent = |at| now.since(at) >= KEEPALIVE_MS;
+        self.is_urgent || !self.inserts.is_empty() || self.published_at.is_none_or(is_silent)
+    }
+
+    /// The reports of `current` that have changed since they were published, and those that are due
+    /// to be repeated: first the changes, then those published longest ago. Within
+    /// [`MAX_REPORT_ITEMS`], but at least one.
+    fn take_reports(&mut self, now: Millis, current: Vec<WorkReport>) -> Vec<WorkReport> {
+        let withdrawn = self.withdrawn(&current);
+        let mut due: Vec<(Reverse<bool>, Millis, WorkReport)> = Vec::new();
+        for report in current.into_iter().chain(withdrawn) {
+            let published = self.index(&report.target).ok().map(|i| &self.reports[i]);
+            let at = published.map_or(Millis(0), |p| p.at);
+            let has_changed = published.is_none_or(|p| !p.report.has_same_work(&report));
+            if has_changed || now.since(at) >= REPEAT_MS {
+                due.push((Reverse(has_changed), at, report));
+            }
+        }
+        due.sort_by_key(|(change, at, _)| (*change, *at));
+        let mut items = 0;
+        let fits = due
+            .into_iter()
+            .map(|(_, _, report)| report)
+            .take_while(|r| {
+                let is_first = items == 0;
+                items += 1 + r.prefills.len();
+                is_first || items <= MAX_REPORT_ITEMS
+            });
+        let taken: Vec<WorkReport> = fits.collect();
+        taken.iter().for_each(|r| self.record(now, r));
+        taken
+    }
+
+    /// Empty reports on the targets whose work has ended since it was published.
+    fn withdrawn(&self, current: &[WorkReport]) -> Vec<WorkReport> {
+        let names = self.reports.iter().map(|p| &p.report.target);
+        let ended = names.filter(|name| !current.iter().any(|r| r.target == **name));
+        let empty = |target: &String| WorkReport {
+            target: target.clone(),
+            ..WorkReport::default()
+        };
+        ended.map(empty).collect()
+    }
+
+    fn record(&mut self, now: Millis, report: &WorkReport) {
+        let published = PublishedReport {
+            report: report.clone(),
+            at: now,
+        };
+        match (self.index(&report.target), report.is_empty()) {
+            (Ok(i), true) => drop(self.reports.remove(i)),
+            (Ok(i), false) => self.reports[i] = published,
+            (Err(i), false) => self.reports.insert(i, published),
+            (Err(_), true) => {}
+        }
+    }
+
+    fn take_inserts(&mut self) -> Vec<CacheInsert> {
+        let mut hashes = 0;
+        let fitting = self.inserts.iter().take_while(|insert| {
+            let is_first = hashes == 0;
+            hashes += insert.prefix_hashes.len();
+            is_first || hashes <= MAX_HASHES
+        });
+        let count = fitting.count();
+        self.inserts.drain(..count).collect()
+    }
+
+    fn index(&self, target: &str) -> Result<usize, usize> {
+        self.reports
+            .binary_search_by(|p| p.report.target.as_str().cmp(target))
+    }
+}
+
+impl Gate {
+    /// The digest to publish to the other nodes now; `None` if there is nothing to tell. What it
+    /// contains counts as told.
+    pub fn publish(&mut self, now: Millis) -> Option<Digest> {
+        let current = self.target_reports(now);
+        let reports = self.publication.take_reports(now, current);
+        let recent = self.suspects.export_recent(now, SUSPECT_PUBLISH_MS);
+        let suspects = self.publication.take_suspects(recent);
+        let has_news = !reports.is_empty() || !suspects.is_empty();
+        if !has_news && !self.publication.is_due(now) {
+            return None;
+        }
+        self.publication.is_urgent = false;
+        self.publication.published_at = Some(now);
+        Some(Digest {
+            vm: self.settings.vm.clone(),
+            version: self.routing.version,
+            connected_ms: self.connected_ms(now),
+            reports,
+            cache_inserts: self.publication.take_inserts(),
+            suspects,
+        })
+    }
+
+    /// Reports on all targets with work of this node or a role change.
+    fn target_reports(&self, now: Millis) -> Vec<WorkReport> {
+        let targets = self.targets.all().iter();
+        let reports = targets.map(|t| target_report(now, t));
+        reports.filter(|r| !r.is_empty()).collect()
+    }
+}
+
+fn target_report(now: Millis, t: &Target) -> WorkReport {
+    let change = t.role_change.filter(|_| t.is_changing_role(now));
+    WorkReport {
+        target: t.spec.name.clone(),
+        prefills: t.queue.local_jobs(now).take(MAX_REPORT_ITEMS).collect(),
+        calls: if t.open_tokens > 0 { t.open_calls } else { 0 },
+        tokens: t.open_tokens,
+        role_change: change.map(|(until, role)| RoleChange {
+            role,
+            left_ms: until.since(now),
+        }),
+    }
+}
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -76,9 +76,7 @@
     /// Checks the split of roles, at most once per [`CHECK_INTERVAL_MS`].
     pub(crate) fn check_roles(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         self.targets.remove_expired(now);
-        self.targets
-            .iter_mut()
-            .for_each(|t| t.queue.expire_remote(now));
+        self.targets.iter_mut().for_each(|t| t.expire_reports(now));
         if now < self.roles.next_check || self.shutdown_at.is_some() {
             return;
         }
@@ -157,6 +155,7 @@
             token,
             until,
         });
+        self.publication.set_urgent();
         effects.push(Effect::PublishDigest);
     }
 
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -1,6 +1,8 @@
 //! A target and its estimated state.
 
-use crate::{Health, PrefillQueue, PrefillSize, PrefixCache, Prompt, TargetLoad};
+use crate::{
+    Health, PrefillQueue, PrefillSize, PrefixCache, Prompt, TargetLoad, digest::REPORT_TTL_MS,
+};
 use rw_types::{Millis, Role};
 use serde::{Deserialize, Serialize};
 
@@ -87,6 +89,12 @@
         change.map_or(self.spec.role, |(_, role)| role)
     }
 
+    /// Forgets what other nodes reported and have not repeated in time.
+    pub fn expire_reports(&mut self, now: Millis) {
+        self.queue.expire_remote(now);
+        self.remote_usage.retain(|u| now.since(u.1) < REPORT_TTL_MS);
+    }
+
     /// Number of running generations of all nodes, as far as known.
     #[must_use]
     pub fn running_calls(&self) -> u32 {
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -191,7 +191,8 @@
     }
     let (_, third) = world.arrive(request("/once/1"));
     assert_eq!(refused(&third), Some(RefusalKind::Poison));
-    let digest = world.gate.digest(rw_types::Millis(world.now));
+    let digest = world.gate.publish(rw_types::Millis(world.now));
+    let digest = digest.expect("a crash to report");
     let mut other = World::new();
     other.step(Event::DigestReceived(digest));
     let (_, on_other) = other.arrive(request("/once/1"));
@@ -308,14 +309,15 @@
     let engines = ["d1", "d2"].map(|name| target(name, ENGINES, Role::Decode));
     world.step(Event::TargetsListed(engines.to_vec()));
     // Another node reports twelve streams on one of two equal engines.
-    let usage = rw_gate::TargetUsage {
+    let report = rw_gate::WorkReport {
         target: "d1".to_owned(),
         calls: 12,
         tokens: 50_000,
+        ..rw_gate::WorkReport::default()
     };
     let digest = rw_gate::Digest {
         vm: "z".to_owned(),
-        usage: vec![usage],
+        reports: vec![report],
         ..rw_gate::Digest::default()
     };
     world.step(Event::DigestReceived(digest));
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -426,10 +426,13 @@
         let mut world = World::new();
         world.step(Event::DigestReceived(rw_gate::Digest {
             vm: "other".to_owned(),
-            changes: vec![rw_gate::RoleChange {
+            reports: vec![rw_gate::WorkReport {
                 target: "f1".to_owned(),
-                role: case.reported,
-                left_ms: 4_000,
+                role_change: Some(rw_gate::RoleChange {
+                    role: case.reported,
+                    left_ms: 4_000,
+                }),
+                ..rw_gate::WorkReport::default()
             }],
             ..rw_gate::Digest::default()
         }));
@@ -474,14 +477,15 @@
         ),
     ] {
         let mut world = engines(case.decode, case.prefill);
-        let usage = (0..case.decode).map(|i| rw_gate::TargetUsage {
+        let reports = (0..case.decode).map(|i| rw_gate::WorkReport {
             target: format!("Decode{i:02}1"),
             calls: case.streams,
             tokens: 1_000,
+            ..rw_gate::WorkReport::default()
         });
         let digest = rw_gate::Digest {
             vm: "z".to_owned(),
-            usage: usage.collect(),
+            reports: reports.collect(),
             ..rw_gate::Digest::default()
         };
         world.step(Event::StoreConnected);
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -215,7 +215,9 @@
             SimEvent::ExchangeDigest(node),
         );
         let now = self.millis();
-        let digest = self.nodes[node].digest(now);
+        let Some(digest) = self.nodes[node].publish(now) else {
+            return;
+        };
         for other in (0..self.nodes.len()).filter(|n| *n != node) {
             self.send_event(other, Event::DigestReceived(digest.clone()));
         }
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod body;
+mod byte_budget;
 mod clock;
 mod connection;
 mod decision_log;
@@ -29,11 +30,12 @@
 mod timeout;
 
 pub use body::Framing;
+pub use byte_budget::ByteBudget;
 pub use clock::BootClock;
 pub use connection::Connection;
 pub use dialect::{Dialect, OrderRequest, ResponseMetadata, RoleOrder, TargetReport};
 pub use head::{HeadError, HeaderField, RequestHead, ResponseHead};
-pub use membership::{Peer, Peers};
+pub use membership::{DEFAULT_DIGEST_BYTES_PER_S, Peer, Peers};
 pub use metrics::Metrics;
 pub use registry::{Registry, RegistryUpdate, Snapshot};
 pub use relay::Relay;
--- a/crates/rw-relay/src/membership.rs
+++ b/crates/rw-relay/src/membership.rs
@@ -3,6 +3,10 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Bytes per second in digests for a node that states no limit: with the feeds of the store, it
+/// stays within 23 KB/s for control.
+pub const DEFAULT_DIGEST_BYTES_PER_S: u32 = 18_000;
+
 /// A node, as registered by itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
@@ -12,6 +16,13 @@
     pub calls: SocketAddr,
     /// UDP address for digests.
     pub digests: SocketAddr,
+    /// Maximum number of bytes per second that it sends and receives in digests.
+    #[serde(default = "default_digest_bytes_per_s")]
+    pub digest_bytes_per_s: u32,
+}
+
+fn default_digest_bytes_per_s() -> u32 {
+    DEFAULT_DIGEST_BYTES_PER_S
 }
 
 /// All known nodes, including this one, sorted by VM name.
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -4,7 +4,7 @@
 //! Both are JSON-RPC; a digest is a notification.
 
 use crate::{
-    Dialect, Peer, Relay, RequestHead, Snapshot,
+    ByteBudget, Dialect, Peer, Relay, RequestHead, Snapshot,
     endpoint_server::{EndpointHandler, EndpointResponse},
     metrics::Direction,
 };
@@ -21,16 +21,14 @@
     time::Duration,
 };
 
-/// Interval between digests while there are updates to publish.
+/// Minimum interval between digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
-/// Number of intervals without a digest after which one is sent even without updates.
-const MAX_SKIPPED: u32 = 20;
 /// Maximum number of nodes that a digest is sent to.
 const FANOUT: usize = 16;
-/// Maximum size of a datagram.
-const MAX_DATAGRAM_BYTES: usize = 60_000;
-/// Maximum number of cache inserts reported in one digest; the rest is dropped.
-const MAX_CACHE_INSERTS: usize = 200;
+/// Bytes that the IP and UDP headers add to a datagram.
+const HEADER_BYTES: usize = 28;
+/// Size of the buffer for a received datagram.
+const DATAGRAM_BUFFER_BYTES: usize = 60_000;
 /// Timeout for fetching a snapshot from a peer.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause between rounds of requests to the seeds.
@@ -123,59 +121,72 @@
     }
 
     async fn send_digests(&self, socket: &Async<UdpSocket>, digest_wakes: Receiver<()>) {
-        let mut skipped = 0;
-        let mut had_updates = false;
+        let mut budget = ByteBudget::default();
         loop {
             let pause = async {
                 Timer::after(DIGEST_INTERVAL).await;
-                false
             };
-            let woken = async { digest_wakes.recv().await.is_ok() };
-            let urgent = future::or(woken, pause).await;
-            let has_updates = self.gate.borrow().has_updates();
-            skipped += 1;
-            // One more digest after the last update reports that the work is done.
-            if urgent || has_updates || had_updates || skipped >= MAX_SKIPPED {
-                skipped = 0;
-                self.send_digest(socket).await;
+            let woken = async {
+                // The sender lives as long as `self`.
+                let _never_closed = digest_wakes.recv().await;
+            };
+            future::or(woken, pause).await;
+            // What changes meanwhile is joined into one digest.
+            Timer::after(budget.debt(self.clock.now())).await;
+            let digest = self.gate.borrow_mut().publish(self.clock.now());
+            if let Some(digest) = digest {
+                self.send_digest(socket, &digest, &mut budget).await;
             }
-            had_updates = has_updates;
         }
     }
 
-    async fn send_digest(&self, socket: &Async<UdpSocket>) {
-        let mut digest = self.gate.borrow_mut().digest(self.clock.now());
-        digest.cache_inserts.truncate(MAX_CACHE_INSERTS);
-        let text = match notification(&digest) {
-            Ok(text) if text.len() <= MAX_DATAGRAM_BYTES => text,
-            Ok(text) => {
-                log::warn!(bytes = text.len(); "digest exceeds the maximum datagram size; not sent");
-                return;
-            }
+    /// Sends a digest to the nodes that hear of this one, within the budget.
+    async fn send_digest(
+        &self,
+        socket: &Async<UdpSocket>,
+        digest: &Digest,
+        budget: &mut ByteBudget,
+    ) {
+        let text = match notification(digest) {
+            Ok(text) => text,
             Err(error) => {
                 log::warn!(error:%; "digest could not be serialized; this is a bug");
                 return;
             }
         };
-        let peers = self.peers.borrow().all().to_vec();
-        // Picks the nodes that follow in the order of names, so that each node receives as many
-        // digests as it sends.
-        let me = peers.partition_point(|p| p.vm <= self.settings.gate.vm);
-        let after = peers[me..].iter().chain(&peers[..me]);
-        let others = after.filter(|p| p.vm != self.settings.gate.vm);
-        for peer in others.take(FANOUT) {
-            // A lost datagram is superseded by the next one.
+        let receivers = self.digest_receivers();
+        // The slowest receiver sets the rate, so that none receives more than it can bear.
+        let rates = receivers.iter().map(|p| p.digest_bytes_per_s);
+        let rate = rates.fold(self.settings.digest_bytes_per_s, u32::min);
+        for peer in receivers {
+            // A lost datagram is superseded by later ones.
             match socket.send_to(text.as_bytes(), peer.digests).await {
                 Ok(bytes) => self.metrics.digest(Direction::Sent, bytes),
                 Err(error) => {
                     log::debug!(to = peer.vm.as_str(), error:%; "digest not sent")
                 }
             }
+            budget.spend(self.clock.now(), text.len() + HEADER_BYTES, rate);
+            let debt = budget.debt(self.clock.now());
+            if debt > DIGEST_INTERVAL {
+                Timer::after(debt).await;
+            }
         }
     }
 
+    /// The nodes that digests are sent to: those that follow in the order of names, so that each
+    /// node receives as many digests as it sends.
+    fn digest_receivers(&self) -> Vec<Peer> {
+        let peers = self.peers.borrow();
+        let all = peers.all();
+        let me = all.partition_point(|p| p.vm <= self.settings.gate.vm);
+        let after = all[me..].iter().chain(&all[..me]);
+        let others = after.filter(|p| p.vm != self.settings.gate.vm);
+        others.take(FANOUT).cloned().collect()
+    }
+
     async fn receive_digests(&self, socket: &Async<UdpSocket>) {
-        let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        let mut buf = vec![0; DATAGRAM_BUFFER_BYTES];
         loop {
             let Ok((n, from)) = socket.recv_from(&mut buf).await else {
                 Timer::after(DIGEST_INTERVAL).await;
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -132,6 +132,7 @@
             vm: self.settings.gate.vm.clone(),
             calls: self.settings.control.unwrap_or(self.settings.digests),
             digests: self.settings.digests,
+            digest_bytes_per_s: self.settings.digest_bytes_per_s,
         }
     }
 
--- a/crates/rw-relay/src/settings.rs
+++ b/crates/rw-relay/src/settings.rs
@@ -16,6 +16,8 @@
     pub control: Option<SocketAddr>,
     /// UDP listen address for digests from peers.
     pub digests: SocketAddr,
+    /// Maximum number of bytes per second that this node sends, and receives from others, in digests.
+    pub digest_bytes_per_s: u32,
     /// Listen address for metrics.
     pub metrics: SocketAddr,
     /// Addresses of nodes to fetch a snapshot from while the store is unavailable.
