A prefilled prompt is released if its call ends before an engine takes it

Cause: a handle was released only if a run of unknown outcome was left. A caller that left after the prefill and before the decode's first event, a decode that was not sent, was rejected or brought no event in time, left it behind.

Change: a handle counts as taken with the first event or a complete response of the decode; any other end of its call releases it. A resumed stream no longer releases one that was taken.

Test: a_prefilled_prompt_is_released_if_its_call_ends_before_an_engine_takes_it, red before on 'the caller leaves first'.

--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -51,6 +51,15 @@
         }
     }
 
+    /// The first event of a stream arrived: its prompt is prefilled, and the decode engine has taken
+    /// the KV cache that its handle names.
+    pub(crate) fn first_event(&mut self, now: Millis, id: RequestId) {
+        if let Some(i) = self.call_index(id) {
+            self.calls[i].handle = None;
+        }
+        self.prefill_finished(now, id);
+    }
+
     /// A prompt is prefilled: removes it from the queue of the target and updates the speed
     /// estimates with its time.
     pub(crate) fn prefill_finished(&mut self, now: Millis, id: RequestId) {
@@ -103,7 +112,10 @@
         self.record_target_outcome(now, i, &current, &outcome, effects);
         match outcome {
             DispatchOutcome::Complete { status } => self.end_complete(now, i, status, effects),
-            DispatchOutcome::Delivered => self.finish(i, effects),
+            DispatchOutcome::Delivered => {
+                self.calls[i].handle = None;
+                self.finish(i, effects);
+            }
             DispatchOutcome::Prefilled(handle) => {
                 self.end_prefill(now, i, handle, &current, effects)
             }
@@ -308,6 +320,7 @@
     fn end_complete(&mut self, now: Millis, i: usize, status: u16, effects: &mut Vec<Effect>) {
         let call = &mut self.calls[i];
         call.runs += 1;
+        call.handle = None;
         let id = call.id;
         // The call may succeed when it is retried; unlike after a broken connection, the same
         // target may be chosen again. If the call can't be retried, this response is delivered.
@@ -456,9 +469,8 @@
     /// Removes a call that has its final response.
     fn finish(&mut self, i: usize, effects: &mut Vec<Effect>) {
         let call: CallState = self.calls.remove(i);
-        // Releasing a handle that was used does no harm, while an unused one would hold memory
-        // until it expires.
-        let unused = call.handle.filter(|_| call.outcome_unknown);
-        effects.extend(unused.map(Effect::ReleaseHandle));
+        // It is not known to have been taken. Releasing one that was does no harm, while an unused
+        // one would hold memory until it expires.
+        effects.extend(call.handle.map(Effect::ReleaseHandle));
     }
 }
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -49,7 +49,8 @@
     /// Whether a prefill succeeded. Neither the dispatch limit nor the retry budget counts it.
     pub(crate) prefilled: bool,
     pub(crate) active: Option<ActiveDispatch>,
-    /// Handle of the prefilled prompt that was passed to a decode engine.
+    /// Handle of the prefilled prompt that was passed to a decode engine, until the engine is known
+    /// to have taken it.
     pub(crate) handle: Option<KvHandle>,
     /// Event after which the stream is resumed.
     pub(crate) resume_after: Option<u64>,
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -73,7 +73,7 @@
                 self.handle_arrival(now, id, request, &mut effects)
             }
             Event::ResponseStarted { id, load } => self.response_started(now, id, load),
-            Event::FirstEvent { id } => self.prefill_finished(now, id),
+            Event::FirstEvent { id } => self.first_event(now, id),
             Event::DispatchEnded { id, outcome } => {
                 self.end_dispatch(now, id, outcome, &mut effects)
             }
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rw_gate::{DispatchOutcome, Event, GateSettings, RefusalKind, Role};
+use rw_gate::{DispatchOutcome, Effect, Event, GateSettings, RefusalKind, Role};
 use support::*;
 
 struct OutcomeCase {
@@ -303,6 +303,63 @@
     assert_eq!(role, Some(Role::Decode));
 }
 
+#[test]
+fn a_prefilled_prompt_is_released_if_its_call_ends_before_an_engine_takes_it() {
+    struct Case {
+        name: &'static str,
+        started: bool,
+        /// How the decode ends; `None` if the caller disconnects.
+        outcome: Option<DispatchOutcome>,
+        released: bool,
+    }
+    let case = |name, started, outcome, released| Case {
+        name,
+        started,
+        outcome,
+        released,
+    };
+    let timed_out = |delivered| Some(DispatchOutcome::TimedOut { delivered });
+    let cases = [
+        case("the caller leaves first", false, None, true),
+        case("the caller leaves during the stream", true, None, false),
+        case("no event in time", false, timed_out(false), true),
+        case("a late stream", true, timed_out(true), false),
+        case("not sent", false, Some(DispatchOutcome::NotSent), true),
+        case(
+            "rejected",
+            false,
+            Some(DispatchOutcome::Rejected { status: 503 }),
+            true,
+        ),
+        case("broken", false, Some(BROKEN), true),
+        case("delivered", true, Some(DispatchOutcome::Delivered), false),
+        case(
+            "answered with an error",
+            false,
+            Some(DispatchOutcome::Complete { status: 500 }),
+            false,
+        ),
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (id, _) = world.arrive(generation("/chat/1", (1, 5_000), (2, 8_000)));
+        let handle = rw_gate::KvHandle {
+            addr: "127.0.0.1:1".to_owned(),
+            name: "h".to_owned(),
+        };
+        world.end(id, DispatchOutcome::Prefilled(handle.clone()));
+        if case.started {
+            world.step(Event::FirstEvent { id });
+        }
+        let effects = match case.outcome {
+            Some(outcome) => world.end(id, outcome),
+            None => world.step(Event::CallerDisconnected { id }),
+        };
+        let released = effects.contains(&Effect::ReleaseHandle(handle));
+        assert_eq!(released, case.released, "{}", case.name);
+    }
+}
+
 #[test]
 fn prompts_avoid_engines_with_many_streams() {
     let mut world = World::new();
