A caller's close is noticed behind the next request that it has sent

What callers saw: nothing; targets went on with calls of callers that had left, if these had sent bytes after the request. Cause: while a response was awaited, a node only peeked at the caller's connection, and unread bytes hide the close behind them.

--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -27,7 +27,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes that break a connection.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Interval between checks for a disconnect while the caller's next request is already waiting.
+/// Number of bytes of further requests that are read while a caller waits for a response. An orderly
+/// close behind more than these is noticed only after the response.
+const READ_AHEAD_BYTES: usize = 64 << 10;
+/// Interval between checks for a failed connection while that many bytes are waiting.
 const DISCONNECT_POLL: Duration = Duration::from_millis(100);
 
 /// A TCP connection with a read buffer.
@@ -77,20 +80,19 @@
         idle && self.unread().is_empty()
     }
 
-    /// Completes once the other side has closed the connection or it has failed.
-    pub(crate) async fn disconnected(stream: &Async<TcpStream>) {
-        loop {
-            if stream.readable().await.is_err() {
+    /// Completes once the other side has closed the connection or it has failed. What arrives before
+    /// is kept for the next request.
+    pub(crate) async fn closed(&mut self) {
+        while self.unread().len() < READ_AHEAD_BYTES {
+            if !matches!(self.fill_buffer().await, Ok(n) if n > 0) {
                 return;
             }
-            match stream.get_ref().peek(&mut [0]) {
+        }
+        loop {
+            match self.stream.get_ref().peek(&mut [0]) {
                 Ok(0) => return,
-                // The next request has already arrived; its caller still waits for this response.
-                Ok(_) => {
-                    Timer::after(DISCONNECT_POLL).await;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
+                _ => drop(Timer::after(DISCONNECT_POLL).await),
             }
         }
     }
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -171,9 +171,8 @@
             call_id,
         };
         self.metrics.call_received();
-        let stream = conn.stream();
         let disconnected = async {
-            Connection::disconnected(&stream).await;
+            conn.closed().await;
             false
         };
         let forwarded = async { self.forward(&call, &mut progress).await.is_ok() };
