Digests go out at 2 KB/s at least, whatever rate a node states

A row of a node that states no bytes a second would have stopped the digests of all nodes that tell it: the slowest receiver sets the rate. Test: a_node_that_states_no_rate_still_hears_digests, red before (the second digest never came).

--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -25,6 +25,8 @@
 const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of nodes that a digest is sent to.
 const FANOUT: usize = 16;
+/// Minimum rate of digests, so that nodes hear of each other whatever limits they state.
+const MIN_BYTES_PER_S: u32 = 2_000;
 /// Bytes that the IP and UDP headers add to a datagram.
 const HEADER_BYTES: usize = 28;
 /// Size of the buffer for a received datagram.
@@ -158,6 +160,7 @@
         // The slowest receiver sets the rate, so that none receives more than it can bear.
         let rates = receivers.iter().map(|p| p.digest_bytes_per_s);
         let rate = rates.fold(self.settings.digest_bytes_per_s, u32::min);
+        let rate = rate.max(MIN_BYTES_PER_S);
         for peer in receivers {
             // A lost datagram is superseded by later ones.
             match socket.send_to(text.as_bytes(), peer.digests).await {
