--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,9 +1,11 @@
 //! HTTP client with a pool of idle connections per address.
 
-use crate::{ClientResponse, SendError, expiring_stream::ExpiringStream, lazy_timer::LazyTimer};
+use crate::{
+    ClientResponse, SendError, expiring_stream::ExpiringStream, keepalive::set_keepalive,
+    lazy_timer::LazyTimer,
+};
 use async_h1::client::{Encoder, decode};
 use http_types::{Body, Method, Request, Response, Url};
-use rustix::net::sockopt;
 use smol::{
     Timer, future,
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -23,12 +25,6 @@
 const MAX_IDLE: Duration = Duration::from_secs(3);
 /// Maximum number of idle connections kept per address.
 const MAX_POOLED: usize = 64;
-/// Time after which unacknowledged data breaks a connection.
-const UNACKED_TIMEOUT_MS: u32 = 1_500;
-/// Idle time before the first keep-alive probe, and interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keep-alive probes that break a connection.
-const KEEPALIVE_PROBES: u32 = 2;
 /// Maximum timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -221,16 +217,6 @@
     })
 }
 
-/// Makes the operating system break a connection whose peer stopped responding.
-fn set_keepalive(stream: &TcpStream) -> std::io::Result<()> {
-    sockopt::set_tcp_user_timeout(stream, UNACKED_TIMEOUT_MS)?;
-    sockopt::set_socket_keepalive(stream, true)?;
-    sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL)?;
-    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
-    sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
-    Ok(())
-}
-
 /// Runs `work` with a timeout.
 async fn within<T>(timeout: Duration, work: impl Future<Output = T>) -> Result<T, SendError> {
     let timer = async {
--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -4,7 +4,7 @@
     HeadError,
     io_error::{malformed, truncated},
 };
-use rustix::net::sockopt;
+use rw_http::set_keepalive;
 use smol::{
     Async, Timer,
     io::{AsyncRead as _, AsyncWriteExt as _},
@@ -21,12 +21,6 @@
 
 /// Maximum size of one read from the socket.
 const READ_BYTES: usize = 16 << 10;
-/// Time after which unacknowledged data breaks a connection.
-const UNACKED_TIMEOUT_MS: u32 = 1_500;
-/// Idle time before the first keep-alive probe, and interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keep-alive probes that break a connection.
-const KEEPALIVE_PROBES: u32 = 2;
 /// Number of bytes of further requests that are read while a caller waits for a response. An orderly
 /// close behind more than these is noticed only after the response.
 const READ_AHEAD_BYTES: usize = 64 << 10;
@@ -51,11 +45,7 @@
     pub fn new(stream: Async<TcpStream>) -> io::Result<Self> {
         let tcp = stream.get_ref();
         tcp.set_nodelay(true)?;
-        sockopt::set_tcp_user_timeout(tcp, UNACKED_TIMEOUT_MS)?;
-        sockopt::set_socket_keepalive(tcp, true)?;
-        sockopt::set_tcp_keepidle(tcp, KEEPALIVE_INTERVAL)?;
-        sockopt::set_tcp_keepintvl(tcp, KEEPALIVE_INTERVAL)?;
-        sockopt::set_tcp_keepcnt(tcp, KEEPALIVE_PROBES)?;
+        set_keepalive(tcp)?;
         Ok(Self {
             stream: Rc::new(stream),
             buffer: Vec::new(),
