--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -24,6 +24,7 @@
 mod prefill_size;
 mod prefix_cache;
 mod publication;
+mod retry_flow;
 mod roles;
 mod routing;
 mod settings;
--- /dev/null
+++ b/crates/rw-gate/src/retry_flow.rs
@@ -0,0 +1,91 @@
+//! Retries of a call, its refusal, and its end.
+
+use crate::{Effect, Gate, Refusal, RefusalKind, call_state::CallState};
+use rw_types::Millis;
+
+/// Maximum number of dispatches of one call, including rejected ones.
+const MAX_DISPATCHES: u32 = 4;
+impl Gate {
+    /// Sends a call that was not run to another target, or refuses it.
+    pub(crate) fn retry_or_refuse(&mut self, now: Millis, i: usize, effects: &mut Vec<Effect>) {
+        if self.retry(now, i, effects) {
+            return;
+        }
+        let call = &self.calls[i];
+        let kind = match (
+            call.resume_after == call.request.last_event,
+            call.outcome_unknown,
+        ) {
+            (false, _) => RefusalKind::Truncated,
+            (true, true) => RefusalKind::ResponseLost,
+            (true, false) => RefusalKind::Overloaded,
+        };
+        self.refuse_with_estimate(i, kind, 0.0, effects);
+    }
+
+    /// Retries a call if its deadline, the retry budget and the available targets allow; returns
+    /// true if it was sent.
+    pub(crate) fn retry(&mut self, now: Millis, i: usize, effects: &mut Vec<Effect>) -> bool {
+        let call = &self.calls[i];
+        if call.dispatches >= MAX_DISPATCHES + u32::from(call.prefilled) || call.left_ms(now) == 0 {
+            return false;
+        }
+        let Some(placement) = self.placer(now).choose(call) else {
+            return false;
+        };
+        let start_ms = self.start_estimate_ms(call, &placement);
+        if !self.meets_deadline(now, call, start_ms) {
+            return false;
+        }
+        let service = self.calls[i].service.clone();
+        let s = &self.settings;
+        let (limits, window) = ((s.retry_ratio, s.retry_slack), s.retry_window_ms);
+        if !self
+            .budget
+            .allows(now, &service, limits, self.nodes, window)
+        {
+            return false;
+        }
+        self.budget.record_retry(now, &service);
+        if let Some(handle) = self.calls[i].handle.take() {
+            effects.push(Effect::ReleaseHandle(handle));
+        }
+        self.dispatch(now, i, placement, effects);
+        true
+    }
+
+    pub(crate) fn refuse_with_estimate(
+        &mut self,
+        i: usize,
+        kind: RefusalKind,
+        estimate_ms: f64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let retry_ms = self.retry_ms(estimate_ms);
+        let refusal = Refusal {
+            kind,
+            retry_ms,
+            estimate_ms: estimate_ms as u64,
+        };
+        self.refuse(i, refusal, effects);
+    }
+
+    pub(crate) fn refuse(&mut self, i: usize, refusal: Refusal, effects: &mut Vec<Effect>) {
+        let id = self.calls[i].id;
+        // The call has run, and the response of a target tells the caller more than a refusal.
+        let deliver = self.calls[i].kept_response && refusal.kind != RefusalKind::Truncated;
+        effects.push(match deliver {
+            true => Effect::Deliver { id },
+            false => Effect::Refuse { id, refusal },
+        });
+        self.finish(i, effects);
+    }
+
+    /// Removes a call that has its final response.
+    pub(crate) fn finish(&mut self, i: usize, effects: &mut Vec<Effect>) {
+        let call: CallState = self.calls.remove(i);
+        // It is not known to have been taken. Releasing one that was does no harm, while an unused
+        // one would hold memory until it expires.
+        effects.extend(call.handle.map(Effect::ReleaseHandle));
+    }
+}
