--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -1,16 +1,12 @@
-//! Dispatches of a call: first attempt, outcomes, retries and the final response.
+//! Dispatches of a call and their outcomes.
 
 use crate::{
-    CacheInsert, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle, Refusal,
-    RefusalKind, SentPrefill, TargetLoad,
-    call_state::{ActiveDispatch, CallState},
-    placement::Placement,
+    CacheInsert, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle, RefusalKind,
+    SentPrefill, TargetLoad, call_state::ActiveDispatch, placement::Placement,
     prefix_cache::prefix_hashes,
 };
 use rw_types::{Millis, RequestId};
 
-/// Maximum number of dispatches of one call, including rejected ones.
-const MAX_DISPATCHES: u32 = 4;
 /// Stall timeout of a prefill: factor on the expected time, and milliseconds added to it.
 const STALL_TIMEOUT: (f64, f64) = (2.0, 500.0);
 /// Fraction of a target's connections that all nodes together use.
@@ -51,6 +47,15 @@
         }
     }
 
+    /// The first event of a stream arrived: its prompt is prefilled, and the decode engine has taken
+    /// the KV cache that its handle names.
+    pub(crate) fn first_event(&mut self, now: Millis, id: RequestId) {
+        if let Some(i) = self.call_index(id) {
+            self.calls[i].handle = None;
+        }
+        self.prefill_finished(now, id);
+    }
+
     /// A prompt is prefilled: removes it from the queue of the target and updates the speed
     /// estimates with its time.
     pub(crate) fn prefill_finished(&mut self, now: Millis, id: RequestId) {
@@ -103,7 +108,10 @@
         self.record_target_outcome(now, i, &current, &outcome, effects);
         match outcome {
             DispatchOutcome::Complete { status } => self.end_complete(now, i, status, effects),
-            DispatchOutcome::Delivered => self.finish(i, effects),
+            DispatchOutcome::Delivered => {
+                self.calls[i].handle = None;
+                self.finish(i, effects);
+            }
             DispatchOutcome::Prefilled(handle) => {
                 self.end_prefill(now, i, handle, &current, effects)
             }
@@ -156,7 +164,13 @@
         self.calls[self.call_index(id)?].active.as_ref()
     }
 
-    fn dispatch(&mut self, now: Millis, i: usize, placement: Placement, effects: &mut Vec<Effect>) {
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Millis,
+        i: usize,
+        placement: Placement,
+        effects: &mut Vec<Effect>,
+    ) {
         let mode = if placement.prefill_only {
             DispatchMode::Prefill
         } else {
@@ -308,6 +322,7 @@
     fn end_complete(&mut self, now: Millis, i: usize, status: u16, effects: &mut Vec<Effect>) {
         let call = &mut self.calls[i];
         call.runs += 1;
+        call.handle = None;
         let id = call.id;
         // The call may succeed when it is retried; unlike after a broken connection, the same
         // target may be chosen again. If the call can't be retried, this response is delivered.
@@ -377,88 +392,4 @@
         let retry = self.retry_ms(0.0);
         self.refuse(i, self.refusal(kind, retry), effects);
     }
-
-    /// Sends a call that was not run to another target, or refuses it.
-    fn retry_or_refuse(&mut self, now: Millis, i: usize, effects: &mut Vec<Effect>) {
-        if self.retry(now, i, effects) {
-            return;
-        }
-        let call = &self.calls[i];
-        let kind = match (
-            call.resume_after == call.request.last_event,
-            call.outcome_unknown,
-        ) {
-            (false, _) => RefusalKind::Truncated,
-            (true, true) => RefusalKind::ResponseLost,
-            (true, false) => RefusalKind::Overloaded,
-        };
-        self.refuse_with_estimate(i, kind, 0.0, effects);
-    }
-
-    /// Retries a call if its deadline, the retry budget and the available targets allow; returns
-    /// true if it was sent.
-    fn retry(&mut self, now: Millis, i: usize, effects: &mut Vec<Effect>) -> bool {
-        let call = &self.calls[i];
-        if call.dispatches >= MAX_DISPATCHES + u32::from(call.prefilled) || call.left_ms(now) == 0 {
-            return false;
-        }
-        let Some(placement) = self.placer(now).choose(call) else {
-            return false;
-        };
-        let start_ms = self.start_estimate_ms(call, &placement);
-        if !self.meets_deadline(now, call, start_ms) {
-            return false;
-        }
-        let service = self.calls[i].service.clone();
-        let s = &self.settings;
-        let (limits, window) = ((s.retry_ratio, s.retry_slack), s.retry_window_ms);
-        if !self
-            .budget
-            .allows(now, &service, limits, self.nodes, window)
-        {
-            return false;
-        }
-        self.budget.record_retry(now, &service);
-        if let Some(handle) = self.calls[i].handle.take() {
-            effects.push(Effect::ReleaseHandle(handle));
-        }
-        self.dispatch(now, i, placement, effects);
-        true
-    }
-
-    fn refuse_with_estimate(
-        &mut self,
-        i: usize,
-        kind: RefusalKind,
-        estimate_ms: f64,
-        effects: &mut Vec<Effect>,
-    ) {
-        let retry_ms = self.retry_ms(estimate_ms);
-        let refusal = Refusal {
-            kind,
-            retry_ms,
-            estimate_ms: estimate_ms as u64,
-        };
-        self.refuse(i, refusal, effects);
-    }
-
-    fn refuse(&mut self, i: usize, refusal: Refusal, effects: &mut Vec<Effect>) {
-        let id = self.calls[i].id;
-        // The call has run, and the response of a target tells the caller more than a refusal.
-        let deliver = self.calls[i].kept_response && refusal.kind != RefusalKind::Truncated;
-        effects.push(match deliver {
-            true => Effect::Deliver { id },
-            false => Effect::Refuse { id, refusal },
-        });
-        self.finish(i, effects);
-    }
-
-    /// Removes a call that has its final response.
-    fn finish(&mut self, i: usize, effects: &mut Vec<Effect>) {
-        let call: CallState = self.calls.remove(i);
-        // Releasing a handle that was used does no harm, while an unused one would hold memory
-        // until it expires.
-        let unused = call.handle.filter(|_| call.outcome_unknown);
-        effects.extend(unused.map(Effect::ReleaseHandle));
-    }
 }
--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -4,7 +4,7 @@
     HeadError,
     io_error::{malformed, truncated},
 };
-use rustix::net::sockopt;
+use rw_http::set_keepalive;
 use smol::{
     Async, Timer,
     io::{AsyncRead as _, AsyncWriteExt as _},
@@ -21,13 +21,10 @@
 
 /// Maximum size of one read from the socket.
 const READ_BYTES: usize = 16 << 10;
-/// Time after which unacknowledged data breaks a connection.
-const UNACKED_TIMEOUT_MS: u32 = 1_500;
-/// Idle time before the first keep-alive probe, and interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keep-alive probes that break a connection.
-const KEEPALIVE_PROBES: u32 = 2;
-/// Interval between checks for a disconnect while the caller's next request is already waiting.
+/// Number of bytes of further requests that are read while a caller waits for a response. An orderly
+/// close behind more than these is noticed only after the response.
+const READ_AHEAD_BYTES: usize = 64 << 10;
+/// Interval between checks for a failed connection while that many bytes are waiting.
 const DISCONNECT_POLL: Duration = Duration::from_millis(100);
 
 /// A TCP connection with a read buffer.
@@ -48,11 +45,7 @@
     pub fn new(stream: Async<TcpStream>) -> io::Result<Self> {
         let tcp = stream.get_ref();
         tcp.set_nodelay(true)?;
-        sockopt::set_tcp_user_timeout(tcp, UNACKED_TIMEOUT_MS)?;
-        sockopt::set_socket_keepalive(tcp, true)?;
-        sockopt::set_tcp_keepidle(tcp, KEEPALIVE_INTERVAL)?;
-        sockopt::set_tcp_keepintvl(tcp, KEEPALIVE_INTERVAL)?;
-        sockopt::set_tcp_keepcnt(tcp, KEEPALIVE_PROBES)?;
+        set_keepalive(tcp)?;
         Ok(Self {
             stream: Rc::new(stream),
             buffer: Vec::new(),
@@ -77,20 +70,19 @@
         idle && self.unread().is_empty()
     }
 
-    /// Completes once the other side has closed the connection or it has failed.
-    pub(crate) async fn disconnected(stream: &Async<TcpStream>) {
-        loop {
-            if stream.readable().await.is_err() {
+    /// Completes once the other side has closed the connection or it has failed. What arrives before
+    /// is kept for the next request.
+    pub(crate) async fn closed(&mut self) {
+        while self.unread().len() < READ_AHEAD_BYTES {
+            if !matches!(self.fill_buffer().await, Ok(n) if n > 0) {
                 return;
             }
-            match stream.get_ref().peek(&mut [0]) {
+        }
+        loop {
+            match self.stream.get_ref().peek(&mut [0]) {
                 Ok(0) => return,
-                // The next request has already arrived; its caller still waits for this response.
-                Ok(_) => {
-                    Timer::after(DISCONNECT_POLL).await;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
+                _ => drop(Timer::after(DISCONNECT_POLL).await),
             }
         }
     }
