Cache inserts in digests take half the bytes

An insert is an array without names, and a prefix hash has 32 bits, so that twice as many fit a digest.

--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -17,6 +17,9 @@
 /// Serialized form of a [`WorkReport`], its fields in order.
 type ReportFields = (String, Vec<PrefillJob>, u32, u64, Option<RoleChange>);
 
+/// Serialized form of a [`CacheInsert`], its fields in order.
+type InsertFields = (String, Vec<(u32, u32)>);
+
 impl From<JobFields> for PrefillJob {
     fn from((id, age_ms, priority, tokens, cached): JobFields) -> Self {
         let size = PrefillSize { tokens, cached };
@@ -88,12 +91,27 @@
 
 /// A prompt that a target has received, and now holds in its prefix cache.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "InsertFields", into = "InsertFields")]
 pub struct CacheInsert {
     /// Target name.
     pub target: String,
     /// For each segment, the hash of the prefix that ends with it and the tokens of the segment.
-    #[serde(rename = "chain")]
-    pub prefix_hashes: Vec<(u64, u32)>,
+    pub prefix_hashes: Vec<(u32, u32)>,
+}
+
+impl From<InsertFields> for CacheInsert {
+    fn from((target, prefix_hashes): InsertFields) -> Self {
+        Self {
+            target,
+            prefix_hashes,
+        }
+    }
+}
+
+impl From<CacheInsert> for InsertFields {
+    fn from(insert: CacheInsert) -> Self {
+        (insert.target, insert.prefix_hashes)
+    }
 }
 
 /// A role change of a target.
--- a/crates/rw-gate/src/prefix_cache.rs
+++ b/crates/rw-gate/src/prefix_cache.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     /// Hash of the prefix that ends with this segment.
-    prefix_hash: u64,
+    prefix_hash: u32,
     tokens: u32,
     last_used: Millis,
     /// Time at which it was first sent to the target.
@@ -45,14 +45,14 @@
 
     /// Records that the target received `parts`, and evicts the least recently used segments.
     pub fn insert(&mut self, now: Millis, parts: &[PromptPart], kv_tokens: u64) {
-        let hashes: Vec<(u64, u32)> = prefix_hashes(parts)
+        let hashes: Vec<(u32, u32)> = prefix_hashes(parts)
             .zip(parts.iter().map(|p| p.tokens))
             .collect();
         self.insert_hashes(now, &hashes, kv_tokens);
     }
 
     /// Like [`PrefixCache::insert`], with the prefix hashes reported by another node.
-    pub fn insert_hashes(&mut self, now: Millis, hashes: &[(u64, u32)], kv_tokens: u64) {
+    pub fn insert_hashes(&mut self, now: Millis, hashes: &[(u32, u32)], kv_tokens: u64) {
         for (prefix_hash, tokens) in hashes {
             match self.index(*prefix_hash) {
                 Ok(i) => self.entries[i].last_used = now,
@@ -85,16 +85,17 @@
         }
     }
 
-    fn index(&self, prefix_hash: u64) -> Result<usize, usize> {
+    fn index(&self, prefix_hash: u32) -> Result<usize, usize> {
         self.entries
             .binary_search_by_key(&prefix_hash, |e| e.prefix_hash)
     }
 }
 
-/// For each segment, the hash of the prefix that ends with it.
-pub(crate) fn prefix_hashes(parts: &[PromptPart]) -> impl Iterator<Item = u64> + '_ {
+/// For each segment, the hash of the prefix that ends with it. 32 bits are enough for an estimate:
+/// a cache holds some thousand segments.
+pub(crate) fn prefix_hashes(parts: &[PromptPart]) -> impl Iterator<Item = u32> + '_ {
     parts.iter().scan(0_u64, |prefix_hash, part| {
         *prefix_hash = rw_core::mix(*prefix_hash, part.id);
-        Some(*prefix_hash)
+        Some(*prefix_hash as u32)
     })
 }
