--- a/crates/rw-cli/src/relay_settings.rs
+++ b/crates/rw-cli/src/relay_settings.rs
@@ -12,8 +12,8 @@
 /// Minimum limit of caller connections, even if `descriptors` leaves fewer.
 const MIN_CONNECTIONS: usize = 64;
 
-/// Bytes per second in digests for each Mbit/s of the VM's link: 1.5% of the link.
-const DIGEST_BYTES_PER_MBIT: f64 = 1_875.0;
+/// Bytes per second in digests for each Mbit/s of the VM's link: 4% of the link.
+const DIGEST_BYTES_PER_MBIT: f64 = 5_000.0;
 
 /// The settings file as written; see [`RelaySettings`] and [`GateSettings`] for the meaning of most
 /// fields. The names of durations end with their unit.
