--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -138,7 +138,7 @@
     /// Reports that have changed or are due to be repeated; the others stay valid.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<WorkReport>,
-    /// Prompts sent to targets that no earlier digest has told.
+    /// Prompts sent to targets that no earlier digest contained.
     #[serde(rename = "read", default, skip_serializing_if = "Vec::is_empty")]
     pub cache_inserts: Vec<CacheInsert>,
     /// Requests that crashed their targets.
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -1,6 +1,6 @@
 //! Publication of this node's state to the other nodes.
 //!
-//! A digest tells what has changed since the previous one and repeats a part of the rest, so that
+//! A digest contains what has changed since the previous one and repeats a part of the rest, so that
 //! its size does not grow with the number of open calls.
 
 use crate::{CacheInsert, Digest, Gate, RoleChange, Target, WorkReport};
@@ -22,8 +22,8 @@
 const MAX_WAITING_INSERTS: usize = 64;
 /// Age up to which suspect requests are published, in milliseconds.
 const SUSPECT_PUBLISH_MS: u64 = 5_000;
-/// Number of digests that tell a suspect request, since one may be lost.
-const SUSPECT_TELLINGS: u32 = 2;
+/// Number of digests that carry a suspect request, since one may be lost.
+const SUSPECT_SENDS: u32 = 2;
 
 /// A report as it was last published.
 #[derive(Debug, Clone)]
@@ -34,12 +34,12 @@
 
 /// A suspect request that was published or that this node has found.
 #[derive(Debug, Clone, Copy)]
-struct ToldSuspect {
+struct PublishedSuspect {
     fingerprint: u64,
-    /// Number of crashed targets that the digests told.
+    /// Number of crashed targets that the digests entry.
     targets: usize,
-    /// Number of digests that told it with these targets.
-    tellings: u32,
+    /// Number of digests that carried it with these targets.
+    sends: u32,
     /// Whether it crashed a target while this node ran it.
     is_own: bool,
 }
@@ -49,10 +49,10 @@
 pub(crate) struct Publication {
     /// Latest report on each target that has work, sorted by target name.
     reports: Vec<PublishedReport>,
-    /// Prompts sent to targets that no digest has told, the oldest first.
+    /// Prompts sent to targets that were not published yet, the oldest first.
     inserts: VecDeque<CacheInsert>,
     /// Recent suspect requests, sorted by fingerprint.
-    suspects: Vec<ToldSuspect>,
+    suspects: Vec<PublishedSuspect>,
     /// Whether the next digest must not wait for other news.
     is_urgent: bool,
     published_at: Option<Millis>,
@@ -74,19 +74,19 @@
 
     /// Notes that a request of this node crashed its target.
     pub(crate) fn note_crash(&mut self, fingerprint: u64) {
-        self.told_suspect(fingerprint).is_own = true;
+        self.suspect_entry(fingerprint).is_own = true;
         self.set_urgent();
     }
 
-    fn told_suspect(&mut self, fingerprint: u64) -> &mut ToldSuspect {
+    fn suspect_entry(&mut self, fingerprint: u64) -> &mut PublishedSuspect {
         let found = self
             .suspects
             .binary_search_by_key(&fingerprint, |s| s.fingerprint);
         let i = found.unwrap_or_else(|i| {
-            let new = ToldSuspect {
+            let new = PublishedSuspect {
                 fingerprint,
                 targets: 0,
-                tellings: 0,
+                sends: 0,
                 is_own: false,
             };
             self.suspects.insert(i, new);
@@ -95,26 +95,30 @@
         &mut self.suspects[i]
     }
 
-    /// The suspects among `recent` that were not told often enough: first those that crashed the
-    /// most targets, then those that this node found. Within [`MAX_SUSPECTS`].
+    /// The suspects among `recent`, which is sorted by fingerprint, that were not published often
+    /// enough: first those that crashed the most targets, then those that this node found. Within
+    /// [`MAX_SUSPECTS`].
     fn take_suspects(&mut self, recent: Vec<Suspect>) -> Vec<Suspect> {
-        self.suspects
-            .retain(|s| recent.iter().any(|r| r.fingerprint == s.fingerprint));
+        let is_recent = |s: &PublishedSuspect| {
+            let found = recent.binary_search_by_key(&s.fingerprint, |r| r.fingerprint);
+            found.is_ok()
+        };
+        self.suspects.retain(is_recent);
         let mut due: Vec<(bool, Suspect)> = Vec::new();
         for suspect in recent {
-            let told = self.told_suspect(suspect.fingerprint);
-            if told.targets < suspect.targets.len() {
-                told.targets = suspect.targets.len();
-                told.tellings = 0;
+            let entry = self.suspect_entry(suspect.fingerprint);
+            if entry.targets < suspect.targets.len() {
+                entry.targets = suspect.targets.len();
+                entry.sends = 0;
             }
-            if told.tellings < SUSPECT_TELLINGS {
-                due.push((told.is_own, suspect));
+            if entry.sends < SUSPECT_SENDS {
+                due.push((entry.is_own, suspect));
             }
         }
         due.sort_by_key(|(is_own, s)| (Reverse(s.targets.len()), !is_own, s.age_ms));
         let taken: Vec<Suspect> = due.into_iter().take(MAX_SUSPECTS).map(|(_, s)| s).collect();
         for suspect in &taken {
-            self.told_suspect(suspect.fingerprint).tellings += 1;
+            self.suspect_entry(suspect.fingerprint).sends += 1;
         }
         taken
     }
@@ -195,8 +199,8 @@
 }
 
 impl Gate {
-    /// The digest to publish to the other nodes now; `None` if there is nothing to tell. What it
-    /// contains counts as told.
+    /// The digest to publish to the other nodes now; `None` if there is nothing to publish. What it
+    /// contains counts as entry.
     pub fn publish(&mut self, now: Millis) -> Option<Digest> {
         let current = self.target_reports(now);
         let reports = self.publication.take_reports(now, current);
--- a/crates/rw-gate/tests/digests.rs
+++ b/crates/rw-gate/tests/digests.rs
@@ -1,4 +1,4 @@
-//! What digests tell, how much of it at once, and when it is repeated.
+//! What digests contain, how much of it at once, and when it is repeated.
 
 mod support;
 
@@ -17,7 +17,7 @@
 }
 
 /// Reports of a digest: target, number of prefills, and generations.
-fn told(digest: &Digest) -> Vec<(String, usize, u32)> {
+fn reported(digest: &Digest) -> Vec<(String, usize, u32)> {
     let reports = digest.reports.iter();
     reports
         .map(|r| (r.target.clone(), r.prefills.len(), r.calls))
@@ -39,32 +39,36 @@
 }
 
 #[test]
-fn a_digest_tells_changes_and_repeats_the_rest_later() {
+fn a_digest_contains_changes_and_repeats_the_rest_later() {
     let mut world = engines(3);
     let (id, first) = open_call(&mut world, 10);
-    assert_eq!(told(&publish(&mut world)), [(first.clone(), 1, 1)], "sent");
+    assert_eq!(
+        reported(&publish(&mut world)),
+        [(first.clone(), 1, 1)],
+        "sent"
+    );
     world.now += 100;
     assert_eq!(world.gate.publish(Millis(world.now)), None, "no change");
     world.step(Event::FirstEvent { id });
     assert_eq!(
-        told(&publish(&mut world)),
+        reported(&publish(&mut world)),
         [(first.clone(), 0, 1)],
         "prefilled"
     );
     world.now += REPEATED_MS;
     assert_eq!(
-        told(&publish(&mut world)),
+        reported(&publish(&mut world)),
         [(first.clone(), 0, 1)],
         "repeated"
     );
     world.step(Event::CallerDisconnected { id });
-    assert_eq!(told(&publish(&mut world)), [(first, 0, 0)], "withdrawn");
+    assert_eq!(reported(&publish(&mut world)), [(first, 0, 0)], "withdrawn");
     world.now += REPEATED_MS;
-    assert_eq!(told(&publish(&mut world)), [], "nothing left to repeat");
+    assert_eq!(reported(&publish(&mut world)), [], "nothing left to repeat");
 }
 
 #[test]
-fn all_open_work_is_told_in_digests_of_bounded_size() {
+fn all_open_work_is_published_in_digests_of_bounded_size() {
     const TARGETS: usize = 100;
     /// An IP packet of a common link.
     const MAX_BYTES: usize = 1_500;
@@ -137,7 +141,7 @@
     }
 }
 
-/// Nodes in a ring, each of which tells the sixteen that follow it.
+/// Nodes in a ring, each of which sends its digests to the sixteen that follow it.
 struct Ring {
     nodes: Vec<World>,
 }
@@ -217,7 +221,7 @@
 }
 
 #[test]
-fn a_suspect_request_is_told_twice_and_again_after_another_crash() {
+fn a_suspect_request_is_published_twice_and_again_after_another_crash() {
     let mut world = World::new();
     publish(&mut world);
     let suspects = |targets: &[&str]| {
@@ -231,12 +235,12 @@
             ..Digest::default()
         })
     };
-    for (targets, tellings) in [(&["a"][..], 2), (&["a"][..], 0), (&["a", "b"][..], 2)] {
+    for (targets, sends) in [(&["a"][..], 2), (&["a"][..], 0), (&["a", "b"][..], 2)] {
         world.step(suspects(targets));
-        let told = (0..10).filter(|_| {
+        let published = (0..10).filter(|_| {
             world.now += 50;
             !publish(&mut world).suspects.is_empty()
         });
-        assert_eq!(told.count(), tellings, "{targets:?}");
+        assert_eq!(published.count(), sends, "{targets:?}");
     }
 }
