--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -200,7 +200,7 @@
 
 impl Gate {
     /// The digest to publish to the other nodes now; `None` if there is nothing to publish. What it
-    /// contains counts as entry.
+    /// contains counts as published.
     pub fn publish(&mut self, now: Millis) -> Option<Digest> {
         let current = self.target_reports(now);
         let reports = self.publication.take_reports(now, current);
