rw-gate: the serialized form of a prefill job stands beside the job

Read as a newcomer: the conversions stood in digest.rs, away from their type; two blank lines and two doc comments were missing; the comment on overdue prefills said that digests always arrive within 150 ms, which no longer holds for a node with very much open. Moves and comments only: no change of logic or of what is sent.

--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -3,7 +3,7 @@
 //! Reports and jobs are serialized as arrays without field names, because every node sends them to
 //! several others many times a second.
 
-use crate::{PrefillJob, PrefillSize};
+use crate::PrefillJob;
 use rw_types::{Role, Suspect};
 use serde::{Deserialize, Serialize};
 
@@ -11,34 +11,12 @@
 /// it. It is longer than two intervals between repetitions, so that one lost digest does no harm.
 pub(crate) const REPORT_TTL_MS: u64 = 3_500;
 
-/// Serialized form of a [`PrefillJob`]: identifier, age, priority, tokens and cached tokens.
-pub(crate) type JobFields = (u64, u64, u8, u64, u64);
-
 /// Serialized form of a [`WorkReport`], its fields in order.
 type ReportFields = (String, Vec<PrefillJob>, u32, u64, Option<RoleChange>);
 
 /// Serialized form of a [`CacheInsert`], its fields in order.
 type InsertFields = (String, Vec<(u32, u32)>);
 
-impl From<JobFields> for PrefillJob {
-    fn from((id, age_ms, priority, tokens, cached): JobFields) -> Self {
-        let size = PrefillSize { tokens, cached };
-        Self {
-            id,
-            age_ms,
-            priority,
-            size,
-        }
-    }
-}
-
-impl From<PrefillJob> for JobFields {
-    fn from(job: PrefillJob) -> Self {
-        let PrefillSize { tokens, cached } = job.size;
-        (job.id, job.age_ms, job.priority, tokens, cached)
-    }
-}
-
 /// What one node reports about one target. A report without any work withdraws the previous one.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "ReportFields", into = "ReportFields")]
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -34,6 +34,7 @@
     pub(crate) estimates: Vec<(String, EngineEstimates)>,
     /// Ratio of actual to expected prefill times.
     pub(crate) overrun: Overrun,
+    /// What this node has published to the others, and what is still to be published.
     pub(crate) publication: Publication,
     pub(crate) rng: fastrand::Rng,
     /// Time at which the store became reachable again after the latest outage, if any.
@@ -272,6 +273,8 @@
             }
         }
     }
+
+    /// Replaces what another node reported about a target before.
     fn receive_report(&mut self, now: Millis, vm: &str, report: &WorkReport) {
         let Some(target) = self.targets.find_mut(&report.target) else {
             return;
--- a/crates/rw-gate/src/prefill_queue.rs
+++ b/crates/rw-gate/src/prefill_queue.rs
@@ -1,9 +1,6 @@
 //! Prefill queue of a target.
 
-use crate::{
-    PrefillSize,
-    digest::{JobFields, REPORT_TTL_MS},
-};
+use crate::{PrefillSize, digest::REPORT_TTL_MS};
 use rw_types::{Millis, RequestId};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +17,9 @@
     pub size: PrefillSize,
 }
 
+/// Serialized form of a [`PrefillJob`]: identifier, age, priority, tokens and cached tokens.
+type JobFields = (u64, u64, u8, u64, u64);
+
 /// A queued or running prefill, as nodes report it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "JobFields", into = "JobFields")]
@@ -34,6 +34,25 @@
     pub size: PrefillSize,
 }
 
+impl From<JobFields> for PrefillJob {
+    fn from((id, age_ms, priority, tokens, cached): JobFields) -> Self {
+        let size = PrefillSize { tokens, cached };
+        Self {
+            id,
+            age_ms,
+            priority,
+            size,
+        }
+    }
+}
+
+impl From<PrefillJob> for JobFields {
+    fn from(job: PrefillJob) -> Self {
+        let PrefillSize { tokens, cached } = job.size;
+        (job.id, job.age_ms, job.priority, tokens, cached)
+    }
+}
+
 /// A queued or running prefill of any node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct QueuedPrefill {
@@ -45,8 +64,8 @@
     size: PrefillSize,
 }
 
-/// Milliseconds beyond the expected time from which a prefill counts as overdue. Digests and
-/// responses are in transit for less than this.
+/// Milliseconds beyond the expected time from which a prefill counts as overdue. Responses,
+/// and digests unless very much is open, are in transit for less than this.
 const OVERDUE_MS: f64 = 150.0;
 /// Time for which each prefill occupies the target beside its tokens, in milliseconds. Unlike the
 /// fixed time of the cost model, it does not overlap with other prefills.
--- a/crates/rw-http/src/keepalive.rs
+++ b/crates/rw-http/src/keepalive.rs
@@ -9,6 +9,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes that break a connection.
 const KEEPALIVE_PROBES: u32 = 2;
+
 /// Makes the operating system break a connection whose peer stopped responding.
 ///
 /// # Errors
--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -82,7 +82,9 @@
             match self.stream.get_ref().peek(&mut [0]) {
                 Ok(0) => return,
                 Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
-                _ => drop(Timer::after(DISCONNECT_POLL).await),
+                _ => {
+                    Timer::after(DISCONNECT_POLL).await;
+                }
             }
         }
     }
