--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -9,7 +9,8 @@
 use rw_core::Split;
 use rw_load::{
     Comparison, Deployment, Experiment, Fault, Profile, ScheduledFault, Variant, compare,
-    decision_cost_table, html_report, run_relay, run_sockets, run_table, run_virtual,
+    decision_cost_table, html_report, run_relay, run_relay_split, run_sockets, run_table,
+    run_virtual,
 };
 use std::path::Path;
 
@@ -63,6 +64,18 @@
             "relay",
             "Simulates calls at the rates of a fault-free day with the decisions of `relay`, on engines modelled by their data sheet",
         ))
+        .arg(
+            Arg::new("sheet")
+                .long("sheet")
+                .requires("relay")
+                .help("With --relay: reads the deployment from this TOML file instead of a profile"),
+        )
+        .arg(
+            Arg::new("decode")
+                .long("decode")
+                .requires("relay")
+                .help("With --relay: fixes the number of engines that decode"),
+        )
         .arg(number_arg("seeds", "1", "With --relay: number of runs, with consecutive seeds from --seed"))
         .arg(flag_arg("sockets", "Runs over loopback sockets instead of in virtual time: 'ours', or the variants chosen by --compare or --only"))
         .arg(number_arg("speed", "4", "With --sockets: factor by which the clock runs faster than real time"))
@@ -80,16 +93,26 @@
 /// Simulates forwarded calls with one run per seed, and prints the results and the mean fraction on
 /// time.
 fn simulate_relay(matches: &ArgMatches) -> Result<(), CliError> {
-    let deployment = match text(matches, "profile")? {
-        "khabar-saar" => Deployment::khabar_saar(),
-        _ => Deployment::nilebell(),
+    let deployment = match matches.get_one::<String>("sheet") {
+        Some(file) => read_sheet(file)?,
+        None => match text(matches, "profile")? {
+            "khabar-saar" => Deployment::khabar_saar(),
+            _ => Deployment::nilebell(),
+        },
+    };
+    let decode: Option<usize> = match matches.contains_id("decode") {
+        true => Some(parse(matches, "decode", "a whole number")?),
+        false => None,
     };
     let load: f64 = parse(matches, "load", "a number")?;
     let seed: u64 = parse(matches, "seed", "a whole number")?;
     let seeds: u64 = parse(matches, "seeds", "a whole number")?;
     let mut on_time = 0.0;
     for seed in seed..seed + seeds {
-        let result = run_relay(&deployment, load, RELAY_SECONDS, seed);
+        let result = match decode {
+            Some(decode) => run_relay_split(&deployment, load, RELAY_SECONDS, seed, decode),
+            None => run_relay(&deployment, load, RELAY_SECONDS, seed),
+        };
         println!(
             "{} at {load} times its rates, seed {seed}\n{result}",
             deployment.name
@@ -100,6 +123,13 @@
     Ok(())
 }
 
+/// Reads a deployment from a TOML file.
+fn read_sheet(file: &str) -> Result<Deployment, CliError> {
+    let failed = |e: &dyn std::fmt::Display| CliError::Failed(format!("{file}: {e}"));
+    let text = std::fs::read_to_string(file).map_err(|e| failed(&e))?;
+    toml::from_str(&text).map_err(|e| failed(&e))
+}
+
 fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).help(help)
 }
--- a/crates/rw-load/src/relay/arrivals.rs
+++ b/crates/rw-load/src/relay/arrivals.rs
@@ -1,6 +1,6 @@
 //! Arrivals of calls, drawn from a seed.
 
-use super::deployment::{CallKind, Deployment};
+use super::deployment::{CallKind, Deployment, SharedPart};
 use rw_gate::PromptPart;
 
 /// Mean number of calls that arrive together.
@@ -22,6 +22,8 @@
     pub(crate) parts: Vec<PromptPart>,
     /// Number of events in its response.
     pub(crate) events: u32,
+    /// Whether its prompt is among the longest tenth of its kind.
+    pub(crate) is_longest: bool,
 }
 
 impl Arrival {
@@ -55,9 +57,20 @@
     }
     arrivals.retain(|a| (a.at_us as f64) < seconds * 1e6);
     arrivals.sort_by_key(|a| a.at_us);
+    (0..deployment.kinds.len()).for_each(|kind| mark_longest(&mut arrivals, kind));
     arrivals
 }
 
+/// Marks the tenth of the calls of a kind with the longest prompts.
+fn mark_longest(arrivals: &mut [Arrival], kind: usize) {
+    let mut of_kind: Vec<&mut Arrival> = arrivals.iter_mut().filter(|a| a.kind == kind).collect();
+    of_kind.sort_by_key(|a| a.tokens());
+    let first = of_kind.len() - of_kind.len() / 10;
+    of_kind[first..]
+        .iter_mut()
+        .for_each(|a| a.is_longest = true);
+}
+
 fn rate(deployment: &Deployment, kind: usize, at_s: f64) -> f64 {
     let wave = 1.0 + SWING_AMPLITUDE * (at_s / SWING_PERIOD_S * std::f64::consts::TAU).sin();
     let surges = deployment.surges.iter();
@@ -81,13 +94,14 @@
         node: rng.usize(0..deployment.nodes),
         parts,
         events: (events.round() as u32).max(1),
+        is_longest: false,
     }
 }
 
 fn draw_parts(k: &CallKind, kind: u64, rng: &mut fastrand::Rng) -> Vec<PromptPart> {
     let mut parts: Vec<PromptPart> = Vec::new();
     for (level, part) in k.shared_parts.iter().enumerate() {
-        let id = (kind << 48) | ((level as u64) << 40) | rng.u64(0..part.distinct);
+        let id = (kind << 48) | ((level as u64) << 40) | draw_rank(part, rng);
         // Seeded with the part's id, so that a part has the same size in every prompt.
         let mut part_rng = fastrand::Rng::with_seed(id);
         let tokens = log_normal(part.mean_tokens, part.sigma, &mut part_rng);
@@ -101,6 +115,14 @@
     parts
 }
 
+/// Draws the rank of a shared part by popularity, from zero.
+fn draw_rank(part: &SharedPart, rng: &mut fastrand::Rng) -> u64 {
+    // Inverse of the distribution function of a continuous power law.
+    let exponent = 1.0 / (1.0 - part.skew);
+    let rank = part.distinct as f64 * rng.f64().powf(exponent);
+    (rank as u64).min(part.distinct.saturating_sub(1))
+}
+
 /// Draws from a log-normal distribution; `sigma` is the standard deviation of the logarithm.
 fn log_normal(mean: f64, sigma: f64, rng: &mut fastrand::Rng) -> f64 {
     let normal = (-2.0 * (1.0 - rng.f64()).ln()).sqrt() * (rng.f64() * std::f64::consts::TAU).cos();
--- a/crates/rw-load/src/relay/deployment.rs
+++ b/crates/rw-load/src/relay/deployment.rs
@@ -1,7 +1,10 @@
 //! Parameters of simulated deployments: engine timing and the calls that callers send.
 
+use serde::{Deserialize, Serialize};
+
 /// Size and timing parameters of the engines of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct EngineModel {
     /// Number of engines.
     pub count: usize,
@@ -37,7 +40,8 @@
 }
 
 /// Prompt parts shared between the calls of a kind, of which each call includes one.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct SharedPart {
     /// Mean number of tokens.
     pub mean_tokens: f64,
@@ -45,13 +49,18 @@
     pub sigma: f64,
     /// Number of distinct parts.
     pub distinct: u64,
+    /// Exponent of their popularity: the n-th most popular part is used n^-`skew` times as often as
+    /// the most popular one. Zero if all are equally popular.
+    #[serde(default)]
+    pub skew: f64,
 }
 
 /// Arrival, response and prompt parameters of a kind of call.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct CallKind {
     /// Name.
-    pub name: &'static str,
+    pub name: String,
     /// Calls per second.
     pub rate: f64,
     /// Latency objective for the first event, in milliseconds.
@@ -79,7 +88,8 @@
 }
 
 /// A period in which the rate of a kind is multiplied by a factor.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Surge {
     /// Index into [`Deployment::kinds`].
     pub kind: usize,
@@ -92,12 +102,15 @@
 }
 
 /// A simulated deployment and its load.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Deployment {
     /// Name.
-    pub name: &'static str,
+    pub name: String,
     /// Number of nodes.
     pub nodes: usize,
+    /// Bytes of digests that a node may send per second.
+    pub digest_bytes_per_s: u32,
     /// Parameters of the engines.
     pub engine: EngineModel,
     /// Kinds of call.
@@ -106,11 +119,15 @@
     pub surges: Vec<Surge>,
 }
 
+/// Bytes of digests per second on a link of 1,000 Mbit/s.
+const DIGEST_BYTES_PER_S: u32 = 5_000_000;
+
 const fn shared_part(mean_tokens: f64, sigma: f64, distinct: u64) -> SharedPart {
     SharedPart {
         mean_tokens,
         sigma,
         distinct,
+        skew: 0.0,
     }
 }
 
@@ -150,8 +167,8 @@
     #[must_use]
     pub fn nilebell() -> Self {
         let long = shared_part(4_870.0, 0.7, 187);
-        let kind = |name, rate, objective_ms, deadline_ms, priority| CallKind {
-            name,
+        let kind = |name: &str, rate, objective_ms, deadline_ms, priority| CallKind {
+            name: name.to_owned(),
             rate,
             objective_ms,
             max_gap_ms: 250,
@@ -166,8 +183,9 @@
             shared_parts: vec![shared_part(512.0, 0.4, 1), long],
         };
         Self {
-            name: "nilebell",
+            name: "nilebell".to_owned(),
             nodes: 8,
+            digest_bytes_per_s: DIGEST_BYTES_PER_S,
             engine: EngineModel {
                 count: 12,
                 slots: 48,
@@ -213,8 +231,8 @@
     /// The deployment of Khabar Saar's summary desk.
     #[must_use]
     pub fn khabar_saar() -> Self {
-        let kind = |name, rate, objective_ms, deadline_ms, priority| CallKind {
-            name,
+        let kind = |name: &str, rate, objective_ms, deadline_ms, priority| CallKind {
+            name: name.to_owned(),
             rate,
             objective_ms,
             max_gap_ms: 200,
@@ -229,8 +247,9 @@
             shared_parts: vec![shared_part(512.0, 0.4, 1), shared_part(4_870.0, 0.7, 192)],
         };
         Self {
-            name: "khabar-saar",
+            name: "khabar-saar".to_owned(),
             nodes: 6,
+            digest_bytes_per_s: DIGEST_BYTES_PER_S,
             engine: EngineModel {
                 count: 18,
                 slots: 64,
--- a/crates/rw-load/src/relay/engine.rs
+++ b/crates/rw-load/src/relay/engine.rs
@@ -3,7 +3,7 @@
 //! by arrival.
 
 use super::deployment::EngineModel;
-use rw_gate::{PrefixCache, PromptPart, Role};
+use rw_gate::{PrefixCache, PromptPart, Role, TargetLoad};
 use rw_types::Millis;
 
 /// Microseconds in a millisecond.
@@ -113,6 +113,15 @@
         self.link_free_us
     }
 
+    /// Load that a response reports.
+    pub(crate) fn load(&self) -> TargetLoad {
+        TargetLoad {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            slots: self.model.slots,
+        }
+    }
+
     /// Drops a call whose caller has disconnected.
     pub(crate) fn cancel(&mut self, call: usize) {
         self.waiting.retain(|p| p.call != call);
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -28,8 +28,12 @@
 const HOP_US: u64 = 400;
 /// One-way latency between a caller and a node.
 const CALLER_HOP_US: u64 = 1_000;
-/// Interval at which a node sends digests to the others.
+/// Minimum interval between digests of a node.
 const DIGEST_INTERVAL_US: u64 = 50 * US_PER_MS;
+/// Number of nodes that a digest is sent to.
+const DIGEST_FANOUT: usize = 16;
+/// Bytes of a digest's datagram beside its content.
+const DIGEST_OVERHEAD: usize = 80;
 /// Interval of a node's [`Event::Tick`].
 const TICK_INTERVAL_US: u64 = 250 * US_PER_MS;
 /// Time from a role order until the engine has the new role.
@@ -76,6 +80,8 @@
     events: BTreeMap<u64, SimEvent>,
     next_key: u64,
     nodes: Vec<Gate>,
+    /// Whether engines refuse to change their roles.
+    has_fixed_roles: bool,
     engines: Vec<Engine>,
     calls: Vec<Call>,
     result: RelayResult,
@@ -84,25 +90,46 @@
 /// Simulates `seconds` at `load` times the deployment's rates, with arrivals drawn from `seed`.
 #[must_use]
 pub fn run_relay(deployment: &Deployment, load: f64, seconds: f64, seed: u64) -> RelayResult {
-    let mut sim = Simulation::new(deployment, load, seconds, seed);
-    let end = WARMUP_US + (seconds * 1e6) as u64 + DRAIN_US;
-    while let Some(Reverse((at, key))) = sim.queue.pop() {
-        if at > end {
-            break;
-        }
-        sim.now = at;
-        if let Some(event) = sim.events.remove(&key) {
-            sim.handle(event);
-        }
-    }
-    sim.finish()
+    Simulation::new(deployment, load, seconds, seed, None).run(seconds)
+}
+
+/// Like [`run_relay`], with `decode` engines that decode from the start and no role changes.
+#[must_use]
+pub fn run_relay_split(
+    deployment: &Deployment,
+    load: f64,
+    seconds: f64,
+    seed: u64,
+    decode: usize,
+) -> RelayResult {
+    Simulation::new(deployment, load, seconds, seed, Some(decode)).run(seconds)
 }
 
 impl<'a> Simulation<'a> {
-    fn new(deployment: &'a Deployment, load: f64, seconds: f64, seed: u64) -> Self {
+    fn run(mut self, seconds: f64) -> RelayResult {
+        let end = WARMUP_US + (seconds * 1e6) as u64 + DRAIN_US;
+        while let Some(Reverse((at, key))) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            if let Some(event) = self.events.remove(&key) {
+                self.handle(event);
+            }
+        }
+        self.finish()
+    }
+
+    fn new(
+        deployment: &'a Deployment,
+        load: f64,
+        seconds: f64,
+        seed: u64,
+        decode: Option<usize>,
+    ) -> Self {
         let engines = 0..deployment.engine.count;
         let kinds = deployment.kinds.iter().map(|k| RelayKindResult {
-            kind: k.name,
+            kind: k.name.clone(),
             ..RelayKindResult::default()
         });
         let mut sim = Self {
@@ -113,6 +140,7 @@
             events: BTreeMap::new(),
             next_key: 0,
             nodes: Vec::new(),
+            has_fixed_roles: decode.is_some(),
             engines: engines
                 .map(|i| Engine::new(&deployment.engine, i))
                 .collect(),
@@ -122,6 +150,9 @@
                 ..RelayResult::default()
             },
         };
+        for engine in sim.engines.iter_mut().skip(decode.unwrap_or(usize::MAX)) {
+            engine.role = Role::Prefill;
+        }
         sim.start(seed);
         sim
     }
@@ -210,16 +241,26 @@
     }
 
     fn exchange_digest(&mut self, node: usize) {
-        self.schedule(
-            self.now + DIGEST_INTERVAL_US,
-            SimEvent::ExchangeDigest(node),
-        );
         let now = self.millis();
         let Some(digest) = self.nodes[node].publish(now) else {
-            return;
+            let next = self.now + DIGEST_INTERVAL_US;
+            return self.schedule(next, SimEvent::ExchangeDigest(node));
         };
-        for other in (0..self.nodes.len()).filter(|n| *n != node) {
-            self.send_event(other, Event::DigestReceived(digest.clone()));
+        let bytes = serde_json::to_vec(&digest).map_or(0, |b| b.len()) + DIGEST_OVERHEAD;
+        let nodes = self.nodes.len();
+        let receivers = DIGEST_FANOUT.min(nodes - 1);
+        let rate = u64::from(self.deployment.digest_bytes_per_s.max(1));
+        let pause = (receivers * bytes) as u64 * 1_000_000 / rate;
+        let next = self.now + pause.max(DIGEST_INTERVAL_US);
+        self.schedule(next, SimEvent::ExchangeDigest(node));
+        for n in 0..receivers {
+            let event = Box::new(Event::DigestReceived(digest.clone()));
+            let event = SimEvent::NodeEvent {
+                node: (node + 1 + n) % nodes,
+                event,
+            };
+            let sent_after = pause * n as u64 / receivers as u64;
+            self.schedule(self.now + HOP_US + sent_after, event);
         }
     }
 
@@ -228,6 +269,7 @@
         let kind = &self.deployment.kinds[a.kind];
         if !retry {
             self.result.kinds[a.kind].sent += 1;
+            self.result.kinds[a.kind].longest_sent += u64::from(a.is_longest);
         }
         // A retry goes to another node.
         let node = (a.node + usize::from(retry)) % self.nodes.len();
@@ -294,6 +336,10 @@
             Effect::Dispatch { id, dispatch } => self.dispatch(id.0 as usize, &dispatch),
             Effect::Refuse { id, refusal } => self.refuse(id.0 as usize, refusal.retry_ms),
             Effect::AcquireLease => self.send_event(node, Event::LeaseResult(Some(self.now))),
+            Effect::Order { target, .. } if self.has_fixed_roles => {
+                let outcome = OrderOutcome::Refused;
+                self.send_event(node, Event::OrderEnded { target, outcome });
+            }
             Effect::Order { target, role, .. } => {
                 let engine = self.index(&target);
                 self.schedule(
@@ -410,6 +456,8 @@
             }
             StepResult::First { call, imported } => {
                 let after = if imported { 0 } else { self.first_token_us() };
+                let load = Some(self.engines[engine].load());
+                self.send_event_after(after, call, |id| Event::ResponseStarted { id, load });
                 self.event_received(call, after);
                 self.send_event_after(after, call, |id| Event::FirstEvent { id });
             }
@@ -463,7 +511,9 @@
     fn record_completed(&mut self, call: usize) {
         let c = &mut self.calls[call];
         c.ended = true;
-        let result = &mut self.result.kinds[self.arrivals[c.arrival].kind];
+        let arrival = &self.arrivals[c.arrival];
+        let result = &mut self.result.kinds[arrival.kind];
+        result.longest_served += u64::from(arrival.is_longest);
         if c.late {
             result.late += 1;
         } else {
@@ -476,6 +526,8 @@
             kind.first_event_ms.sort_unstable();
         }
         self.result.prefilled_tokens = self.engines.iter().map(|e| e.prefilled_tokens).sum();
+        let decode = self.engines.iter().filter(|e| e.role != Role::Prefill);
+        self.result.decode_engines = decode.count();
         self.result.cached_tokens = self.engines.iter().map(|e| e.cached_tokens).sum();
         self.result
     }
@@ -489,7 +541,7 @@
 fn routing(deployment: &Deployment) -> Routing {
     let engine = &deployment.engine;
     let routes = deployment.kinds.iter().map(|k| Route {
-        name: k.name.to_owned(),
+        name: k.name.clone(),
         host: HOST.to_owned(),
         prefix: format!("/{}/", k.name),
         retry_policy: RetryPolicy::Stream { resumable: false },
--- a/crates/rw-load/src/relay/kind_result.rs
+++ b/crates/rw-load/src/relay/kind_result.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RelayKindResult {
     /// Name of the kind.
-    pub kind: &'static str,
+    pub kind: String,
     /// Calls sent; a caller's retry is not counted again.
     pub sent: u64,
     /// Complete responses on time.
@@ -17,6 +17,10 @@
     pub refused: u64,
     /// Calls that the caller gave up before the response was complete.
     pub failed: u64,
+    /// Calls among the tenth with the longest prompts.
+    pub longest_sent: u64,
+    /// Complete responses to these.
+    pub longest_served: u64,
     /// Time to the first event in milliseconds, for each call that got one; sorted.
     pub first_event_ms: Vec<u64>,
 }
@@ -28,6 +32,18 @@
         self.on_time as f64 / self.sent.max(1) as f64
     }
 
+    /// Fraction of the calls with a complete response.
+    #[must_use]
+    pub fn served_ratio(&self) -> f64 {
+        (self.on_time + self.late) as f64 / self.sent.max(1) as f64
+    }
+
+    /// Fraction of the tenth with the longest prompts with a complete response.
+    #[must_use]
+    pub fn longest_served_ratio(&self) -> f64 {
+        self.longest_served as f64 / self.longest_sent.max(1) as f64
+    }
+
     /// Quantile of the time to the first event, in milliseconds; `quantile` is between 0 and 1.
     #[must_use]
     pub fn first_event_quantile(&self, quantile: f64) -> u64 {
@@ -46,6 +62,8 @@
     pub prefilled_tokens: u64,
     /// Prompt tokens found in the engine's prefix cache or fetched from another engine.
     pub cached_tokens: u64,
+    /// Engines that decode at the end of the run.
+    pub decode_engines: usize,
 }
 
 impl RelayResult {
@@ -62,27 +80,28 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<16} {:>6} {:>7} {:>6} {:>7} {:>6} {:>7} {:>7}",
-            "kind", "asked", "on time", "late", "refused", "failed", "p50 ms", "p99 ms"
+            "{:<16} {:>6} {:>7} {:>6} {:>7} {:>6} {:>7} {:>7} {:>7}",
+            "kind", "asked", "on time", "late", "refused", "failed", "longest", "p50 ms", "p99 ms"
         )?;
         for k in &self.kinds {
             writeln!(
                 f,
-                "{:<16} {:>6} {:>7.3} {:>6.3} {:>7.3} {:>6.3} {:>7} {:>7}",
+                "{:<16} {:>6} {:>7.3} {:>6.3} {:>7.3} {:>6.3} {:>7.3} {:>7} {:>7}",
                 k.kind,
                 k.sent,
                 k.on_time_ratio(),
                 k.late as f64 / k.sent.max(1) as f64,
                 k.refused as f64 / k.sent.max(1) as f64,
                 k.failed as f64 / k.sent.max(1) as f64,
+                k.longest_served_ratio(),
                 k.first_event_quantile(0.5),
                 k.first_event_quantile(0.99),
             )?;
         }
         write!(
             f,
-            "prompt tokens: {} filled, {} kept",
-            self.prefilled_tokens, self.cached_tokens
+            "prompt tokens: {} filled, {} kept; engines that decode: {}",
+            self.prefilled_tokens, self.cached_tokens, self.decode_engines
         )
     }
 }
--- a/crates/rw-load/src/relay/mod.rs
+++ b/crates/rw-load/src/relay/mod.rs
@@ -8,5 +8,5 @@
 mod kind_result;
 
 pub use deployment::{CallKind, Deployment, EngineModel, SharedPart, Surge};
-pub use fleet::run_relay;
+pub use fleet::{run_relay, run_relay_split};
 pub use kind_result::{RelayKindResult, RelayResult};
--- a/crates/rw-load/tests/relay.rs
+++ b/crates/rw-load/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Forwarded calls under the load of both deployments, on simulated engines.
 
-use rw_load::{Deployment, RelayResult, run_relay};
+use rw_load::{Deployment, RelayResult, run_relay, run_relay_split};
 
 /// Maximum by which the served fraction of a kind may be below that of a less urgent kind.
 const MAX_SERVED_DEFICIT: f64 = 0.05;
@@ -95,3 +95,12 @@
     let run = || run_relay(&deployment, 1.0, 5.0, 4);
     assert_eq!(run(), run());
 }
+
+#[test]
+fn a_fixed_split_stays_as_it_is() {
+    let deployment = Deployment::nilebell();
+    for decode in [4, 6] {
+        let result = run_relay_split(&deployment, 1.0, 5.0, 1, decode);
+        assert_eq!(result.decode_engines, decode);
+    }
+}
