Roles follow the demand that is seen

Cause: the split of roles came from two constants that fit two deployments. Prompts of 17,000 tokens with 15 tokens out need few engines that decode; 4 of 12 had 0.1 to 0.3 of their slots taken.

--- a/crates/rw-gate/src/engine_estimates.rs
+++ b/crates/rw-gate/src/engine_estimates.rs
@@ -1,13 +1,17 @@
 //! Estimates of prefill times for the engines of one service.
 
-use crate::{PrefillCostModel, PrefillHistogram, PrefillSize, Target, call_state::CallState};
+use crate::{
+    PrefillCostModel, PrefillHistogram, PrefillSize, Target, call_state::CallState,
+    role_demand::RoleDemand,
+};
 use rw_types::Millis;
 
-/// Cost model of the engines and size distribution of their prompts.
+/// Cost model of the engines, size distribution of their prompts, and demand on them by role.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct EngineEstimates {
     pub(crate) cost_model: PrefillCostModel,
     pub(crate) histogram: PrefillHistogram,
+    pub(crate) demand: RoleDemand,
 }
 
 impl EngineEstimates {
