--- a/crates/rw-gate/src/role_demand.rs
+++ b/crates/rw-gate/src/role_demand.rs
@@ -113,7 +113,7 @@
         }
         // What can't be decoded is prefilled in vain, so this holds however busy the others are.
         if occupancy > HIGH_OCCUPANCY {
-            let limit = (decode + prefill).saturating_sub(1);
+            let limit = decode + prefill - 1;
             return Some(wanted.min(limit)).filter(|w| *w > decode);
         }
         None
