--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -5,7 +5,7 @@
     SentPrefill, TargetLoad, call_state::ActiveDispatch, placement::Placement,
     prefix_cache::prefix_hashes,
 };
-use rw_types::{Millis, RequestId, Role};
+use rw_types::{Millis, RequestId};
 
 /// Stall timeout of a prefill: factor on the expected time, and milliseconds added to it.
 const STALL_TIMEOUT: (f64, f64) = (2.0, 500.0);
@@ -40,15 +40,10 @@
             return;
         };
         let (name, incarnation) = (current.target.clone(), current.incarnation);
-        let decodes = current.mode != DispatchMode::Prefill && current.held_tokens > 0;
-        let Some((load, target)) = load.zip(self.targets.find_incarnation(&name, incarnation))
-        else {
-            return;
-        };
-        target.load = Some((now, load));
-        if decodes && target.spec.role != Role::Prefill {
-            let service = target.spec.service.clone();
-            self.estimates_mut(&service).demand.record_load(now, load);
+        if let (Some(load), Some(target)) =
+            (load, self.targets.find_incarnation(&name, incarnation))
+        {
+            target.load = Some((now, load));
         }
     }
 
@@ -260,9 +255,7 @@
         let id = call.id;
         effects.push(Effect::Dispatch { id, dispatch });
         if let Some((service, busy_ms)) = first_prefill {
-            let estimates = self.estimates_mut(&service);
-            estimates.histogram.record(busy_ms);
-            estimates.demand.record_prefill(now, busy_ms);
+            self.estimates_mut(&service).histogram.record(busy_ms);
         }
     }
 
--- a/crates/rw-gate/src/engine_estimates.rs
+++ b/crates/rw-gate/src/engine_estimates.rs
@@ -1,17 +1,13 @@
 //! Estimates of prefill times for the engines of one service.
 
-use crate::{
-    PrefillCostModel, PrefillHistogram, PrefillSize, Target, call_state::CallState,
-    role_demand::RoleDemand,
-};
+use crate::{PrefillCostModel, PrefillHistogram, PrefillSize, Target, call_state::CallState};
 use rw_types::Millis;
 
-/// Cost model of the engines, size distribution of their prompts, and demand on them by role.
+/// Cost model of the engines and size distribution of their prompts.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct EngineEstimates {
     pub(crate) cost_model: PrefillCostModel,
     pub(crate) histogram: PrefillHistogram,
-    pub(crate) demand: RoleDemand,
 }
 
 impl EngineEstimates {
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,8 +1,8 @@
 //! State of the reducer and its entry point.
 
 use crate::{
-    Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun, PrefillJob,
-    Refusal, RefusalKind, Routing, TargetList, WorkReport,
+    Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun, Refusal,
+    RefusalKind, Routing, TargetList, WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placement::Placer,
@@ -10,7 +10,7 @@
     roles::{PEER_TIMEOUT_MS, PeerConnection, Roles},
 };
 use rw_core::Suspects;
-use rw_types::{Millis, RequestId, Role};
+use rw_types::{Millis, RequestId};
 use std::sync::Arc;
 
 /// Decides which target gets each forwarded call, whether a call is retried or refused, and which
@@ -279,8 +279,6 @@
         let Some(target) = self.targets.find_mut(&report.target) else {
             return;
         };
-        let new_jobs = target.queue.unknown_jobs(vm, &report.prefills);
-        let new_jobs: Vec<PrefillJob> = new_jobs.copied().collect();
         target.queue.update_remote(now, vm, &report.prefills);
         target.remote_usage.retain(|u| u.0 != vm);
         if report.calls > 0 {
@@ -292,16 +290,5 @@
         if let Some(change) = change {
             target.role_change = Some((now.plus(change.left_ms), change.role));
         }
-        let service = target.spec.service.clone();
-        self.record_demand(now, &service, &new_jobs);
-    }
-
-    /// Records prefills that another node has sent.
-    fn record_demand(&mut self, now: Millis, service: &str, jobs: &[PrefillJob]) {
-        let estimates = self.estimates_mut(service);
-        for job in jobs {
-            let busy_ms = estimates.cost_model.busy_ms(Role::Prefill, job.size);
-            estimates.demand.record_prefill(now, busy_ms);
-        }
     }
 }
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -25,7 +25,6 @@
 mod prefix_cache;
 mod publication;
 mod retry_flow;
-mod role_demand;
 mod roles;
 mod routing;
 mod settings;
--- a/crates/rw-gate/src/prefill_queue.rs
+++ b/crates/rw-gate/src/prefill_queue.rs
@@ -123,16 +123,6 @@
         })
     }
 
-    /// Those among `reported`, by another node, that are not known yet.
-    pub fn unknown_jobs<'a>(
-        &self,
-        vm: &str,
-        reported: &'a [PrefillJob],
-    ) -> impl Iterator<Item = &'a PrefillJob> {
-        let is_known = move |id| self.jobs.iter().any(|j| j.vm == vm && j.id == id);
-        reported.iter().filter(move |r| !is_known(r.id))
-    }
-
     /// Replaces the prefills of another node on this target by those that it `reported`.
     pub fn update_remote(&mut self, now: Millis, vm: &str, reported: &[PrefillJob]) {
         let is_finished = |j: &QueuedPrefill| j.vm == vm && !reported.iter().any(|r| r.id == j.id);
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -1,9 +1,9 @@
 //! Split of the engines into prefill and decode roles, and the lease that permits role changes.
 //!
-//! An engine in the decode role prefills at a fraction of its speed and slows down the streams that
-//! it runs. Before any call is known, the engines get an initial split, which depends on their slots
-//! alone. From then on the split follows the demand that is seen. While calls are running, a change
-//! makes an engine unavailable for seconds, so that only a large imbalance is corrected.
+//! The expected workload consists of prompts that are long relative to their output. An engine in
+//! the decode role prefills at a fraction of its speed and slows down the streams that it runs. The
+//! split is adjusted while the engines are idle. While calls are running, a change makes an engine
+//! unavailable for seconds, so that only a large imbalance is corrected.
 
 use crate::{Effect, Gate, Service, Target};
 use rw_types::{Millis, Role};
@@ -14,14 +14,11 @@
 const CHECK_INTERVAL_MS: u64 = 500;
 /// Pause after the store refused the lease, in milliseconds.
 const LEASE_RETRY_MS: u64 = 2_000;
-/// Fraction of decode engines before any call is known, multiplied by the slots of an engine: the
-/// fewer slots an engine has, the more engines are needed to decode.
-const INITIAL_DECODE_SLOTS: f64 = 19.2;
-/// Bounds of the initial fraction of decode engines: minimum and maximum.
-const INITIAL_DECODE_FRACTION: (f64, f64) = (0.28, 0.45);
-/// Fraction of the planned decode engines that must be missing, or too many, before a change is
-/// worth its downtime.
-const MIN_PLAN_DEVIATION: f64 = 0.25;
+/// Desired fraction of decode engines, multiplied by the slots of an engine: the fewer slots an
+/// engine has, the more engines are needed to decode.
+const DECODE_SLOTS: f64 = 19.2;
+/// Bounds of the fraction of decode engines: minimum and maximum.
+const DECODE_FRACTION: (f64, f64) = (0.28, 0.45);
 /// Fraction of the engines of a service that may change roles at the same time while calls are
 /// running.
 const MAX_CHANGING_FRACTION: f64 = 0.1;
@@ -46,8 +43,6 @@
     requested_at: Option<Millis>,
     /// Time of the next check.
     next_check: Millis,
-    /// Number of decode engines by service that the demand asks for, sorted by service.
-    planned: Vec<(String, usize)>,
     /// Nodes from which digests have arrived.
     pub(crate) peers: Vec<PeerConnection>,
     /// Time since which this node has reached the store without interruption; `None` if it does not
@@ -89,7 +84,6 @@
         if !self.is_leader(now) {
             return;
         }
-        self.plan_roles(now);
         let wanted = self.next_role_change(now);
         let Some((name, role)) = wanted else {
             return;
@@ -173,55 +167,6 @@
         self.roles.connected_since.is_some() && eligible.all(|p| p.vm > self.settings.vm)
     }
 
-    /// Plans the number of decode engines of each service whose demand asks for another split.
-    fn plan_roles(&mut self, now: Millis) {
-        let routing = self.routing.clone();
-        let services = routing.services.iter().filter(|s| s.engine.is_some());
-        for service in services {
-            let engines = || {
-                let all = self.targets.all().iter();
-                all.filter(|t| t.spec.service == service.name && t.is_available(now))
-            };
-            if engines().any(|t| t.is_changing_role(now)) {
-                // Loads from before the change say nothing about the split after it.
-                self.estimates_mut(&service.name).demand.reset_loads();
-                continue;
-            }
-            let decode = engines().filter(|t| t.spec.role != Role::Prefill).count();
-            let prefill = engines().count() - decode;
-            let heard = self.heard_fraction(now);
-            let demand = self.estimates(&service.name).demand;
-            if let Some(wanted) = demand.wanted_decode(now, decode, prefill, heard) {
-                self.set_planned(&service.name, wanted);
-            }
-        }
-    }
-
-    /// Fraction of all nodes whose calls are known, including this one.
-    fn heard_fraction(&self, now: Millis) -> f64 {
-        let peers = self.roles.peers.iter();
-        let heard = peers.filter(|p| now.since(p.received_at) < PEER_TIMEOUT_MS);
-        let heard = heard.count() + 1;
-        (heard as f64 / self.nodes.max(1) as f64).min(1.0)
-    }
-
-    fn planned_decode(&self, service: &str) -> Option<usize> {
-        let found = self.planned_index(service).ok();
-        found.map(|i| self.roles.planned[i].1)
-    }
-
-    fn set_planned(&mut self, service: &str, decode: usize) {
-        match self.planned_index(service) {
-            Ok(i) => self.roles.planned[i].1 = decode,
-            Err(i) => self.roles.planned.insert(i, (service.to_owned(), decode)),
-        }
-    }
-
-    fn planned_index(&self, service: &str) -> Result<usize, usize> {
-        let planned = &self.roles.planned;
-        planned.binary_search_by(|(name, _)| name.as_str().cmp(service))
-    }
-
     /// The next engine that should change its role, and its new role.
     fn next_role_change(&self, now: Millis) -> Option<(String, Role)> {
         let mut services = self.routing.services.iter();
@@ -248,19 +193,19 @@
         let decode = engines()
             .filter(|t| t.next_role(now) != Role::Prefill)
             .count();
-        let planned = self.planned_decode(&service.name);
-        let wanted = planned.unwrap_or_else(|| initial_decode(engine.slots, all));
+        let fraction = DECODE_SLOTS / f64::from(engine.slots.max(1));
+        let fraction = fraction.clamp(DECODE_FRACTION.0, DECODE_FRACTION.1);
+        let wanted = (all as f64 * fraction).ceil() as usize;
         let wanted = wanted.clamp(1, all - 1);
         let imbalance = decode.abs_diff(wanted);
         let slots = decode as f64 * f64::from(engine.slots);
         let running = engines().filter(|t| t.spec.role != Role::Prefill);
         let running: u32 = running.map(Target::running_calls).sum();
         let crowded = decode < wanted && f64::from(running) >= slots * CROWDED_FRACTION;
-        let is_initial = idle && !self.estimates(&service.name).demand.is_known();
-        let min_imbalance = match planned {
-            _ if is_initial || crowded => 1.0,
-            Some(planned) => (planned as f64 * MIN_PLAN_DEVIATION).ceil(),
-            None => (all as f64 * MIN_IMBALANCE_FRACTION).ceil(),
+        let min_imbalance = if idle || crowded {
+            1.0
+        } else {
+            (all as f64 * MIN_IMBALANCE_FRACTION).ceil()
         };
         if (imbalance as f64) < min_imbalance {
             return None;
@@ -274,10 +219,3 @@
         Some((target.spec.name.clone(), to))
     }
 }
-
-/// Number of decode engines among `engines` with `slots` each, before any call is known.
-fn initial_decode(slots: u32, engines: usize) -> usize {
-    let fraction = INITIAL_DECODE_SLOTS / f64::from(slots.max(1));
-    let (min, max) = INITIAL_DECODE_FRACTION;
-    (engines as f64 * fraction.clamp(min, max)).ceil() as usize
-}
