--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -127,7 +127,9 @@
 fn read_sheet(file: &str) -> Result<Deployment, CliError> {
     let failed = |e: &dyn std::fmt::Display| CliError::Failed(format!("{file}: {e}"));
     let text = std::fs::read_to_string(file).map_err(|e| failed(&e))?;
-    toml::from_str(&text).map_err(|e| failed(&e))
+    let deployment: Deployment = toml::from_str(&text).map_err(|e| failed(&e))?;
+    deployment.check().map_err(|e| failed(&e))?;
+    Ok(deployment)
 }
 
 fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -5,11 +5,11 @@
     deployment::Deployment,
     engine::{Engine, Prompt, StepResult},
     kind_result::{RelayKindResult, RelayResult},
+    routes::{HOST, ROLE_SWITCH_US, SERVICE, US_PER_MS, client_timeout_ms, routing},
 };
 use rw_gate::{
-    CallLimits, CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, EngineSpec, Event,
-    Gate, GateSettings, KvHandle, OrderOutcome, Prompt as RequestPrompt, RetryPolicy, Role, Route,
-    Routing, Service, ServiceWeight, TargetSpec,
+    CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, Event, Gate, GateSettings,
+    KvHandle, OrderOutcome, Prompt as RequestPrompt, Role, TargetSpec,
 };
 use rw_types::{Millis, RequestId};
 use std::{
@@ -18,8 +18,6 @@
     sync::Arc,
 };
 
-/// Microseconds in a millisecond.
-const US_PER_MS: u64 = 1_000;
 /// Time before the first call, in which the nodes change the engines' roles to their initial split.
 const WARMUP_US: u64 = 16_000 * US_PER_MS;
 /// Time after the last arrival for running calls to end.
@@ -36,13 +34,6 @@
 const DIGEST_OVERHEAD: usize = 80;
 /// Interval of a node's [`Event::Tick`].
 const TICK_INTERVAL_US: u64 = 250 * US_PER_MS;
-/// Time from a role order until the engine has the new role.
-const ROLE_SWITCH_US: u64 = 3_000 * US_PER_MS;
-/// Callers disconnect when no event arrives for the longest of: this many milliseconds, this
-/// multiple of the kind's latency objective, this multiple of its maximum pause between events.
-const CLIENT_TIMEOUT: (u64, u64, u64) = (2_000, 4, 8);
-const HOST: &str = "a.example";
-const SERVICE: &str = "engines";
 const MODEL: &str = "m";
 
 /// An event scheduled at a point in virtual time.
@@ -532,46 +523,3 @@
         self.result
     }
 }
-
-fn client_timeout_ms(objective_ms: u64, gap_ms: u64) -> u64 {
-    let (min_ms, objectives, pauses) = CLIENT_TIMEOUT;
-    min_ms.max(objective_ms * objectives).max(gap_ms * pauses)
-}
-
-fn routing(deployment: &Deployment) -> Routing {
-    let engine = &deployment.engine;
-    let routes = deployment.kinds.iter().map(|k| Route {
-        name: k.name.clone(),
-        host: HOST.to_owned(),
-        prefix: format!("/{}/", k.name),
-        retry_policy: RetryPolicy::Stream { resumable: false },
-        timeout_ms: k.deadline_ms,
-        objective_ms: k.objective_ms,
-        max_gap_ms: k.max_gap_ms,
-        client_timeout_ms: client_timeout_ms(k.objective_ms, k.max_gap_ms),
-        priority: k.priority,
-        traffic_split: vec![ServiceWeight {
-            service: SERVICE.to_owned(),
-            weight: 1,
-        }],
-        max_attempts: 1,
-    });
-    Routing {
-        version: 1,
-        routes: routes.collect(),
-        services: vec![Service {
-            name: SERVICE.to_owned(),
-            max_connections: 300,
-            engine: Some(EngineSpec {
-                slots: engine.slots,
-                kv_tokens: engine.kv_tokens,
-                token_bytes: engine.token_bytes,
-                link_mbps: engine.link_mbps,
-                handle_ttl_ms: 5_000,
-                role_switch_ms: ROLE_SWITCH_US / US_PER_MS,
-            }),
-        }],
-        limits: CallLimits::default(),
-    }
-    .sorted()
-}
--- a/crates/rw-load/src/relay/mod.rs
+++ b/crates/rw-load/src/relay/mod.rs
@@ -6,7 +6,10 @@
 mod engine;
 mod fleet;
 mod kind_result;
+mod routes;
+mod sheet_error;
 
 pub use deployment::{CallKind, Deployment, EngineModel, SharedPart, Surge};
 pub use fleet::{run_relay, run_relay_split};
 pub use kind_result::{RelayKindResult, RelayResult};
+pub use sheet_error::SheetError;
--- a/crates/rw-load/tests/relay.rs
+++ b/crates/rw-load/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Forwarded calls under the load of both deployments, on simulated engines.
 
-use rw_load::{Deployment, RelayResult, run_relay, run_relay_split};
+use rw_load::{Deployment, RelayResult, SheetError, run_relay, run_relay_split};
 
 /// Maximum by which the served fraction of a kind may be below that of a less urgent kind.
 const MAX_SERVED_DEFICIT: f64 = 0.05;
@@ -104,3 +104,33 @@
         assert_eq!(result.decode_engines, decode);
     }
 }
+
+#[test]
+fn a_sheet_with_a_mistake_is_rejected() {
+    struct Case {
+        change: fn(&mut Deployment),
+        error: SheetError,
+    }
+    let case = |change, error| Case { change, error };
+    let name = Deployment::khabar_saar().kinds[0].name.clone();
+    for case in [
+        case(|d| d.nodes = 0, SheetError::Nodes),
+        case(|d| d.engine.count = 1, SheetError::Engines),
+        case(|d| d.engine.step_factors.clear(), SheetError::StepFactors),
+        case(|d| d.kinds.clear(), SheetError::Kinds),
+        case(
+            |d| d.kinds[0].shared_parts[0].skew = 1.0,
+            SheetError::SharedPart(name.clone()),
+        ),
+        case(
+            |d| d.kinds[0].shared_parts[0].distinct = 0,
+            SheetError::SharedPart(name.clone()),
+        ),
+        case(|d| d.surges[0].kind = 9, SheetError::Surge(9)),
+    ] {
+        let mut deployment = Deployment::khabar_saar();
+        assert_eq!(deployment.check(), Ok(()));
+        (case.change)(&mut deployment);
+        assert_eq!(deployment.check(), Err(case.error));
+    }
+}
