Log how the end of a target's response was marked

Two answers that their engine had broken off reached their callers as complete. The line `ended` said `delivered` for them whatever the cause: it didn't tell whether the response had a length, chunks, or ended with its connection, which is what the hypotheses differ in.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -54,6 +54,8 @@
     pub(crate) out: ResponseWriter,
     /// Full response, held until the gate decides whether to deliver it.
     pub(crate) buffered: Option<BufferedResponse>,
+    /// Framing of the response to the latest dispatch, if its head was read.
+    pub(crate) framing: Option<Framing>,
     /// Identifier of the last event sent to the caller.
     last_event: Option<u64>,
 }
@@ -63,6 +65,7 @@
         Self {
             out,
             buffered: None,
+            framing: None,
             last_event: None,
         }
     }
@@ -121,6 +124,7 @@
             Some(Err(ConnectError::Failed)) | None => return Ok(DispatchOutcome::NotSent),
         };
         progress.last_event = dispatch.resume_after;
+        progress.framing = None;
         let exchange = self.exchange(call, dispatch, conn, progress);
         let stall = dispatch.stall_timeout_ms.map(Duration::from_millis);
         let stall = stall
@@ -173,6 +177,7 @@
             load: metadata.load,
         };
         self.step(event);
+        progress.framing = Some(head.framing);
         let mut body = BodyReader::new(head.framing);
         if metadata.rejected {
             body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -1,9 +1,9 @@
 //! Log lines for decisions about calls, limited in rate.
 
 use crate::{
-    BootClock, ResponseMetadata,
+    BootClock, Framing, ResponseMetadata,
     attempt::Call,
-    metrics::{mode_label, outcome_label},
+    metrics::{framing_label, mode_label, outcome_label},
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Refusal};
 use std::{cell::Cell, io};
@@ -44,13 +44,20 @@
         }
     }
 
-    pub(crate) fn ended(&self, call: &Call, d: &Dispatch, outcome: &DispatchOutcome) {
+    /// A dispatch ended; `framing` is that of its response, if one began.
+    pub(crate) fn ended(
+        &self,
+        call: &Call,
+        d: &Dispatch,
+        outcome: &DispatchOutcome,
+        framing: Option<Framing>,
+    ) {
         let status = match outcome {
             DispatchOutcome::Complete { status } | DispatchOutcome::Rejected { status } => *status,
             _ => 0,
         };
         if self.allow_line() {
-            log::info!(call = call.call_id.as_str(), n = call.id.0, at = d.target.as_str(), end = outcome_label(outcome), status; "ended");
+            log::info!(call = call.call_id.as_str(), n = call.id.0, at = d.target.as_str(), end = outcome_label(outcome), status, framing = framing_label(framing); "ended");
         }
     }
 
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -32,7 +32,7 @@
                     self.log.dispatch(call, &dispatch);
                     self.metrics.dispatched(&dispatch);
                     let outcome = self.attempt(call, &dispatch, progress).await?;
-                    self.log.ended(call, &dispatch, &outcome);
+                    self.log.ended(call, &dispatch, &outcome, progress.framing);
                     self.metrics.ended(&outcome);
                     next = self.next_step(Event::DispatchEnded { id, outcome });
                 }
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics.
 
+use crate::Framing;
 use prometheus::{
     Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -222,3 +223,13 @@
         DispatchOutcome::TimedOut { .. } => "timed-out",
     }
 }
+
+/// How the end of a response is marked; `none` if no response began.
+pub(crate) fn framing_label(framing: Option<Framing>) -> &'static str {
+    match framing {
+        Some(Framing::Length(_)) => "length",
+        Some(Framing::Chunked) => "chunked",
+        Some(Framing::Close) => "close",
+        None => "none",
+    }
+}
