An event stream that ends inside an event is never delivered as complete

Callers saw answers that were framed as complete and weren't: the engine had crashed in the middle of an event, and the relay wrote the last chunk.

Cause: only for streams that may be resumed did the relay check that the body ended between events. For the others the end of the body was the framing's matter, and without a length and chunks the framing says no more than that the connection ended, which a crash does too.

Ruled out: chunks without a last chunk and reset connections were told as broken before.

Change: all event streams are forwarded by complete events; a body that ends inside one is a broken response. Without other framing at least one event is needed. Responses of another media type are forwarded as before.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -4,7 +4,7 @@
     Dialect, EventSplitter, Framing, Relay, RequestHead, ResponseHead, ResponseMetadata,
     body::BodyReader,
     head::is_hop,
-    io_error::malformed,
+    io_error::{malformed, truncated},
     pool::{ConnectError, TargetConnection},
     response_writer::ResponseWriter,
     timeout::timeout_at,
@@ -20,6 +20,8 @@
     time::{Duration, Instant},
 };
 
+/// Media type of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum response body that is buffered in full. A body with a larger declared length is
@@ -285,7 +287,11 @@
         let ResponseProgress {
             out, last_event, ..
         } = progress;
-        let mut splitter = EventSplitter::after(*last_event);
+        let mut splitter = match dispatch.resumable {
+            true => EventSplitter::after(*last_event),
+            false => EventSplitter::unfiltered(),
+        };
+        let has_events = dispatch.stream && is_event_stream(&head);
         let mut first = true;
         while let Some(bytes) = body.next(&mut conn.connection).await? {
             if first {
@@ -294,7 +300,8 @@
                 log::debug!(call = call.call_id.as_str(), at = dispatch.target.as_str(); "first event");
                 first = false;
             }
-            let bytes = match dispatch.resumable {
+            // Only complete events are forwarded, so that a caller never receives a part of one.
+            let bytes = match has_events {
                 true => splitter.push(&bytes),
                 false => bytes,
             };
@@ -308,11 +315,13 @@
             }
             *last_event = splitter.last_id();
         }
-        if dispatch.resumable && !splitter.incomplete().is_empty() {
-            return Err(malformed().into());
+        if has_events && was_cut(&head, &splitter) {
+            return Err(truncated().into());
         }
-        if !out.is_started() {
-            caller_result(out.write_head(&head, b"").await)?;
+        let rest = splitter.incomplete();
+        match out.is_started() {
+            true => caller_result(out.write_chunk(rest).await)?,
+            false => caller_result(out.write_head(&head, rest).await)?,
         }
         caller_result(out.finish().await)?;
         self.release(conn, &head, true);
@@ -356,6 +365,20 @@
     }
 }
 
+/// Whether the body is a stream of server-sent events; one without a content type is taken for one.
+fn is_event_stream(head: &ResponseHead) -> bool {
+    let content_type = head.header("content-type").unwrap_or(EVENT_STREAM);
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
+/// Whether an event stream whose body has ended was broken off by the target.
+fn was_cut(head: &ResponseHead, splitter: &EventSplitter) -> bool {
+    // A crash also ends the connection, so without other framing a stream needs at least one event.
+    let is_empty = head.framing == Framing::Close && !splitter.has_events();
+    is_empty || splitter.is_inside_event()
+}
+
 /// Idle timeout in seconds that a keep-alive header announces.
 fn keep_alive_seconds(value: &str) -> Option<u64> {
     let mut params = value.split(',').map(str::trim);
--- a/crates/rw-relay/src/sse.rs
+++ b/crates/rw-relay/src/sse.rs
@@ -6,6 +6,10 @@
     buffer: Vec<u8>,
     /// Identifier of the last complete event.
     last_id: Option<u64>,
+    /// Whether events are returned although an earlier one had the same or a higher identifier.
+    keeps_repeats: bool,
+    /// Whether an event was returned.
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -13,8 +17,17 @@
     #[must_use]
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            buffer: Vec::new(),
             last_id,
+            ..Self::default()
+        }
+    }
+
+    /// Creates a splitter that returns all events, for a stream that is never resumed.
+    #[must_use]
+    pub fn unfiltered() -> Self {
+        Self {
+            keeps_repeats: true,
+            ..Self::default()
         }
     }
 
@@ -32,16 +45,29 @@
             let event: Vec<u8> = self.buffer.drain(..end).collect();
             let id = event_id(&event);
             // Drops an event that the target repeats, so that the caller doesn't receive it twice.
-            if id.is_some() && id <= self.last_id {
+            if id.is_some() && id <= self.last_id && !self.keeps_repeats {
                 continue;
             }
             self.last_id = id.or(self.last_id);
+            self.has_events = true;
             out.extend_from_slice(&event);
         }
         out
     }
 
-    /// Buffered bytes of an event that is not complete.
+    /// Whether an event was returned.
+    #[must_use]
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
+    /// Whether an event has begun that is not complete.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        self.buffer.iter().any(|b| !matches!(b, b'\r' | b'\n'))
+    }
+
+    /// Buffered bytes of an event that is not complete, or empty lines after the last event.
     #[must_use]
     pub fn incomplete(&self) -> &[u8] {
         &self.buffer
