Log the prompt's parts of a call whose dispatch broke

Requests of different bodies crashed 44 and 57 targets. Whether they had anything in common couldn't be told from the logs: a broken dispatch was logged with the call's identifier alone.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -147,7 +147,10 @@
             Err(ExchangeError::Target(error)) => {
                 self.pool.drop_idle(addr);
                 let crashed = self.pool.is_down(addr).await;
-                self.log.dispatch_broken(call, dispatch, &error, crashed);
+                let request = self.dialect.call_request(&call.head, &call.body);
+                let parts = request.prompt.map(|p| p.parts).unwrap_or_default();
+                self.log
+                    .dispatch_broken(call, dispatch, &parts, &error, crashed);
                 let begun = progress.out.is_started();
                 let delivered = begun.then(|| progress.last_event.unwrap_or(0));
                 Ok(DispatchOutcome::Broken { crashed, delivered })
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -5,7 +5,7 @@
     attempt::Call,
     metrics::{framing_label, mode_label, outcome_label},
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Refusal};
+use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, PromptPart, Refusal};
 use std::{cell::Cell, io};
 
 /// Maximum number of lines in a window. A node of the present size handles some tens of calls per
@@ -81,15 +81,18 @@
         }
     }
 
+    /// A dispatch broke; `parts` are those of the prompt, which other calls may share.
     pub(crate) fn dispatch_broken(
         &self,
         call: &Call,
         d: &Dispatch,
+        parts: &[PromptPart],
         error: &io::Error,
         crashed: bool,
     ) {
         if self.allow_line() {
-            log::info!(call = call.call_id.as_str(), n = call.id.0, at = d.target.as_str(), error:%, crashed; "dispatch broke");
+            let parts = part_ids(parts);
+            log::info!(call = call.call_id.as_str(), n = call.id.0, at = d.target.as_str(), error:%, crashed, parts = parts.as_str(); "dispatch broke");
         }
     }
 
@@ -119,3 +122,9 @@
         true
     }
 }
+
+/// The identifiers of `parts` in hexadecimal, separated by spaces.
+fn part_ids(parts: &[PromptPart]) -> String {
+    let ids: Vec<String> = parts.iter().map(|p| format!("{:x}", p.id)).collect();
+    ids.join(" ")
+}
