Parts of prompts under which targets crash are refused

Callers lost most generations for half a minute: requests of different bodies that share a part of the prompt crashed 44 and 57 engines, two each, and took 5 to 98 other calls with each engine.

Cause: a request that crashes its targets was recognized by the hash of its path and body alone, so that each of these was new.

Ruled out: crashes that aren't recognized (all 237 broken dispatches were logged as crashes); digests that come too late (a single node fails alike).

Change: crashes are counted for each part but the last as well, and a call that completes clears its parts, because a crash names all parts of all calls on its engine. Nodes exchange both. A part with three crashes and no completed call is refused, one with completed calls after five and two seconds of silence; a crash that a refused part explains counts for no other. A call that is refused meanwhile isn't retried or decoded.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -56,10 +56,7 @@
         if self.stops_before(now, route) {
             return Err(self.refusal(RefusalKind::ShuttingDown, SHUTDOWN_RETRY_MS));
         }
-        let poisoned_ms =
-            self.suspects
-                .poisoned_ms(now, request.fingerprint, self.settings.poison_ms);
-        if let Some(left_ms) = poisoned_ms {
+        if let Some(left_ms) = self.poisoned_ms(now, &request) {
             return Err(self.refusal(RefusalKind::Poison, left_ms));
         }
         let Some(service) = self.pick_service(route) else {
@@ -93,6 +90,15 @@
         })
     }
 
+    /// Milliseconds for which a request is refused because it, or others with a part of its prompt,
+    /// crashed their targets.
+    pub(crate) fn poisoned_ms(&self, now: Millis, request: &CallRequest) -> Option<u64> {
+        let ttl_ms = self.settings.poison_ms;
+        let whole = self.suspects.poisoned_ms(now, request.fingerprint, ttl_ms);
+        let parts = request.prompt.as_ref().map_or(&[][..], |p| &p.parts);
+        whole.max(self.part_suspects.refused_ms(now, parts, ttl_ms))
+    }
+
     /// Whether this process exits before a call on `route` would end.
     fn stops_before(&self, now: Millis, route: &Route) -> bool {
         let left_ms = self.shutdown_at.map(|end| end.since(now));
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -288,7 +288,9 @@
         outcome: &DispatchOutcome,
         effects: &mut Vec<Effect>,
     ) {
-        let fingerprint = self.calls[i].request.fingerprint;
+        let request = &self.calls[i].request;
+        let fingerprint = request.fingerprint;
+        let parts = request.prompt.as_ref().map_or(&[][..], |p| &p.parts);
         let Some(target) = self
             .targets
             .find_incarnation(&current.target, current.incarnation)
@@ -296,11 +298,17 @@
             return;
         };
         match outcome {
-            DispatchOutcome::Complete { .. }
-            | DispatchOutcome::Delivered
-            | DispatchOutcome::Prefilled(_) => {
+            DispatchOutcome::Complete { status } => {
                 target.health.record_outcome(now, false);
+                if (200..300).contains(status) {
+                    self.part_suspects.record_completion(now, parts);
+                }
             }
+            DispatchOutcome::Delivered => {
+                target.health.record_outcome(now, false);
+                self.part_suspects.record_completion(now, parts);
+            }
+            DispatchOutcome::Prefilled(_) => target.health.record_outcome(now, false),
             DispatchOutcome::Rejected { .. } => {}
             DispatchOutcome::NotSent | DispatchOutcome::Broken { crashed: false, .. } => {
                 target.health.record_outcome(now, true)
@@ -314,6 +322,15 @@
                     .record_crash(now, fingerprint, &current.target);
                 self.suspects.prune(now, self.settings.poison_ms);
                 self.publication.note_crash(fingerprint);
+                // A prefill generates nothing, so it is not the cause.
+                if current.mode != DispatchMode::Prefill {
+                    self.part_suspects.record_crash(
+                        now,
+                        parts,
+                        &current.target,
+                        current.incarnation,
+                    );
+                }
                 effects.push(Effect::PublishDigest);
             }
         }
@@ -345,6 +362,10 @@
         effects: &mut Vec<Effect>,
     ) {
         self.calls[i].prefilled = true;
+        if let Some(left_ms) = self.poisoned_ms(now, &self.calls[i].request) {
+            effects.push(Effect::ReleaseHandle(handle));
+            return self.refuse_poisoned(i, left_ms, effects);
+        }
         let centre = self.targets.find(&current.target);
         let centre = centre.map_or_else(String::new, |t| t.spec.centre.clone());
         let placement = self.placer(now).choose_decode(&self.calls[i], &centre);
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -92,6 +92,38 @@
     }
 }
 
+/// Serialized form of a [`PartReport`], its fields in order.
+type PartFields = (u64, Vec<u32>, u64);
+
+/// What a node knows of a part of prompts: the crashes under it or, if there are none, that a call
+/// with it completed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "PartFields", into = "PartFields")]
+pub struct PartReport {
+    /// Identifier of the part.
+    pub part: u64,
+    /// Identifiers of the crashes since the latest completed call, the oldest first.
+    pub crashes: Vec<u32>,
+    /// Time since the latest crash, or since the completed call, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl From<PartFields> for PartReport {
+    fn from((part, crashes, age_ms): PartFields) -> Self {
+        Self {
+            part,
+            crashes,
+            age_ms,
+        }
+    }
+}
+
+impl From<PartReport> for PartFields {
+    fn from(report: PartReport) -> Self {
+        (report.part, report.crashes, report.age_ms)
+    }
+}
+
 /// A role change of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoleChange {
@@ -122,4 +154,7 @@
     /// Requests that crashed their targets.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<Suspect>,
+    /// Parts of prompts under which targets crashed, and those that were cleared since.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<PartReport>,
 }
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,8 +1,8 @@
 //! State of the reducer and its entry point.
 
 use crate::{
-    Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun, Refusal,
-    RefusalKind, Routing, TargetList, WorkReport,
+    Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun, PartReport,
+    PartSuspects, Refusal, RefusalKind, Routing, TargetList, WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placement::Placer,
@@ -29,6 +29,7 @@
     pub(crate) calls: Vec<CallState>,
     pub(crate) budget: LocalRetryBudget,
     pub(crate) suspects: Suspects,
+    pub(crate) part_suspects: PartSuspects,
     pub(crate) nodes: usize,
     /// Estimates of engine speed by service, sorted by name.
     pub(crate) estimates: Vec<(String, EngineEstimates)>,
@@ -54,6 +55,7 @@
             calls: Vec::new(),
             budget: LocalRetryBudget::default(),
             suspects: Suspects::default(),
+            part_suspects: PartSuspects::default(),
             nodes: settings.nodes,
             estimates: Vec::new(),
             overrun: Overrun::default(),
@@ -147,6 +149,12 @@
         self.suspects.export(now)
     }
 
+    /// All parts of prompts under which targets crashed, for a node that has just started.
+    #[must_use]
+    pub fn part_suspects(&self, now: Millis) -> Vec<PartReport> {
+        self.part_suspects.export(now)
+    }
+
     pub(crate) fn call_index(&self, id: RequestId) -> Option<usize> {
         self.calls.binary_search_by_key(&id, |c| c.id).ok()
     }
@@ -247,6 +255,7 @@
     fn receive_digest(&mut self, now: Millis, digest: &Digest) {
         self.suspects.merge(now, &digest.suspects);
         self.suspects.prune(now, self.settings.poison_ms);
+        self.part_suspects.merge(now, &digest.parts);
         self.roles.peers.retain(|p| p.vm != digest.vm);
         self.roles.peers.push(PeerConnection {
             vm: digest.vm.clone(),
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -20,6 +20,8 @@
 /// Maximum number of cache inserts that wait to be published; older ones are dropped, because the
 /// targets evict them first.
 const MAX_WAITING_INSERTS: usize = 64;
+/// Maximum number of reports on parts of prompts that one digest carries.
+const MAX_PARTS: usize = 4;
 /// Age up to which suspect requests are published, in milliseconds.
 const SUSPECT_PUBLISH_MS: u64 = 5_000;
 /// Number of digests that carry a suspect request, since one may be lost.
@@ -206,7 +208,8 @@
         let reports = self.publication.take_reports(now, current);
         let recent = self.suspects.export_recent(now, SUSPECT_PUBLISH_MS);
         let suspects = self.publication.take_suspects(recent);
-        let has_news = !reports.is_empty() || !suspects.is_empty();
+        let parts = self.part_suspects.take_reports(now, MAX_PARTS);
+        let has_news = !reports.is_empty() || !suspects.is_empty() || !parts.is_empty();
         if !has_news && !self.publication.is_due(now) {
             return None;
         }
@@ -219,6 +222,7 @@
             reports,
             cache_inserts: self.publication.take_inserts(),
             suspects,
+            parts,
         })
     }
 
--- a/crates/rw-gate/src/retry_flow.rs
+++ b/crates/rw-gate/src/retry_flow.rs
@@ -11,16 +11,31 @@
         if self.retry(now, i, effects) {
             return;
         }
+        if let Some(left_ms) = self.poisoned_ms(now, &self.calls[i].request) {
+            return self.refuse_poisoned(i, left_ms, effects);
+        }
+        let kind = self.failure_kind(i, RefusalKind::Overloaded);
+        self.refuse_with_estimate(i, kind, 0.0, effects);
+    }
+
+    /// Refuses a call that crashes its targets; one that may have run gets no promise that it has
+    /// not.
+    pub(crate) fn refuse_poisoned(&mut self, i: usize, left_ms: u64, effects: &mut Vec<Effect>) {
+        let kind = self.failure_kind(i, RefusalKind::Poison);
+        self.refuse(i, self.refusal(kind, left_ms), effects);
+    }
+
+    /// How a call fails that can't be sent again: with `not_run` if no target has run it.
+    fn failure_kind(&self, i: usize, not_run: RefusalKind) -> RefusalKind {
         let call = &self.calls[i];
-        let kind = match (
+        match (
             call.resume_after == call.request.last_event,
             call.outcome_unknown,
         ) {
             (false, _) => RefusalKind::Truncated,
             (true, true) => RefusalKind::ResponseLost,
-            (true, false) => RefusalKind::Overloaded,
-        };
-        self.refuse_with_estimate(i, kind, 0.0, effects);
+            (true, false) => not_run,
+        }
     }
 
     /// Retries a call if its deadline, the retry budget and the available targets allow; returns
@@ -30,6 +45,9 @@
         if call.dispatches >= MAX_DISPATCHES + u32::from(call.prefilled) || call.left_ms(now) == 0 {
             return false;
         }
+        if self.poisoned_ms(now, &call.request).is_some() {
+            return false;
+        }
         let Some(placement) = self.placer(now).choose(call) else {
             return false;
         };
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -117,6 +117,7 @@
         }
         let received = Digest {
             suspects: snapshot.suspects,
+            parts: snapshot.parts,
             ..Digest::default()
         };
         self.step(Event::DigestReceived(received));
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -28,6 +28,9 @@
     pub peers: Vec<Peer>,
     /// Suspect requests: calls whose targets crashed.
     pub suspects: Vec<rw_types::Suspect>,
+    /// Parts of prompts under which targets crashed.
+    #[serde(default)]
+    pub parts: Vec<rw_gate::PartReport>,
 }
 
 /// The platform's registry of routes, targets and nodes.
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -145,6 +145,7 @@
             targets: targets.collect(),
             peers: self.peers.borrow().all().to_vec(),
             suspects: gate.suspects(self.clock.now()),
+            parts: gate.part_suspects(self.clock.now()),
         }
     }
 
