A stream whose event never ends is given up at 256 KiB

Since event streams are forwarded by complete events, a target that sends bytes without end, and never ends an event, filled the node's memory until the call's deadline; on routes with resumption it did before, too.

The test (bytes without an event's end, deadline 3 s) failed on the code before: nothing ended the stream. Now the response is broken at once, and the caller gets 502.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -27,6 +27,8 @@
 /// Maximum response body that is buffered in full. A body with a larger declared length is
 /// streamed.
 const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+/// Maximum size of an event, of which only complete ones are forwarded.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Extra wait after a call's deadline, so that the target's own final response can still arrive.
 const DEADLINE_GRACE: Duration = Duration::from_millis(40);
 
@@ -308,6 +310,9 @@
                 true => splitter.push(&bytes),
                 false => bytes,
             };
+            if splitter.incomplete().len() > MAX_EVENT_BYTES {
+                return Err(malformed().into());
+            }
             if bytes.is_empty() {
                 continue;
             }
