A stream with a length that another target continues stays one response

A stream that may be resumed and declared a length was forwarded with that length. When its target broke off and another continued it with events of other sizes, the caller got bytes beyond the declared length on its connection, where its next response is due, or too few.

Cause: the head that the caller gets is that of the first target, and its length was kept.

Event streams are now forwarded in chunks, however their target frames them. The test failed before: 56 bytes of a body that declared 32.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -286,7 +286,7 @@
     ) -> Result<DispatchOutcome, ExchangeError> {
         let StreamedResponse {
             mut conn,
-            head,
+            mut head,
             mut body,
         } = streamed;
         let ResponseProgress {
@@ -297,6 +297,11 @@
             false => EventSplitter::unfiltered(),
         };
         let has_events = dispatch.stream && is_event_stream(&head);
+        let framing = head.framing;
+        if has_events && framing != Framing::Length(0) {
+            // The length that a target declares doesn't hold once another continues its stream.
+            head.framing = Framing::Chunked;
+        }
         let mut first = true;
         while let Some(bytes) = body.next(&mut conn.connection).await? {
             if first {
@@ -323,7 +328,7 @@
             }
             *last_event = splitter.last_id();
         }
-        if has_events && was_cut(&head, &splitter) {
+        if has_events && was_cut(framing, &splitter) {
             return Err(truncated().into());
         }
         let rest = splitter.incomplete();
@@ -381,9 +386,9 @@
 }
 
 /// Whether an event stream whose body has ended was broken off by the target.
-fn was_cut(head: &ResponseHead, splitter: &EventSplitter) -> bool {
+fn was_cut(framing: Framing, splitter: &EventSplitter) -> bool {
     // A crash also ends the connection, so without other framing a stream needs at least one event.
-    let is_empty = head.framing == Framing::Close && !splitter.has_events();
+    let is_empty = framing == Framing::Close && !splitter.has_events();
     is_empty || splitter.is_inside_event()
 }
 
