A target that has crashed is recognized while it still accepts connections

Cause: after a broken connection, one probe at once told whether the target had terminated. A process that exits closes its connections before its listener, and the system accepts new connections until then, so that the probe broke too, and that counted as a sign of life. Traced on a scratch copy with ten copies of the test at once: attempts of one call ended broken with crashed true, false, true, 20 ms apart.

Change: a probe whose connection breaks is repeated, each 50 ms and ten times at most, until nothing listens or the target responds.

--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -208,7 +208,9 @@
         if path == "/calls" {
             return json(200, &self.faults.calls());
         }
-        self.faults.crash_on(&body);
+        if self.faults.crash_on(&body) {
+            return broken();
+        }
         let faults = self.faults.on_call(&path);
         if faults.contains(&Fault::Reject) {
             let mut response = raw(503, Vec::new(), "text/plain");
@@ -433,6 +435,14 @@
     }
 }
 
+/// A response that breaks off before its first byte of body.
+fn broken() -> Response {
+    let (tx, rx) = async_channel::bounded(1);
+    // The channel is new and has room.
+    let _never_full = tx.try_send(Err(io::ErrorKind::ConnectionReset.into()));
+    event_stream(rx)
+}
+
 async fn sleep(seconds: f64) {
     if seconds > 0.0 {
         smol::Timer::after(Duration::from_secs_f64(seconds)).await;
--- a/crates/rw-fakes/src/fault.rs
+++ b/crates/rw-fakes/src/fault.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -54,6 +57,10 @@
     Crash {
         /// Text to search for.
         text: String,
+        /// Milliseconds from the crash to the exit, during which an engine accepts connections and
+        /// breaks every response on them.
+        #[serde(default)]
+        exit_ms: u64,
     },
 }
 
@@ -75,6 +82,8 @@
 #[derive(Debug, Default)]
 pub struct Faults {
     armed: Mutex<Vec<ArmedFault>>,
+    /// Whether the process has crashed and is about to exit.
+    crashed: AtomicBool,
     /// Number of calls by path, sorted.
     calls: Mutex<Vec<(String, u64)>>,
 }
@@ -135,17 +144,23 @@
         calls.clone()
     }
 
-    /// Exits the process if `body` contains the text of a [`Fault::Crash`].
-    pub fn crash_on(&self, body: &[u8]) {
+    /// Exits the process, at once or soon, if `body` contains the text of a [`Fault::Crash`].
+    /// Returns whether it has crashed and is about to exit.
+    pub fn crash_on(&self, body: &[u8]) -> bool {
         let armed = self.armed.lock().unwrap_or_else(PoisonError::into_inner);
         let body = String::from_utf8_lossy(body);
-        let crashes = armed.iter().any(|a| match &a.fault {
-            Fault::Crash { text } => body.contains(text.as_str()),
-            _ => false,
+        let exit_ms = armed.iter().find_map(|a| match &a.fault {
+            Fault::Crash { text, exit_ms } => body.contains(text.as_str()).then_some(*exit_ms),
+            _ => None,
         });
-        if crashes {
-            std::process::exit(CRASH_EXIT_CODE);
+        match exit_ms {
+            Some(0) => std::process::exit(CRASH_EXIT_CODE),
+            Some(ms) if !self.crashed.swap(true, Ordering::Relaxed) => {
+                smol::spawn(exit_after(Duration::from_millis(ms))).detach();
+            }
+            _ => {}
         }
+        self.crashed.load(Ordering::Relaxed)
     }
 
     /// Number with which token `n` of `total` is sent.
@@ -169,3 +184,8 @@
         }
     }
 }
+
+async fn exit_after(delay: Duration) {
+    smol::Timer::after(delay).await;
+    std::process::exit(CRASH_EXIT_CODE);
+}
--- a/crates/rw-node/src/watch.rs
+++ b/crates/rw-node/src/watch.rs
@@ -12,6 +12,10 @@
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum number of probes that find out whether a target has terminated.
+const MAX_PROBES: u32 = 10;
+/// Pause between these probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
 
 /// What the node is waiting for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,8 +59,19 @@
     }
 
     /// Whether the target at `addr` has terminated: nothing listens there any more.
+    ///
+    /// A process that terminates closes its connections before its listener, and the system accepts
+    /// new ones until then. So a probe whose connection breaks is repeated.
     pub(crate) async fn has_terminated(&self, addr: &str) -> bool {
-        matches!(self.probe(addr).await, Err(SendError::NotSent))
+        for _ in 0..MAX_PROBES {
+            match self.probe(addr).await {
+                Err(SendError::NotSent) => return true,
+                Err(SendError::Broken | SendError::Truncated) => {}
+                Ok(_) | Err(_) => return false,
+            }
+            Timer::after(PROBE_PAUSE).await;
+        }
+        false
     }
 
     async fn probe(&self, addr: &str) -> Result<LoadReport, SendError> {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -166,21 +166,35 @@
     exited.count()
 }
 
-async fn arm_crash(fleet: &Fleet) {
+/// Engines that get a poisoned request exit `exit_ms` after it, and answer nothing until then.
+async fn arm_crash(fleet: &Fleet, exit_ms: u64) {
     for engine in &fleet.engines {
-        let armed = r#"[{"fault":"crash","text":"poison"}]"#;
+        let armed = format!(r#"[{{"fault":"crash","text":"poison","exit_ms":{exit_ms}}}]"#);
         fleet
-            .set_faults(engine, armed)
+            .set_faults(engine, &armed)
             .await
             .expect("a fault is set");
     }
 }
 
+#[test]
+fn a_crash_is_recognized_while_the_target_still_accepts_connections() {
+    smol::block_on(async {
+        let mut fleet = start(5).await;
+        arm_crash(&fleet, 100).await;
+        let response = fleet.post(0, PATH, "", &body("poison", false)).await;
+        let response = response.expect("a response");
+        assert_eq!(response.status, 422, "{response:?}");
+        Timer::after(Duration::from_millis(300)).await;
+        assert_eq!(crashed(&mut fleet.engines), 2);
+    });
+}
+
 #[test]
 fn a_request_that_crashes_targets_crashes_at_most_two() {
     smol::block_on(async {
         let mut fleet = start(5).await;
-        arm_crash(&fleet).await;
+        arm_crash(&fleet, 0).await;
         for n in [0, 1, 2, 0, 1, 2] {
             let response = fleet.post(n, PATH, "", &body("poison", false)).await;
             let response = response.expect("a response");
@@ -201,7 +215,7 @@
 fn concurrent_nodes_crash_at_most_one_more_target_each() {
     smol::block_on(async {
         let mut fleet = start(8).await;
-        arm_crash(&fleet).await;
+        arm_crash(&fleet, 0).await;
         let poison = body("poison", false);
         for _ in 0..2 {
             let sends = (0..3).map(|n| fleet.post(n, PATH, "", &poison));
