The relay recognizes a crashed target while it still accepts connections

A request that crashed both of its targets was not known as such, and went to a third.

A connection that is closed at once is no sign of life any more: the check is repeated up to five times, and a target counts as running if a connection stays open for 20 ms, by which a call that broke otherwise is retried later.

--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::{BootClock, Connection, timeout::timeout};
 use rw_types::Millis;
+use smol::Timer;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -13,6 +14,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for a connection that only checks whether a target listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum number of such connections for one check.
+const MAX_PROBES: u32 = 5;
+/// Pause between them.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which a connection that stays open shows that the target runs.
+const PROBE_OPEN_TIME: Duration = Duration::from_millis(20);
 /// Idle timeout of a connection whose target announces none.
 const IDLE_TIMEOUT_MS: u64 = 2_000;
 /// A connection expires this much before the idle timeout that its target announces.
@@ -137,12 +144,22 @@
         self.open_counts.borrow_mut().retain(|(_, n)| n.get() > 0);
     }
 
-    /// Whether a connection to `addr` can't be opened.
+    /// Whether nothing listens at `addr` any more.
+    ///
+    /// A process that terminates closes its connections before its listener, and the system accepts
+    /// new ones until then. So a connection that is closed at once doesn't show that the target
+    /// runs.
     pub(crate) async fn is_down(&self, addr: SocketAddr) -> bool {
-        !matches!(
-            timeout(PROBE_TIMEOUT, Connection::open(addr)).await,
-            Some(Ok(_))
-        )
+        for _ in 0..MAX_PROBES {
+            let Some(Ok(mut probe)) = timeout(PROBE_TIMEOUT, Connection::open(addr)).await else {
+                return true;
+            };
+            if timeout(PROBE_OPEN_TIME, probe.closed()).await.is_none() {
+                return false;
+            }
+            Timer::after(PROBE_PAUSE).await;
+        }
+        false
     }
 
     fn take_idle(&self, addr: SocketAddr, incarnation: u64) -> Option<TargetConnection> {
