Targets that say they are leaving, or ask for a pause, get nothing new (relay)

Targets say in the heads of their responses that they are leaving (server-leaving) and, with 503, for how long they want nothing from a node (retry-after). Both were ignored: a target that left went on getting calls until its entry was read, with the store away for as long as it listened; one that asked for 1.5 s got 67 calls in that time.

Change: what a target says is an event of the reducer like a row of the store. It is remembered by name and incarnation, beyond the entry, so that an entry read later doesn't bring the target back. All sources meet in Target::availability, whose order is written down. Heads of all responses count: to runs, prefills, orders and reports, rejections, failures, 421, heads of streams that then break off, and responses to other calls. Callers that no target can take are refused at once with the end of the first pause. Role orders, released handles and fetches leave such targets out.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -15,6 +15,8 @@
 /// Retry time in a refusal by a node that shuts down, in milliseconds. It is short, because any
 /// other node can serve the call.
 const SHUTDOWN_RETRY_MS: u64 = 50;
+/// Minimum interval over which callers return after a pause, in milliseconds.
+const MIN_RETURN_SPREAD_MS: u64 = 100;
 /// Maximum retry time named in a refusal, in milliseconds.
 const MAX_RETRY_MS: u64 = 3_000;
 
@@ -131,6 +133,18 @@
         ms <= call.client_deadline.since(now) as f64 * DEADLINE_FRACTION
     }
 
+    /// Retry time of a call that no target can take: the end of the first pause, if all targets of
+    /// the service that stay are paused.
+    pub(crate) fn no_target_retry_ms(&mut self, now: Millis, service: &str) -> u64 {
+        match self.pause_left_ms(now, service) {
+            Some(left_ms) => {
+                let spread_ms = (left_ms / 4).max(MIN_RETURN_SPREAD_MS);
+                (left_ms + self.rng.u64(..=spread_ms)).min(MAX_RETRY_MS)
+            }
+            None => self.retry_ms(0.0),
+        }
+    }
+
     /// Retry time in milliseconds, with jitter so that callers do not retry at the same moment.
     pub(crate) fn retry_ms(&mut self, wait_ms: f64) -> u64 {
         let min = self.settings.retry_ms;
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -20,7 +20,7 @@
             return;
         };
         let Some(placement) = self.placer(now).choose(&self.calls[i]) else {
-            return self.refuse_with_estimate(i, RefusalKind::NoTarget, 0.0, effects);
+            return self.refuse_without_target(now, i, RefusalKind::NoTarget, effects);
         };
         let start_ms = self.start_estimate_ms(&self.calls[i], &placement);
         match self.meets_deadline(now, &self.calls[i], start_ms) {
@@ -376,7 +376,7 @@
             }
             None => {
                 effects.push(Effect::ReleaseHandle(handle));
-                self.refuse_with_estimate(i, RefusalKind::NoTarget, 0.0, effects);
+                self.refuse_without_target(now, i, RefusalKind::NoTarget, effects);
             }
         }
     }
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -3,7 +3,7 @@
 //! Reports and jobs are serialized as arrays without field names, because every node sends them to
 //! several others many times a second.
 
-use crate::PrefillJob;
+use crate::{PrefillJob, TargetIncarnation};
 use rw_types::{Role, Suspect};
 use serde::{Deserialize, Serialize};
 
@@ -157,4 +157,7 @@
     /// Parts of prompts under which targets crashed, and those that were cleared since.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<PartReport>,
+    /// Targets that have said that they are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<TargetIncarnation>,
 }
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -1,6 +1,9 @@
 //! Input events of the reducer.
 
-use crate::{CallRequest, Digest, GateSettings, OrderOutcome, Routing, TargetSpec};
+use crate::{
+    CallRequest, Digest, GateSettings, OrderOutcome, Routing, TargetIncarnation, TargetNotice,
+    TargetSpec,
+};
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
 
@@ -102,6 +105,13 @@
         /// Name of the target.
         name: String,
     },
+    /// A target said something about itself with a response.
+    TargetNotice {
+        /// The target, as the request addressed it.
+        target: TargetIncarnation,
+        /// What it said.
+        notice: TargetNotice,
+    },
     /// All entries were read; known targets that are not listed were removed.
     TargetsListed(Vec<TargetSpec>),
     /// The store is reachable again after an outage.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,8 +1,9 @@
 //! State of the reducer and its entry point.
 
 use crate::{
-    Digest, DispatchMode, Effect, Event, GateSettings, LocalRetryBudget, Overrun, PartReport,
-    PartSuspects, Refusal, RefusalKind, Routing, TargetList, WorkReport,
+    Digest, DispatchMode, Effect, Event, GateSettings, LeavingSource, LocalRetryBudget, Overrun,
+    PartReport, PartSuspects, Refusal, RefusalKind, Routing, TargetIncarnation, TargetList,
+    WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placement::Placer,
@@ -86,6 +87,9 @@
                 self.targets.upsert(spec);
             }
             Event::TargetRemoved { name } => self.remove_target(now, &name),
+            Event::TargetNotice { target, notice } => {
+                self.notice_received(now, &target, notice, &mut effects);
+            }
             Event::TargetsListed(specs) => {
                 self.roles.connected_since.get_or_insert(now);
                 self.replace_targets(now, specs);
@@ -155,6 +159,12 @@
         self.part_suspects.export(now)
     }
 
+    /// All targets that have said that they are leaving, for a node that has just started.
+    #[must_use]
+    pub fn leaving_targets(&self) -> Vec<TargetIncarnation> {
+        self.targets.leaving()
+    }
+
     pub(crate) fn call_index(&self, id: RequestId) -> Option<usize> {
         self.calls.binary_search_by_key(&id, |c| c.id).ok()
     }
@@ -256,6 +266,9 @@
         self.suspects.merge(now, &digest.suspects);
         self.suspects.prune(now, self.settings.poison_ms);
         self.part_suspects.merge(now, &digest.parts);
+        for target in &digest.leaving {
+            self.targets.set_leaving(now, target, LeavingSource::Peer);
+        }
         self.roles.peers.retain(|p| p.vm != digest.vm);
         self.roles.peers.push(PeerConnection {
             vm: digest.vm.clone(),
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod attempt_flow;
+mod availability;
 mod call_request;
 mod call_state;
 mod digest;
@@ -16,6 +17,8 @@
 mod gate;
 mod health;
 mod local_retry_budget;
+mod notice_flow;
+mod notice_log;
 mod overrun;
 mod part_suspects;
 mod placement;
@@ -31,7 +34,9 @@
 mod settings;
 mod target;
 mod target_list;
+mod target_notice;
 
+pub use availability::{Availability, LeavingSource};
 pub use call_request::{CallRequest, Prompt, PromptPart};
 pub use digest::{CacheInsert, Digest, PartReport, RoleChange, WorkReport};
 pub use effect::{Dispatch, DispatchMode, Effect, Refusal, RefusalKind};
@@ -39,6 +44,7 @@
 pub use gate::Gate;
 pub use health::Health;
 pub use local_retry_budget::LocalRetryBudget;
+pub use notice_flow::MAX_PAUSE_MS;
 pub use overrun::Overrun;
 pub use part_suspects::PartSuspects;
 pub use prefill_cost_model::PrefillCostModel;
@@ -51,5 +57,6 @@
 pub use settings::GateSettings;
 pub use target::{Target, TargetSpec};
 pub use target_list::TargetList;
+pub use target_notice::{TargetIncarnation, TargetNotice};
 
 pub use rw_types::Role;
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -22,6 +22,8 @@
 const MAX_WAITING_INSERTS: usize = 64;
 /// Maximum number of reports on parts of prompts that one digest carries.
 const MAX_PARTS: usize = 4;
+/// Maximum number of leaving targets that one digest carries.
+const MAX_LEAVING: usize = 8;
 /// Age up to which suspect requests are published, in milliseconds.
 const SUSPECT_PUBLISH_MS: u64 = 5_000;
 /// Number of digests that carry a suspect request, since one may be lost.
@@ -209,7 +211,9 @@
         let recent = self.suspects.export_recent(now, SUSPECT_PUBLISH_MS);
         let suspects = self.publication.take_suspects(recent);
         let parts = self.part_suspects.take_reports(now, MAX_PARTS);
-        let has_news = !reports.is_empty() || !suspects.is_empty() || !parts.is_empty();
+        let leaving = self.targets.take_leaving(MAX_LEAVING);
+        let has_news =
+            !reports.is_empty() || !suspects.is_empty() || !parts.is_empty() || !leaving.is_empty();
         if !has_news && !self.publication.is_due(now) {
             return None;
         }
@@ -223,6 +227,7 @@
             cache_inserts: self.publication.take_inserts(),
             suspects,
             parts,
+            leaving,
         })
     }
 
--- a/crates/rw-gate/src/retry_flow.rs
+++ b/crates/rw-gate/src/retry_flow.rs
@@ -15,7 +15,20 @@
             return self.refuse_poisoned(i, left_ms, effects);
         }
         let kind = self.failure_kind(i, RefusalKind::Overloaded);
-        self.refuse_with_estimate(i, kind, 0.0, effects);
+        self.refuse_without_target(now, i, kind, effects);
+    }
+
+    /// Refuses a call that no target can take now.
+    pub(crate) fn refuse_without_target(
+        &mut self,
+        now: Millis,
+        i: usize,
+        kind: RefusalKind,
+        effects: &mut Vec<Effect>,
+    ) {
+        let service = self.calls[i].service.clone();
+        let retry_ms = self.no_target_retry_ms(now, &service);
+        self.refuse(i, self.refusal(kind, retry_ms), effects);
     }
 
     /// Refuses a call that crashes its targets; one that may have run gets no promise that it has
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -177,7 +177,8 @@
         let engine = service.engine.as_ref()?;
         let engines = || {
             let all = self.targets.all().iter();
-            all.filter(|t| t.spec.service == service.name && t.is_available(now))
+            // A pause is shorter than a change of roles.
+            all.filter(|t| t.spec.service == service.name && t.is_staying(now))
         };
         let all = engines().count();
         let idle = engines().all(|t| t.running_calls() == 0);
@@ -214,7 +215,8 @@
             true => (Role::Decode, Role::Prefill),
             false => (Role::Prefill, Role::Decode),
         };
-        let candidates = engines().filter(|t| t.spec.role == from && !t.is_changing_role(now));
+        let candidates = engines().filter(|t| t.is_available(now));
+        let candidates = candidates.filter(|t| t.spec.role == from && !t.is_changing_role(now));
         let target = candidates.min_by_key(|t| (t.running_calls(), t.spec.name.clone()))?;
         Some((target.spec.name.clone(), to))
     }
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -1,7 +1,8 @@
 //! A target and its estimated state.
 
 use crate::{
-    Health, PrefillQueue, PrefillSize, PrefixCache, Prompt, TargetLoad, digest::REPORT_TTL_MS,
+    Availability, Health, LeavingSource, PrefillQueue, PrefillSize, PrefixCache, Prompt,
+    TargetLoad, digest::REPORT_TTL_MS,
 };
 use rw_types::{Millis, Role};
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,10 @@
     /// Set if the entry lapsed during a store outage: time at which the target is removed unless
     /// the entry is renewed.
     pub remove_at: Option<Millis>,
+    /// Set if it said, or other nodes did, that it is leaving.
+    pub leaving: Option<LeavingSource>,
+    /// End of the pause that it asked this node for.
+    pub paused_until: Option<Millis>,
     /// Load from the latest response, and the time of that response.
     pub load: Option<(Millis, TargetLoad)>,
     /// Prefills that are queued or running on the target.
@@ -65,6 +70,8 @@
         Self {
             spec,
             remove_at: None,
+            leaving: None,
+            paused_until: None,
             load: None,
             queue: PrefillQueue::default(),
             cache: PrefixCache::default(),
@@ -107,10 +114,33 @@
         self.open_tokens + self.remote_usage.iter().map(|u| u.3).sum::<u64>()
     }
 
+    /// Whether the target may get new work, and if not, why.
+    #[must_use]
+    pub fn availability(&self, now: Millis) -> Availability {
+        if self.remove_at.is_some_and(|at| at <= now) {
+            return Availability::Gone;
+        }
+        let entry = self.spec.leaving.then_some(LeavingSource::Entry);
+        if let Some(source) = entry.or(self.leaving) {
+            return Availability::Leaving(source);
+        }
+        match self.paused_until {
+            Some(until) if now < until => Availability::Paused { until },
+            _ => Availability::Open,
+        }
+    }
+
     /// Whether the target may get new work.
     #[must_use]
     pub fn is_available(&self, now: Millis) -> bool {
-        !self.spec.leaving && self.remove_at.is_none_or(|at| now < at)
+        self.availability(now) == Availability::Open
+    }
+
+    /// Whether the target will get work, now or after a pause.
+    #[must_use]
+    pub fn is_staying(&self, now: Millis) -> bool {
+        let state = self.availability(now);
+        matches!(state, Availability::Open | Availability::Paused { .. })
     }
 
     /// Prefill work for `prompt`, given the prefix cache.
--- a/crates/rw-gate/src/target_list.rs
+++ b/crates/rw-gate/src/target_list.rs
@@ -1,12 +1,16 @@
 //! The targets known to this node.
 
-use crate::{Target, TargetSpec};
+use crate::{
+    LeavingSource, Target, TargetIncarnation, TargetSpec,
+    notice_log::{NoticeEntry, NoticeLog},
+};
 use rw_types::Millis;
 
 /// Targets sorted by name.
 #[derive(Debug, Clone, Default)]
 pub struct TargetList {
     list: Vec<Target>,
+    notices: NoticeLog,
 }
 
 impl TargetList {
@@ -37,6 +41,53 @@
 
     /// Adds or updates an entry. Returns true if the target is new or has a new incarnation.
     pub fn upsert(&mut self, spec: TargetSpec) -> bool {
+        let name = spec.name.clone();
+        let is_new = self.replace_entry(spec);
+        self.apply_notices(&name);
+        is_new
+    }
+
+    /// Records that a target is leaving; returns whether this is news.
+    pub(crate) fn set_leaving(
+        &mut self,
+        now: Millis,
+        target: &TargetIncarnation,
+        source: LeavingSource,
+    ) -> bool {
+        let is_news = self.notices.set_leaving(now, target, source);
+        self.apply_notices(&target.name);
+        is_news
+    }
+
+    /// Records that a target wants no new work until `until`.
+    pub(crate) fn pause(&mut self, now: Millis, target: &TargetIncarnation, until: Millis) {
+        self.notices
+            .pause(now, &target.name, target.incarnation, until);
+        self.apply_notices(&target.name);
+    }
+
+    /// The leaving targets that are due to be published, at most `max`.
+    pub(crate) fn take_leaving(&mut self, max: usize) -> Vec<TargetIncarnation> {
+        self.notices.take_leaving(max)
+    }
+
+    /// All targets that have said that they are leaving.
+    pub(crate) fn leaving(&self) -> Vec<TargetIncarnation> {
+        self.notices.export()
+    }
+
+    /// Updates a target by what its incarnation has said.
+    fn apply_notices(&mut self, name: &str) {
+        let Ok(i) = self.index(name) else {
+            return;
+        };
+        let target = &mut self.list[i];
+        let said = self.notices.find(name, target.spec.incarnation);
+        target.leaving = said.and_then(|e| e.leaving);
+        target.paused_until = said.and_then(|e: &NoticeEntry| e.paused_until);
+    }
+
+    fn replace_entry(&mut self, spec: TargetSpec) -> bool {
         match self.index(&spec.name) {
             Ok(i) if self.list[i].spec.incarnation == spec.incarnation => {
                 let target = &mut self.list[i];
@@ -65,7 +116,8 @@
         };
         // A target that announced that it is leaving is removed at once: its entry did not lapse
         // because of a store outage.
-        if at <= now || self.list[i].spec.leaving {
+        let target = &self.list[i];
+        if at <= now || target.spec.leaving || target.leaving.is_some() {
             self.list.remove(i);
         } else {
             let target = &mut self.list[i];
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -5,6 +5,7 @@
     body::BodyReader,
     head::is_hop,
     io_error::{malformed, truncated},
+    notices::Addressee,
     pool::{ConnectError, TargetConnection},
     response_writer::ResponseWriter,
     timeout::timeout_at,
@@ -179,7 +180,7 @@
             // nothing; a broken connection shows up when reading.
             future::pending().await
         };
-        let reading = self.read_response_head(call, &mut conn);
+        let reading = self.read_response_head(call, dispatch, &mut conn);
         let (head, metadata) = future::or(reading, writing).await?;
         let event = Event::ResponseStarted {
             id: call.id,
@@ -228,8 +229,14 @@
     async fn read_response_head(
         &self,
         call: &Call,
+        dispatch: &Dispatch,
         conn: &mut TargetConnection,
     ) -> io::Result<(ResponseHead, ResponseMetadata)> {
+        let target = Addressee {
+            name: &dispatch.target,
+            incarnation: dispatch.incarnation,
+            addr: conn.addr,
+        };
         loop {
             let bytes = conn.connection.read_head(MAX_HEAD_BYTES).await?;
             let bytes = bytes.map_err(|_| malformed())?;
@@ -239,6 +246,7 @@
                 continue;
             }
             let metadata = self.dialect.response_metadata(&head);
+            self.notice(target, &metadata);
             match &metadata.call_id {
                 Some(call_id) if *call_id == call.call_id => return Ok((head, metadata)),
                 // Without a call identifier, only the first response on a connection is known to
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -6,11 +6,16 @@
     metrics::{framing_label, mode_label, outcome_label},
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, PromptPart, Refusal};
-use std::{cell::Cell, io};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+};
 
 /// Maximum number of lines in a window. A node of the present size handles some tens of calls per
 /// second.
 const MAX_LINES: u32 = 300;
+/// Maximum number of targets with a warning about a pause.
+const MAX_WARNED: usize = 1_000;
 /// Length of the window in which lines are counted.
 const WINDOW_MS: u64 = 1_000;
 
@@ -21,6 +26,8 @@
     window: Cell<u64>,
     lines: Cell<u32>,
     dropped: Cell<u64>,
+    /// Targets with a logged warning about a pause, sorted.
+    warned: RefCell<Vec<String>>,
 }
 
 impl DecisionLog {
@@ -30,6 +37,7 @@
             window: Cell::new(0),
             lines: Cell::new(0),
             dropped: Cell::new(0),
+            warned: RefCell::default(),
         }
     }
 
@@ -102,6 +110,50 @@
         }
     }
 
+    /// A target said in a response that it is leaving.
+    pub(crate) fn leaving(&self, target: &str, incarnation: u64) {
+        if self.allow_line() {
+            log::info!(target, life = incarnation; "target leaves by its own response");
+        }
+    }
+
+    /// The node `vm` said that a target is leaving.
+    pub(crate) fn leaving_by_peer(&self, target: &str, incarnation: u64, vm: &str) {
+        if self.allow_line() {
+            log::info!(target, life = incarnation, vm; "target leaves, by another node");
+        }
+    }
+
+    /// A target asked for a pause; one longer than `max_ms` is cut to it.
+    pub(crate) fn pause(&self, target: &str, pause_ms: u64, max_ms: u64) {
+        if pause_ms > max_ms && self.warn_once(target) {
+            log::warn!(target, pause_ms, max_ms; "target asks for too long a pause, which was cut; correct its Retry-After");
+        }
+        if self.allow_line() {
+            log::info!(target, pause_ms; "target paused by its own response");
+        }
+    }
+
+    /// A target asked for a pause whose length can't be read; it is ignored.
+    pub(crate) fn pause_invalid(&self, target: &str) {
+        if self.warn_once(target) {
+            log::warn!(target; "target asks for a pause that is not a number of seconds, which was ignored; correct its Retry-After");
+        }
+    }
+
+    /// Whether no warning about a pause of this target was logged before.
+    fn warn_once(&self, target: &str) -> bool {
+        let mut warned = self.warned.borrow_mut();
+        let Err(i) = warned.binary_search_by(|t| t.as_str().cmp(target)) else {
+            return false;
+        };
+        if warned.len() == MAX_WARNED {
+            return false;
+        }
+        warned.insert(i, target.to_owned());
+        true
+    }
+
     pub(crate) fn rejected(&self, status: u16, kind: &str) {
         if self.allow_line() {
             log::info!(status, kind; "request rejected without forwarding");
--- a/crates/rw-relay/src/dialect.rs
+++ b/crates/rw-relay/src/dialect.rs
@@ -14,6 +14,19 @@
     pub signed: bool,
     /// Load that the target reports with the response.
     pub load: Option<TargetLoad>,
+    /// Whether the target says that it is leaving.
+    pub is_leaving: bool,
+    /// Pause that the target asks for.
+    pub pause: Option<PauseRequest>,
+}
+
+/// A time for which a target wants no new work from this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseRequest {
+    /// Milliseconds from the response; zero for none.
+    Millis(u64),
+    /// The target names a time that is no valid duration.
+    Invalid,
 }
 
 /// State that a target reports when asked, before it gets an order.
--- a/crates/rw-relay/src/endpoint_server.rs
+++ b/crates/rw-relay/src/endpoint_server.rs
@@ -110,6 +110,11 @@
 
 impl<D: Dialect> EndpointHandler<D> for MetricsText {
     fn handle(&self, relay: &Relay<D>, _head: &RequestHead, _body: &[u8]) -> EndpointResponse {
+        let gate = relay.gate.borrow();
+        let now = relay.clock.now();
+        let targets = gate.targets().all().iter();
+        let states = targets.map(|t| t.availability(now).as_str());
+        relay.metrics.set_target_states(states);
         let body = relay
             .metrics
             .encode(relay.pool.opened(), relay.log.dropped());
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use crate::Framing;
 use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, RefusalKind};
 use rw_types::Millis;
@@ -18,6 +18,8 @@
     outcomes: IntCounterVec,
     refusals: IntCounterVec,
     rejects: IntCounterVec,
+    notices: IntCounterVec,
+    target_states: IntGaugeVec,
     over_limit: IntCounter,
     skipped_rows: IntCounter,
     opened: IntGauge,
@@ -74,6 +76,11 @@
             registry.register(Box::new(metric.clone()))?;
             Ok(metric)
         };
+        let states = IntGaugeVec::new(
+            Opts::new("rw_targets", "known targets, by whether they may get work"),
+            &["state"],
+        )?;
+        registry.register(Box::new(states.clone()))?;
         Ok(Self {
             calls: counter("rw_calls_total", "calls read from callers")?,
             dispatches: labelled("rw_dispatches_total", "calls sent to targets", "mode")?,
@@ -122,6 +129,12 @@
                 "bytes of digests exchanged with other nodes, by direction",
                 "direction",
             )?,
+            notices: labelled(
+                "rw_target_notices_total",
+                "what targets said about themselves with responses, by kind",
+                "kind",
+            )?,
+            target_states: states,
             timer_delay: histogram(
                 "rw_timer_delay_seconds",
                 "how late the node's periodic timer fires",
@@ -178,10 +191,21 @@
             .inc_by(bytes as u64);
     }
 
+    /// A target said something about itself with a response.
+    pub(crate) fn notice(&self, kind: &str) {
+        self.notices.with_label_values(&[kind]).inc();
+    }
+
     pub(crate) fn timer_fired(&self, late: Duration) {
         self.timer_delay.observe(late.as_secs_f64());
     }
 
+    /// Sets the number of known targets in each state.
+    pub(crate) fn set_target_states(&self, states: impl Iterator<Item = &'static str>) {
+        self.target_states.reset();
+        states.for_each(|state| self.target_states.with_label_values(&[state]).inc());
+    }
+
     /// Encodes all metrics in the Prometheus text format, with the given numbers of connections
     /// opened to targets and of log lines dropped.
     pub(crate) fn encode(&self, opened: u64, dropped: u64) -> Vec<u8> {
--- /dev/null
+++ b/crates/rw-relay/src/notices.rs
@@ -0,0 +1,90 @@
+//! What targets say about themselves in the heads of their responses.
+
+use crate::{Dialect, PauseRequest, Relay, ResponseHead, ResponseMetadata};
+use rw_gate::{Availability, Digest, Event, MAX_PAUSE_MS, TargetIncarnation, TargetNotice};
+use std::net::SocketAddr;
+
+/// A target as a request addressed it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Addressee<'a> {
+    pub(crate) name: &'a str,
+    pub(crate) incarnation: u64,
+    pub(crate) addr: SocketAddr,
+}
+
+impl<D: Dialect> Relay<D> {
+    /// Passes on what `target` says about itself in the head of a response to any request.
+    pub(crate) fn notice_in_head(&self, target: Addressee<'_>, head: &ResponseHead) {
+        self.notice(target, &self.dialect.response_metadata(head));
+    }
+
+    /// Passes on what `target` says about itself with a response.
+    pub(crate) fn notice(&self, target: Addressee<'_>, metadata: &ResponseMetadata) {
+        let pause_ms = match metadata.pause {
+            Some(PauseRequest::Invalid) => {
+                self.log.pause_invalid(target.name);
+                self.metrics.notice("invalid-pause");
+                None
+            }
+            Some(PauseRequest::Millis(ms)) => Some(ms).filter(|ms| *ms > 0),
+            None => None,
+        };
+        if let Some(ms) = pause_ms {
+            self.log.pause(target.name, ms, MAX_PAUSE_MS);
+            self.metrics.notice("pause");
+        }
+        if !metadata.is_leaving && pause_ms.is_none() {
+            return;
+        }
+        if metadata.is_leaving {
+            self.note_leaving(target);
+        }
+        let notice = TargetNotice {
+            is_leaving: metadata.is_leaving,
+            pause_ms,
+        };
+        let target = TargetIncarnation {
+            name: target.name.to_owned(),
+            incarnation: target.incarnation,
+        };
+        self.step(Event::TargetNotice { target, notice });
+    }
+
+    /// Passes on a digest of another node, and logs which targets it says are leaving.
+    pub(crate) fn digest_received(&self, digest: Digest) {
+        for target in &digest.leaving {
+            if !self.is_known_leaving(&target.name) {
+                self.log
+                    .leaving_by_peer(&target.name, target.incarnation, &digest.vm);
+            }
+        }
+        self.step(Event::DigestReceived(digest));
+    }
+
+    /// Whether the target at `addr` may get requests that concern no call, such as the release of a
+    /// handle. One that isn't known may.
+    pub(crate) fn takes_requests(&self, addr: &str) -> bool {
+        let gate = self.gate.borrow();
+        let now = self.clock.now();
+        let mut at_addr = gate.targets().all().iter().filter(|t| t.spec.addr == addr);
+        at_addr.all(|t| t.is_available(now))
+    }
+
+    /// Whether the target is known to be leaving, or isn't known at all.
+    fn is_known_leaving(&self, name: &str) -> bool {
+        let gate = self.gate.borrow();
+        let target = gate.targets().find(name);
+        let state = target.map(|t| t.availability(self.clock.now()));
+        matches!(state, Some(Availability::Leaving(_)) | None)
+    }
+
+    /// Logs the first notice of a target that it is leaving, and closes its idle connections.
+    fn note_leaving(&self, target: Addressee<'_>) {
+        if self.is_known_leaving(target.name) {
+            return;
+        }
+        self.log.leaving(target.name, target.incarnation);
+        self.metrics.notice("leaving");
+        self.pool.drop_idle(target.addr);
+    }
+}
--- a/crates/rw-relay/src/orders.rs
+++ b/crates/rw-relay/src/orders.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Connection, Dialect, Relay, RoleOrder, TargetReport, body::BodyReader, head::ResponseHead,
-    io_error::malformed, timeout::timeout,
+    io_error::malformed, notices::Addressee, timeout::timeout,
 };
 use async_channel::Receiver;
 use rw_gate::{Effect, Event, OrderOutcome, Role};
@@ -17,23 +17,34 @@
 /// An order taken from the queue, with the target's address parsed.
 struct QueuedOrder {
     target: String,
+    incarnation: u64,
     addr: SocketAddr,
     role: Role,
     token: u64,
     until: Millis,
 }
 
+impl QueuedOrder {
+    fn addressee(&self) -> Addressee<'_> {
+        Addressee {
+            name: &self.target,
+            incarnation: self.incarnation,
+            addr: self.addr,
+        }
+    }
+}
+
 impl<D: Dialect> Relay<D> {
     /// Sends one order after another, so that this node never has two in flight.
     pub(crate) async fn send_orders(self: Rc<Self>, orders: Receiver<Effect>) {
         while let Ok(effect) = orders.recv().await {
             let Effect::Order {
                 target,
+                incarnation,
                 addr,
                 role,
                 token,
                 until,
-                ..
             } = effect
             else {
                 continue;
@@ -43,6 +54,7 @@
             };
             let queued = QueuedOrder {
                 target,
+                incarnation,
                 addr,
                 role,
                 token,
@@ -56,7 +68,7 @@
     }
 
     async fn send_order(&self, queued: &QueuedOrder) -> OrderOutcome {
-        let report = match timeout(REQUEST_TIMEOUT, self.fetch_report(queued.addr)).await {
+        let report = match timeout(REQUEST_TIMEOUT, self.fetch_report(queued)).await {
             Some(Ok(report)) => report,
             Some(Err(error)) => {
                 log::info!(target = queued.target.as_str(), error:%; "target report could not be fetched; order not sent");
@@ -67,6 +79,9 @@
                 return OrderOutcome::Refused;
             }
         };
+        if !self.takes_requests(&queued.addr.to_string()) {
+            return OrderOutcome::Refused;
+        }
         if report.role == queued.role {
             return OrderOutcome::Accepted;
         }
@@ -98,22 +113,27 @@
             return OrderOutcome::Refused;
         }
         match timeout(REQUEST_TIMEOUT, exchange(conn, &bytes)).await {
-            Some(Ok((status, _))) => self.dialect.order_outcome(status),
+            Some(Ok((head, _))) => {
+                self.notice_in_head(queued.addressee(), &head);
+                self.dialect.order_outcome(head.status)
+            }
             Some(Err(_)) | None => OrderOutcome::Unknown,
         }
     }
 
-    async fn fetch_report(&self, addr: SocketAddr) -> io::Result<TargetReport> {
+    async fn fetch_report(&self, queued: &QueuedOrder) -> io::Result<TargetReport> {
+        let addr = queued.addr;
         let path = self.dialect.report_path();
         let bytes = format!("GET {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n\r\n");
         let conn = Connection::open(addr).await?;
-        let (status, body) = exchange(conn, bytes.as_bytes()).await?;
+        let (head, body) = exchange(conn, bytes.as_bytes()).await?;
+        self.notice_in_head(queued.addressee(), &head);
         let report = self.dialect.parse_report(&body);
-        report.filter(|_| status == 200).ok_or_else(malformed)
+        report.filter(|_| head.status == 200).ok_or_else(malformed)
     }
 }
 
-async fn exchange(mut conn: Connection, bytes: &[u8]) -> io::Result<(u16, Vec<u8>)> {
+async fn exchange(mut conn: Connection, bytes: &[u8]) -> io::Result<(ResponseHead, Vec<u8>)> {
     conn.write_all(bytes).await?;
     let head = conn
         .read_head(MAX_RESPONSE_BYTES)
@@ -123,5 +143,5 @@
     let body = BodyReader::new(head.framing)
         .read_all(&mut conn, MAX_RESPONSE_BYTES)
         .await?;
-    Ok((head.status, body))
+    Ok((head, body))
 }
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -118,9 +118,10 @@
         let received = Digest {
             suspects: snapshot.suspects,
             parts: snapshot.parts,
+            leaving: snapshot.leaving,
             ..Digest::default()
         };
-        self.step(Event::DigestReceived(received));
+        self.digest_received(received);
     }
 
     async fn send_digests(&self, socket: &Async<UdpSocket>, digest_wakes: Receiver<()>) {
@@ -198,9 +199,7 @@
             };
             self.metrics.digest(Direction::Received, n);
             match parse_digest(&buf[..n]) {
-                Ok(digest) => {
-                    self.step(Event::DigestReceived(digest));
-                }
+                Ok(digest) => self.digest_received(digest),
                 Err(error) => log::debug!(from:%, error:%; "datagram is not a digest; dropped"),
             }
         }
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -31,7 +31,7 @@
     pub(crate) connection: Connection,
     /// Whether it has carried an earlier call.
     pub(crate) reused: bool,
-    addr: SocketAddr,
+    pub(crate) addr: SocketAddr,
     incarnation: u64,
     _count: OpenCount,
 }
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -31,6 +31,9 @@
     /// Parts of prompts under which targets crashed.
     #[serde(default)]
     pub parts: Vec<rw_gate::PartReport>,
+    /// Targets that have said that they are leaving.
+    #[serde(default)]
+    pub leaving: Vec<rw_gate::TargetIncarnation>,
 }
 
 /// The platform's registry of routes, targets and nodes.
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -146,6 +146,7 @@
             peers: self.peers.borrow().all().to_vec(),
             suspects: gate.suspects(self.clock.now()),
             parts: gate.part_suspects(self.clock.now()),
+            leaving: gate.leaving_targets(),
         }
     }
 
@@ -165,6 +166,10 @@
     }
 
     fn release_handle(&self, handle: KvHandle) {
+        // It ends with its target, or expires during the pause.
+        if !self.takes_requests(&handle.addr) {
+            return;
+        }
         let Ok(addr) = handle.addr.parse::<SocketAddr>() else {
             return;
         };
