Targets that say they are leaving, or ask for a pause, get nothing new (own interface)

The product's own interface ignored what targets say about themselves, except a drain in load reports: an engine that said it leaves got 20 of the next 20 calls, and callers of a target that paused for 1.5 s were told to come back after 1 s.

Change: x-leaving and, with 503, retry-after are read from the heads of all responses, load reports included; the reducer closes the target for 60 s, until a later load report comes without the word, or until the pause ends. A call that no target can take gets the end of the first pause as its retry time. The type of a notice, the parsing of retry-after and the jitter are shared with the relay.

--- a/crates/rw-core/src/admit.rs
+++ b/crates/rw-core/src/admit.rs
@@ -20,7 +20,7 @@
 /// State that admission and routing decisions keep between requests.
 #[derive(Debug, Clone)]
 pub(crate) struct DecisionState {
-    rng: fastrand::Rng,
+    pub(crate) rng: fastrand::Rng,
     decision_count: u64,
     /// Moving average of the rejection rate.
     reject_rate: f64,
@@ -141,7 +141,20 @@
             return Err(overloaded);
         }
         decisions.record_decision(result.is_err());
-        result
+        result.map_err(|rejection| self.with_pause(now, i, rejection))
+    }
+
+    /// Extends the retry time of a request that no target can take to the end of the first pause.
+    fn with_pause(&self, now: Millis, i: usize, rejection: Rejection) -> Rejection {
+        if rejection.kind != RefusalKind::NoTarget {
+            return rejection;
+        }
+        let left_ms = self.pause_left_ms(now, &self.requests[i].call.operation);
+        let retry_ms = left_ms.unwrap_or(0).max(rejection.retry_ms);
+        Rejection {
+            retry_ms,
+            ..rejection
+        }
     }
 
     /// Whether no generation request so far had a higher priority.
--- a/crates/rw-core/src/event.rs
+++ b/crates/rw-core/src/event.rs
@@ -1,7 +1,7 @@
 //! Events: the input of the reducer.
 
 use crate::{AuthorityEvent, Call, ClaimResult, ClaimStatus, Handover, Suspect, SyncEvent};
-use rw_types::{AttemptId, Config, LoadReport, RequestId, Vm};
+use rw_types::{AttemptId, Config, LoadReport, RequestId, TargetNotice, Vm};
 use std::sync::Arc;
 
 /// Something that happened to a node. The time is passed to [`Node::step`](crate::Node::step)
@@ -71,7 +71,14 @@
     },
     /// A configuration was read. It is applied only if its version is higher than the one in force.
     ConfigRead(Arc<Config>),
-    /// A target reported its load.
+    /// A target said something about itself with a response.
+    TargetNotice {
+        /// `ip:port` that the request was sent to.
+        addr: String,
+        /// What it said.
+        notice: TargetNotice,
+    },
+    /// A target that does not say it is leaving reported its load.
     Reported {
         /// Target name.
         target: String,
--- a/crates/rw-core/src/node.rs
+++ b/crates/rw-core/src/node.rs
@@ -78,6 +78,7 @@
             } => self.end_attempt(now, id, attempt, outcome, &mut effects),
             Event::CallerDisconnected { id } => self.caller_disconnected(now, id, &mut effects),
             Event::ConfigRead(config) => self.apply_config(now, config),
+            Event::TargetNotice { addr, notice } => self.note_target(now, &addr, notice),
             Event::Reported { target, report } => {
                 self.role_reported(&target, &report);
                 self.load_reported(now, &target, report);
--- a/crates/rw-core/src/target_state.rs
+++ b/crates/rw-core/src/target_state.rs
@@ -3,6 +3,11 @@
 use crate::{CacheView, ConcurrencyLimit, EngineUsage, ModelIndex, Operation};
 use rw_types::{Config, LoadReport, Millis, RequestId, Target};
 
+/// Time for which a target that said it is leaving gets no new requests, in milliseconds.
+const LEAVING_HOLD_MS: u64 = 60_000;
+/// Part of that time that no load report ends, since it may have been sent before.
+const MIN_LEAVING_HOLD_MS: u64 = 1_000;
+
 /// A request of this node that is in flight at a target.
 #[derive(Debug, Clone)]
 pub struct SentRequest {
@@ -43,6 +48,11 @@
     pub limit: ConcurrencyLimit,
     /// No new requests are sent before this time, after a failure.
     pub backoff_until: Millis,
+    /// It said that it is leaving: no new requests are sent before this time, unless a load report
+    /// shows that another process has taken its place.
+    pub leaving_until: Millis,
+    /// End of the pause that it asked this node for.
+    pub paused_until: Millis,
     /// Whether this node, as lease holder, has an unresolved order for it to drain or change role.
     pub unavailable_by_order: bool,
 }
@@ -65,15 +75,39 @@
             usage: EngineUsage::default(),
             limit: ConcurrencyLimit::default(),
             backoff_until: Millis(0),
+            leaving_until: Millis(0),
+            paused_until: Millis(0),
             unavailable_by_order: false,
         }
     }
 
+    fn with_spec(self, spec: Target) -> Self {
+        // What was said at another address holds for another process.
+        let has_moved = self.spec.addr != spec.addr;
+        let kept = |until| if has_moved { Millis(0) } else { until };
+        Self {
+            spec,
+            leaving_until: kept(self.leaving_until),
+            paused_until: kept(self.paused_until),
+            ..self
+        }
+    }
+
     /// Whether new requests may be sent to it at `now`.
     #[must_use]
     pub fn is_open(&self, now: Millis) -> bool {
         let unavailable = self.unavailable_by_order || self.report.draining;
-        self.watched && !self.spec.leaving && !unavailable && self.backoff_until <= now
+        let closed_until = self.backoff_until.max(self.leaving_until);
+        self.watched
+            && !self.spec.leaving
+            && !unavailable
+            && closed_until.max(self.paused_until) <= now
+    }
+
+    /// Whether the only reason for which it gets no new requests is the pause that it asked for.
+    #[must_use]
+    pub fn is_only_paused(&self, now: Millis) -> bool {
+        now < self.paused_until && self.is_open(self.paused_until)
     }
 }
 
@@ -92,10 +126,7 @@
         let states = config.targets.iter().map(|spec| {
             while old.next_if(|t| t.spec.name < spec.name).is_some() {}
             match old.next_if(|t| t.spec.name == spec.name) {
-                Some(known) => TargetState {
-                    spec: spec.clone(),
-                    ..known
-                },
+                Some(known) => known.with_spec(spec.clone()),
                 None => TargetState::new(spec.clone()),
             }
         });
@@ -152,12 +183,26 @@
         }
     }
 
-    /// Stores a target's load report and applies its cache events.
+    /// Records what the target at `addr` says about itself; a pause lasts until `pause_end` at least.
+    pub(crate) fn note(&mut self, now: Millis, addr: &str, is_leaving: bool, pause_end: Millis) {
+        for target in self.list.iter_mut().filter(|t| t.spec.addr == addr) {
+            target.paused_until = target.paused_until.max(pause_end);
+            if is_leaving {
+                target.leaving_until = now.plus(LEAVING_HOLD_MS);
+            }
+        }
+    }
+
+    /// Stores a load report of a target that does not say it is leaving, and applies its cache events.
     pub fn apply_report(&mut self, now: Millis, name: &str, report: LoadReport) {
         let Some(target) = self.find_mut(name) else {
             return;
         };
         target.reported_at = Millis(now.0.saturating_sub(report.age_ms));
+        let max_left_ms = LEAVING_HOLD_MS - MIN_LEAVING_HOLD_MS;
+        if target.leaving_until.since(now) < max_left_ms {
+            target.leaving_until = Millis(0);
+        }
         target.cache.apply(now, &report.cache);
         let changed = target.report.models != report.models;
         target.report = report;
--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -212,21 +212,33 @@
             return broken();
         }
         let faults = self.faults.on_call(&path);
-        if faults.contains(&Fault::Reject) {
-            let mut response = raw(503, Vec::new(), "text/plain");
-            response.insert_header("x-outcome", "not-run");
-            return response;
-        }
-        Faults::delay(&faults).await;
-        match (request.method(), path.as_str()) {
-            (Method::Post, "/generate") => match serde_json::from_slice(&body) {
-                Ok(generate) => self.generate(generate, faults),
+        let mut response = match Faults::rejection(&faults) {
+            Some(rejection) => rejection,
+            None => {
+                Faults::delay(&faults).await;
+                self.run_call(request.method(), &path, &body, &faults)
+            }
+        };
+        Faults::mark_leaving(&faults, &mut response);
+        response
+    }
+
+    fn run_call(
+        self: Arc<Self>,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        faults: &[Fault],
+    ) -> Response {
+        match (method, path) {
+            (Method::Post, "/generate") => match serde_json::from_slice(body) {
+                Ok(generate) => self.generate(generate, faults.to_vec()),
                 Err(_) => raw(400, Vec::new(), "text/plain"),
             },
             (Method::Get, "/load") => json(200, &self.load()),
             (Method::Get, "/held") => json(200, &self.lock().orders.accepted()),
             (Method::Get, "/order") => json(200, self.lock().orders.latest()),
-            (Method::Post, "/order") => match serde_json::from_slice(&body) {
+            (Method::Post, "/order") => match serde_json::from_slice(body) {
                 Ok(order) => self.order(order),
                 Err(_) => raw(400, Vec::new(), "text/plain"),
             },
--- a/crates/rw-fakes/src/fault.rs
+++ b/crates/rw-fakes/src/fault.rs
@@ -1,5 +1,6 @@
 //! Faults that can be injected into a fake.
 
+use rw_http::{Response, raw};
 use serde::{Deserialize, Serialize};
 use std::{
     sync::{
@@ -53,6 +54,13 @@
     RepeatToken,
     /// Leave out one token of a stream.
     SkipToken,
+    /// Say in each response that the process is leaving.
+    Leaving,
+    /// Reject the call without running it, and ask for a pause.
+    Pause {
+        /// Length of the pause in milliseconds.
+        ms: u64,
+    },
     /// Exit the process when a request body contains the text.
     Crash {
         /// Text to search for.
@@ -137,6 +145,30 @@
         }
     }
 
+    /// The response to a call that [`Fault::Reject`] or [`Fault::Pause`] rejects, if there is one.
+    #[must_use]
+    pub fn rejection(faults: &[Fault]) -> Option<Response> {
+        let pause_ms = faults.iter().find_map(|f| match f {
+            Fault::Reject => Some(0),
+            Fault::Pause { ms } => Some(*ms),
+            _ => None,
+        });
+        let pause_ms = pause_ms?;
+        let mut response = raw(503, Vec::new(), "text/plain");
+        response.insert_header("x-outcome", "not-run");
+        if pause_ms > 0 {
+            response.insert_header("retry-after", (pause_ms as f64 / 1e3).to_string());
+        }
+        Some(response)
+    }
+
+    /// Adds to a response what [`Fault::Leaving`] says.
+    pub fn mark_leaving(faults: &[Fault], response: &mut Response) {
+        if faults.contains(&Fault::Leaving) {
+            response.insert_header("x-leaving", "1");
+        }
+    }
+
     /// Number of calls received so far by path, sorted, including those that failed.
     #[must_use]
     pub fn calls(&self) -> Vec<(String, u64)> {
--- a/crates/rw-fakes/src/service.rs
+++ b/crates/rw-fakes/src/service.rs
@@ -112,14 +112,13 @@
         }
         let faults = self.faults.on_call(&path);
         let attempt = request.header("x-attempt").map(|v| v.last().to_string());
-        let mut response = if faults.contains(&Fault::Reject) {
-            let mut rejected = raw(503, Vec::new(), "text/plain");
-            rejected.insert_header("x-outcome", "not-run");
-            rejected
-        } else {
-            let response = self.run_call(request, &path, &body);
-            self.faults.crash_on(&body);
-            response
+        let mut response = match Faults::rejection(&faults) {
+            Some(rejection) => rejection,
+            None => {
+                let response = self.run_call(request, &path, &body);
+                self.faults.crash_on(&body);
+                response
+            }
         };
         Faults::delay(&faults).await;
         if let Some(attempt) = attempt {
@@ -129,6 +128,7 @@
             }
             response.insert_header("x-attempt", if wrong_attempt { "0" } else { &attempt });
         }
+        Faults::mark_leaving(&faults, &mut response);
         (response, faults)
     }
 
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -33,8 +33,8 @@
 mod routing;
 mod settings;
 mod target;
+mod target_incarnation;
 mod target_list;
-mod target_notice;
 
 pub use availability::{Availability, LeavingSource};
 pub use call_request::{CallRequest, Prompt, PromptPart};
@@ -44,7 +44,6 @@
 pub use gate::Gate;
 pub use health::Health;
 pub use local_retry_budget::LocalRetryBudget;
-pub use notice_flow::MAX_PAUSE_MS;
 pub use overrun::Overrun;
 pub use part_suspects::PartSuspects;
 pub use prefill_cost_model::PrefillCostModel;
@@ -56,7 +55,7 @@
 pub use routing::{CallLimits, EngineSpec, RetryPolicy, Route, Routing, Service, ServiceWeight};
 pub use settings::GateSettings;
 pub use target::{Target, TargetSpec};
+pub use target_incarnation::TargetIncarnation;
 pub use target_list::TargetList;
-pub use target_notice::{TargetIncarnation, TargetNotice};
 
-pub use rw_types::Role;
+pub use rw_types::{MAX_PAUSE_MS, Role, TargetNotice};
--- a/crates/rw-gate/src/notice_flow.rs
+++ b/crates/rw-gate/src/notice_flow.rs
@@ -1,16 +1,9 @@
 //! Notices of targets: who is leaving, and who wants a pause.
 
 use crate::{Availability, Effect, Gate, LeavingSource, TargetIncarnation, TargetNotice};
+use rw_core::pause_with_jitter;
 use rw_types::Millis;
 
-/// Longest pause that a target gets, in milliseconds. One that still wants a pause then says so
-/// again.
-pub const MAX_PAUSE_MS: u64 = 300_000;
-/// Fraction of a pause by which it is extended at random, so that nodes don't return at once.
-const PAUSE_JITTER: f64 = 0.1;
-/// Bounds of that extension in milliseconds: minimum and maximum.
-const JITTER_BOUNDS_MS: (u64, u64) = (50, 1_000);
-
 impl Gate {
     /// A target said something about itself with a response.
     pub(crate) fn notice_received(
@@ -21,7 +14,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if let Some(pause_ms) = notice.pause_ms.filter(|ms| *ms > 0) {
-            let until = now.plus(self.pause_with_jitter(pause_ms));
+            let until = now.plus(pause_with_jitter(&mut self.rng, pause_ms));
             self.targets.pause(now, target, until);
         }
         if notice.is_leaving
@@ -52,11 +45,4 @@
         }
         first
     }
-
-    fn pause_with_jitter(&mut self, pause_ms: u64) -> u64 {
-        let pause_ms = pause_ms.min(MAX_PAUSE_MS);
-        let jitter_ms = (pause_ms as f64 * PAUSE_JITTER) as u64;
-        let jitter_ms = jitter_ms.clamp(JITTER_BOUNDS_MS.0, JITTER_BOUNDS_MS.1);
-        pause_ms + self.rng.u64(1..=jitter_ms)
-    }
 }
--- a/crates/rw-gate/src/target_notice.rs
+++ b/crates/rw-gate/src/target_incarnation.rs
@@ -1,17 +1,7 @@
-//! What targets say about themselves.
+//! Incarnations of targets.
 
 use serde::{Deserialize, Serialize};
 
-/// What a target says about itself in the head of a response, whatever the response is.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TargetNotice {
-    /// Whether it is leaving. This is a fact of the target, so that nodes tell each other.
-    pub is_leaving: bool,
-    /// Milliseconds for which it wants no new work from this node. It may want work from others, so
-    /// that nodes keep this to themselves.
-    pub pause_ms: Option<u64>,
-}
-
 /// Serialized form of a [`TargetIncarnation`], its fields in order.
 type IncarnationFields = (String, u64);
 
--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -171,6 +171,7 @@
             .client
             .send(addr, request, Pooling::Reuse, self.settings.read_timeout);
         let response = self.watch(addr, Wait::FirstByte, sent).await?;
+        self.notice(addr, &response);
         if response.status() == 200 {
             return Ok(Some(response.lines()));
         }
--- a/crates/rw-node/src/lib.rs
+++ b/crates/rw-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod history;
 mod loops;
 mod metrics;
+mod notices;
 mod operator_error;
 mod operators;
 mod parse;
--- a/crates/rw-node/src/loops.rs
+++ b/crates/rw-node/src/loops.rs
@@ -1,6 +1,6 @@
 //! Polls the load of engines.
 
-use crate::Shell;
+use crate::{Shell, notices::says_leaving};
 use rw_core::{Event, TargetState};
 use rw_http::{Method, Pooling, Request, SendError, Url, spawn};
 use rw_types::{LoadReport, TargetKind};
@@ -46,12 +46,14 @@
     }
 
     async fn poll_load(self: Arc<Self>, target: String, addr: String) {
-        if let Ok(report) = self.read_load(&addr).await {
+        if let Ok(Some(report)) = self.read_load(&addr).await {
             self.step(Event::Reported { target, report });
         }
     }
 
-    async fn read_load(&self, addr: &str) -> Result<LoadReport, SendError> {
+    /// Reads the load of the engine at `addr`; `None` if it is leaving, so that its load matters no
+    /// more.
+    async fn read_load(&self, addr: &str) -> Result<Option<LoadReport>, SendError> {
         let url = Url::parse(&format!("http://{addr}/load")).map_err(|_| SendError::InvalidAddr)?;
         let request = Request::new(Method::Get, url);
         let timeout = self.settings.load_poll_interval;
@@ -59,7 +61,12 @@
             .client
             .send(addr, request, Pooling::Reuse, timeout)
             .await?;
+        if says_leaving(&response) {
+            self.notice(addr, &response);
+            return Ok(None);
+        }
         let body = response.bytes(timeout).await?;
-        serde_json::from_slice(&body).map_err(|_| SendError::Broken)
+        let report = serde_json::from_slice(&body).map_err(|_| SendError::Broken)?;
+        Ok(Some(report))
     }
 }
--- a/crates/rw-node/src/plain.rs
+++ b/crates/rw-node/src/plain.rs
@@ -61,6 +61,7 @@
         // If the target had closed a pooled connection meanwhile, the outcome would be unknown.
         let sent = self.client.send(addr, request, Pooling::Fresh, timeout);
         let response = sent.await?;
+        self.notice(addr, &response);
         // A response to another attempt must not reach this caller and says nothing about this one.
         let echoed = response.header("x-attempt");
         if echoed.is_some_and(|echo| echo != n.to_string()) {
--- a/crates/rw-relay/src/dialect.rs
+++ b/crates/rw-relay/src/dialect.rs
@@ -2,6 +2,7 @@
 
 use crate::{RequestHead, ResponseHead};
 use rw_gate::{CallRequest, Dispatch, KvHandle, OrderOutcome, Role, TargetLoad};
+use rw_http::RetryAfter;
 
 /// Metadata in the head of a target's response.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -17,16 +18,7 @@
     /// Whether the target says that it is leaving.
     pub is_leaving: bool,
     /// Pause that the target asks for.
-    pub pause: Option<PauseRequest>,
-}
-
-/// A time for which a target wants no new work from this node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PauseRequest {
-    /// Milliseconds from the response; zero for none.
-    Millis(u64),
-    /// The target names a time that is no valid duration.
-    Invalid,
+    pub pause: Option<RetryAfter>,
 }
 
 /// State that a target reports when asked, before it gets an order.
--- a/crates/rw-relay/src/notices.rs
+++ b/crates/rw-relay/src/notices.rs
@@ -1,7 +1,8 @@
 //! What targets say about themselves in the heads of their responses.
 
-use crate::{Dialect, PauseRequest, Relay, ResponseHead, ResponseMetadata};
+use crate::{Dialect, Relay, ResponseHead, ResponseMetadata};
 use rw_gate::{Availability, Digest, Event, MAX_PAUSE_MS, TargetIncarnation, TargetNotice};
+use rw_http::RetryAfter;
 use std::net::SocketAddr;
 
 /// A target as a request addressed it.
@@ -21,12 +22,12 @@
     /// Passes on what `target` says about itself with a response.
     pub(crate) fn notice(&self, target: Addressee<'_>, metadata: &ResponseMetadata) {
         let pause_ms = match metadata.pause {
-            Some(PauseRequest::Invalid) => {
+            Some(RetryAfter::Invalid) => {
                 self.log.pause_invalid(target.name);
                 self.metrics.notice("invalid-pause");
                 None
             }
-            Some(PauseRequest::Millis(ms)) => Some(ms).filter(|ms| *ms > 0),
+            Some(RetryAfter::Millis(ms)) => Some(ms).filter(|ms| *ms > 0),
             None => None,
         };
         if let Some(ms) = pause_ms {
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -19,6 +19,7 @@
 mod peer_digest;
 mod suspect;
 mod target;
+mod target_notice;
 mod vm;
 
 pub use account::{Account, hash_key};
@@ -35,4 +36,5 @@
 pub use peer_digest::Digest;
 pub use suspect::Suspect;
 pub use target::{Target, TargetKind};
+pub use target_notice::{MAX_PAUSE_MS, TargetNotice};
 pub use vm::Vm;
