rw-gate: the placer and the placements it compares stand apart

engine_scorer needed Placement and placement needed EngineScorer. Placement and the base time of a call now have a file of their own that needs neither; the choice is in placer.rs. No change of behaviour.

--- a/crates/rw-gate/src/engine_scorer.rs
+++ b/crates/rw-gate/src/engine_scorer.rs
@@ -2,7 +2,7 @@
 //!
 //! The cost is the sum of the time until the response starts, the weighted time for which the
 //! prefill occupies the engine, the delay that this causes to other calls, and the penalties for
-//! the state of the engine, which [`Placer`](crate::placement::Placer) passes in.
+//! the state of the engine, which [`Placer`](crate::placer::Placer) passes in.
 //!
 //! The expected workload consists of prompts of a few hundred to fifty thousand tokens, and a few
 //! long prompts make up a third of the work. Engines do not preempt a running prefill. Therefore
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -6,7 +6,7 @@
     WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
-    placement::Placer,
+    placer::Placer,
     publication::Publication,
     roles::{PEER_TIMEOUT_MS, PeerConnection, Roles},
 };
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -22,6 +22,7 @@
 mod overrun;
 mod part_suspects;
 mod placement;
+mod placer;
 mod prefill_cost_model;
 mod prefill_histogram;
 mod prefill_queue;
