--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -1,13 +1,14 @@
 //! Performs one dispatch of a call to a target.
 
 use crate::{
-    Dialect, EventSplitter, Framing, Relay, RequestHead, ResponseHead, ResponseMetadata,
+    Dialect, Framing, Relay, RequestHead, ResponseHead, ResponseMetadata,
     body::BodyReader,
     head::is_hop,
-    io_error::{malformed, truncated},
+    io_error::malformed,
     notices::Addressee,
     pool::{ConnectError, TargetConnection},
     response_writer::ResponseWriter,
+    streaming::StreamedResponse,
     timeout::timeout_at,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
@@ -21,15 +22,11 @@
     time::{Duration, Instant},
 };
 
-/// Media type of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum response body that is buffered in full. A body with a larger declared length is
 /// streamed.
 const MAX_BUFFERED_BYTES: u64 = 256 << 10;
-/// Maximum size of an event, of which only complete ones are forwarded.
-const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Extra wait after a call's deadline, so that the target's own final response can still arrive.
 const DEADLINE_GRACE: Duration = Duration::from_millis(40);
 
@@ -62,7 +59,7 @@
     /// Framing of the response to the latest dispatch, if its head was read.
     pub(crate) framing: Option<Framing>,
     /// Identifier of the last event sent to the caller.
-    last_event: Option<u64>,
+    pub(crate) last_event: Option<u64>,
 }
 
 impl ResponseProgress {
@@ -76,20 +73,12 @@
     }
 }
 
-/// A response whose body is forwarded as it arrives.
-#[derive(Debug)]
-struct StreamedResponse {
-    conn: TargetConnection,
-    head: ResponseHead,
-    body: BodyReader,
-}
-
 /// The caller closed its connection, or the connection failed.
 #[derive(Debug)]
 pub(crate) struct CallerDisconnected;
 
 /// Which side failed during an exchange.
-enum ExchangeError {
+pub(crate) enum ExchangeError {
     Caller,
     Target(io::Error),
 }
@@ -100,7 +89,7 @@
     }
 }
 
-fn caller_result(sent: io::Result<()>) -> Result<(), ExchangeError> {
+pub(crate) fn caller_result(sent: io::Result<()>) -> Result<(), ExchangeError> {
     sent.map_err(|_| ExchangeError::Caller)
 }
 
@@ -286,73 +275,8 @@
         })
     }
 
-    /// Forwards a response body as it arrives.
-    async fn stream_response(
-        &self,
-        call: &Call,
-        dispatch: &Dispatch,
-        streamed: StreamedResponse,
-        progress: &mut ResponseProgress,
-    ) -> Result<DispatchOutcome, ExchangeError> {
-        let StreamedResponse {
-            mut conn,
-            mut head,
-            mut body,
-        } = streamed;
-        let ResponseProgress {
-            out, last_event, ..
-        } = progress;
-        let mut splitter = match dispatch.resumable {
-            true => EventSplitter::after(*last_event),
-            false => EventSplitter::unfiltered(),
-        };
-        let has_events = dispatch.stream && is_event_stream(&head);
-        let framing = head.framing;
-        if has_events && framing != Framing::Length(0) {
-            // The length that a target declares doesn't hold once another continues its stream.
-            head.framing = Framing::Chunked;
-        }
-        let mut first = true;
-        while let Some(bytes) = body.next(&mut conn.connection).await? {
-            if first {
-                self.step(Event::FirstEvent { id: call.id });
-                self.metrics.first_event(call.arrived, self.clock.now());
-                log::debug!(call = call.call_id.as_str(), at = dispatch.target.as_str(); "first event");
-                first = false;
-            }
-            // Only complete events are forwarded, so that a caller never receives a part of one.
-            let bytes = match has_events {
-                true => splitter.push(&bytes),
-                false => bytes,
-            };
-            if splitter.incomplete().len() > MAX_EVENT_BYTES {
-                return Err(malformed().into());
-            }
-            if bytes.is_empty() {
-                continue;
-            }
-            if out.is_started() {
-                caller_result(out.write_chunk(&bytes).await)?;
-            } else {
-                caller_result(out.write_head(&head, &bytes).await)?;
-            }
-            *last_event = splitter.last_id();
-        }
-        if has_events && was_cut(framing, &splitter) {
-            return Err(truncated().into());
-        }
-        let rest = splitter.incomplete();
-        match out.is_started() {
-            true => caller_result(out.write_chunk(rest).await)?,
-            false => caller_result(out.write_head(&head, rest).await)?,
-        }
-        caller_result(out.finish().await)?;
-        self.release(conn, &head, true);
-        Ok(DispatchOutcome::Delivered)
-    }
-
     /// Returns a connection to the pool if it can carry another call.
-    fn release(&self, conn: TargetConnection, head: &ResponseHead, written: bool) {
+    pub(crate) fn release(&self, conn: TargetConnection, head: &ResponseHead, written: bool) {
         if !head.keep_alive || !written {
             return;
         }
@@ -388,20 +312,6 @@
     }
 }
 
-/// Whether the body is a stream of server-sent events; one without a content type is taken for one.
-fn is_event_stream(head: &ResponseHead) -> bool {
-    let content_type = head.header("content-type").unwrap_or(EVENT_STREAM);
-    let media_type = content_type.split(';').next().unwrap_or_default();
-    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
-}
-
-/// Whether an event stream whose body has ended was broken off by the target.
-fn was_cut(framing: Framing, splitter: &EventSplitter) -> bool {
-    // A crash also ends the connection, so without other framing a stream needs at least one event.
-    let is_empty = framing == Framing::Close && !splitter.has_events();
-    is_empty || splitter.is_inside_event()
-}
-
 /// Idle timeout in seconds that a keep-alive header announces.
 fn keep_alive_seconds(value: &str) -> Option<u64> {
     let mut params = value.split(',').map(str::trim);
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod serve;
 mod settings;
 mod sse;
+mod streaming;
 mod timeout;
 
 pub use body::Framing;
