A line of a stream that never ends is given up at its limit (own interface)

The client of the product's own interface read a line of a token stream whole before it looked at its length, so that an engine that sends bytes without a line feed filled the node's memory: 200 MB in the test, which then failed in a debug assertion. The limit of 1 MiB now holds while the line is read, and a line that isn't UTF-8 is a broken stream.

--- a/crates/rw-http/src/sse.rs
+++ b/crates/rw-http/src/sse.rs
@@ -2,7 +2,7 @@
 
 use crate::{Client, SendError, client::ClientConn, spawn};
 use http_types::Body;
-use smol::io::AsyncBufReadExt as _;
+use smol::io::{AsyncBufReadExt as _, AsyncReadExt as _};
 use std::time::Duration;
 
 /// Maximum length of a line.
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub struct SseLines {
     body: Body,
-    line: String,
+    line: Vec<u8>,
     /// `None` once the stream has ended.
     conn: Option<ClientConn>,
     client: Client,
@@ -28,7 +28,7 @@
     pub(crate) fn new(body: Body, conn: ClientConn, client: Client, close: bool) -> Self {
         Self {
             body,
-            line: String::new(),
+            line: Vec::new(),
             conn: Some(conn),
             client,
             close,
@@ -65,7 +65,9 @@
             let Some(conn) = &mut self.conn else {
                 return Ok(None);
             };
-            let read = self.body.read_line(&mut self.line);
+            // One byte more than allowed, so that a longer line is recognized.
+            let mut limited = (&mut self.body).take(MAX_LINE_BYTES as u64 + 1);
+            let read = limited.read_until(b'\n', &mut self.line);
             let read = conn.timer.within(timeout, read).await?;
             let n = read.map_err(|_| SendError::Broken)?;
             if n == 0 {
@@ -74,11 +76,12 @@
                 self.return_conn();
                 return Ok(None);
             }
-            if n > MAX_LINE_BYTES || !self.line.ends_with('\n') {
+            if n > MAX_LINE_BYTES || self.line.last() != Some(&b'\n') {
                 return Err(SendError::Broken);
             }
-            if self.line.starts_with("data:") {
-                return Ok(Some(self.line["data:".len()..].trim()));
+            if self.line.starts_with(b"data:") {
+                let data = std::str::from_utf8(&self.line["data:".len()..]);
+                return Ok(Some(data.map_err(|_| SendError::Broken)?.trim()));
             }
         }
     }
