--- a/crates/rw-http/src/client_response.rs
+++ b/crates/rw-http/src/client_response.rs
@@ -51,7 +51,7 @@
     /// # Errors
     ///
     /// [`SendError::Truncated`] if the body is shorter than its content length;
-    /// [`SendError::Broken`] if the connection broke; [`SendError::TimedOut`] after `timeout`.
+    /// [`SendError::Broken`] if the connection broke or the body is over 64 MiB; [`SendError::TimedOut`] after `timeout`.
     pub async fn bytes(mut self, timeout: Duration) -> Result<Vec<u8>, SendError> {
         let content_length = self.content_length();
         let mut body = Vec::with_capacity(content_length.unwrap_or(0).min(MAX_BODY_BYTES) as usize);
@@ -60,6 +60,10 @@
         let read = bounded.read_to_end(&mut body);
         let read = self.conn.timer.within(timeout, read).await?;
         read.map_err(|_| SendError::Broken)?;
+        // The rest of a body that reaches the limit was not read.
+        if body.len() as u64 >= MAX_BODY_BYTES {
+            return Err(SendError::Broken);
+        }
         if content_length.is_some_and(|n| n != body.len() as u64) {
             return Err(SendError::Truncated);
         }
--- a/crates/rw-http/tests/endless.rs
+++ b/crates/rw-http/tests/endless.rs
@@ -54,6 +54,7 @@
 
 const EVENTS: &str =
     "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
 #[test]
 fn a_line_without_end_breaks_the_stream() {
@@ -65,3 +66,13 @@
     assert!(matches!(error, Err(SendError::Broken)), "{error:?}");
     assert!(sent.load(Ordering::Relaxed) < MAX_SENT_BYTES / 4);
 }
+
+#[test]
+fn a_body_over_the_limit_is_no_complete_response() {
+    let (addr, _) = start(CHUNKED, chunk(&[b'x'; 1 << 20]));
+    let body = smol::block_on(async {
+        let response = send(addr).await.expect("a response");
+        response.bytes(TIMEOUT).await.map(|b| b.len())
+    });
+    assert!(matches!(body, Err(SendError::Broken)), "{body:?}");
+}
