A response head without end is given up at 128 KiB (own interface)

The client read a head for as long as bytes came: over 50 of 200 MB in the test, until the server stopped. The decoder gets a stream that ends with an error at 128 KiB unless the head is complete by then.

--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,8 +1,8 @@
 //! HTTP client with a pool of idle connections per address.
 
 use crate::{
-    ClientResponse, SendError, expiring_stream::ExpiringStream, keepalive::set_keepalive,
-    lazy_timer::LazyTimer,
+    ClientResponse, SendError, expiring_stream::ExpiringStream, head_limit::HeadLimited,
+    keepalive::set_keepalive, lazy_timer::LazyTimer,
 };
 use async_h1::client::{Encoder, decode};
 use http_types::{Body, Method, Request, Response, Url};
@@ -137,8 +137,11 @@
         let addr: SocketAddr = addr.parse().map_err(|_| SendError::InvalidAddr)?;
         let conn = connect(addr, timeout.min(CONNECT_TIMEOUT)).await?;
         let stream = ExpiringStream::new(conn.stream.clone(), deadline);
+        let stream = HeadLimited::new(stream);
+        let budget = stream.budget();
         let result = within(timeout, async_h1::connect(stream, request)).await?;
         let response = result.map_err(|_| SendError::Broken)?;
+        budget.lift();
         ClientResponse::check(response, conn, self.clone())
     }
 
@@ -195,7 +198,11 @@
     let mut bytes = Vec::with_capacity(512);
     encoder.read_to_end(&mut bytes).await?;
     stream.write_all(&bytes).await?;
-    decode(stream).await
+    let stream = HeadLimited::new(stream);
+    let budget = stream.budget();
+    let response = decode(stream).await?;
+    budget.lift();
+    Ok(response)
 }
 
 async fn connect(addr: SocketAddr, timeout: Duration) -> Result<ClientConn, SendError> {
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod exchange;
 mod expiring_stream;
+mod head_limit;
 mod keepalive;
 mod lazy_timer;
 mod limited_stream;
--- a/crates/rw-http/tests/endless.rs
+++ b/crates/rw-http/tests/endless.rs
@@ -76,3 +76,11 @@
     });
     assert!(matches!(body, Err(SendError::Broken)), "{body:?}");
 }
+
+#[test]
+fn a_head_without_end_is_no_response() {
+    let (addr, sent) = start("HTTP/1.1 200 OK\r\nx: ", vec![b'x'; 64 << 10]);
+    let response = smol::block_on(send(addr)).map(|r| r.status());
+    assert!(response.is_err(), "{response:?}");
+    assert!(sent.load(Ordering::Relaxed) < MAX_SENT_BYTES / 4);
+}
