--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -77,7 +77,7 @@
                 .help("With --relay: fixes the number of engines that decode"),
         )
         .arg(
-            flag_arg("ignore-notices", "With --relay: nodes don't hear which engines leave or pause")
+            flag_arg("ignore-notices", "With --relay: nodes ignore which engines leave or pause")
                 .requires("relay"),
         )
         .arg(number_arg("seeds", "1", "With --relay: number of runs, with consecutive seeds from --seed"))
--- a/crates/rw-gate/src/availability.rs
+++ b/crates/rw-gate/src/availability.rs
@@ -2,7 +2,7 @@
 
 use rw_types::Millis;
 
-/// Where a node has learned that a target is leaving.
+/// How a node has learned that a target is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeavingSource {
     /// Its registered entry.
@@ -19,7 +19,7 @@
 /// [`Placer`](crate::placer::Placer), and it still gets work if no other one is left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
-    /// Its entry lapsed during a store outage and was not renewed in time.
+    /// Its entry expired during a store outage and was not renewed in time.
     Gone,
     /// It is leaving. This holds for the rest of its incarnation, whatever is read about it later.
     Leaving(LeavingSource),
--- a/crates/rw-gate/src/notice_log.rs
+++ b/crates/rw-gate/src/notice_log.rs
@@ -6,7 +6,7 @@
 use crate::{LeavingSource, TargetIncarnation};
 use rw_types::Millis;
 
-/// Maximum number of targets remembered; those heard of longest ago go first.
+/// Maximum number of targets remembered; those updated longest ago go first.
 const MAX_TARGETS: usize = 4_096;
 /// Number of digests that carry a leaving target, since one may be lost.
 const LEAVING_SENDS: u32 = 2;
@@ -18,7 +18,7 @@
     incarnation: u64,
     pub(crate) leaving: Option<LeavingSource>,
     pub(crate) paused_until: Option<Millis>,
-    heard_at: Millis,
+    updated_at: Millis,
     /// Number of digests that are still to carry that it is leaving.
     sends: u32,
 }
@@ -84,7 +84,7 @@
             incarnation,
             leaving: None,
             paused_until: None,
-            heard_at: now,
+            updated_at: now,
             sends: 0,
         };
         let i = match self.index(name) {
@@ -97,14 +97,14 @@
             }
             Err(_) => self.insert(new),
         };
-        self.entries[i].heard_at = now;
+        self.entries[i].updated_at = now;
         Some(&mut self.entries[i])
     }
 
     fn insert(&mut self, entry: NoticeEntry) -> usize {
         if self.entries.len() == MAX_TARGETS {
             let entries = self.entries.iter().enumerate();
-            let oldest = entries.min_by_key(|(_, e)| e.heard_at).map(|(i, _)| i);
+            let oldest = entries.min_by_key(|(_, e)| e.updated_at).map(|(i, _)| i);
             oldest.map(|i| self.entries.remove(i));
         }
         let i = self.index(&entry.name).unwrap_or_else(|i| i);
--- a/crates/rw-load/src/relay/options.rs
+++ b/crates/rw-load/src/relay/options.rs
@@ -30,6 +30,6 @@
     pub decode: Option<usize>,
     /// Faults of engines.
     pub faults: Vec<EngineFault>,
-    /// Whether nodes don't hear what engines say about themselves.
+    /// Whether nodes ignore what engines say about themselves.
     pub ignores_notices: bool,
 }
--- a/crates/rw-load/tests/relay.rs
+++ b/crates/rw-load/tests/relay.rs
@@ -156,7 +156,7 @@
     }
 }
 
-/// Results of three runs in which five engines pause or leave, with and without nodes that hear it.
+/// Results of three runs in which five engines pause or leave, where nodes honour it and where they ignore it.
 fn with_and_without_notices(kind: EngineFaultKind) -> [Vec<RelayResult>; 2] {
     let fault = EngineFault {
         kind,
@@ -176,20 +176,20 @@
 }
 
 #[test]
-fn more_calls_are_on_time_if_nodes_hear_that_engines_pause() {
-    let [heard, ignored] = with_and_without_notices(EngineFaultKind::Pause);
+fn more_calls_are_on_time_if_pauses_are_honoured() {
+    let [honoured, ignored] = with_and_without_notices(EngineFaultKind::Pause);
     let on_time = |runs: &[RelayResult]| runs.iter().map(RelayResult::on_time_ratio).sum::<f64>();
-    let (heard, ignored) = (on_time(&heard), on_time(&ignored));
-    assert!(heard > ignored, "{heard} and {ignored}");
+    let (honoured, ignored) = (on_time(&honoured), on_time(&ignored));
+    assert!(honoured > ignored, "{honoured} and {ignored}");
 }
 
 #[test]
-fn fewer_calls_break_off_if_nodes_hear_that_engines_leave() {
-    let [heard, ignored] = with_and_without_notices(EngineFaultKind::Leave);
+fn fewer_calls_break_off_if_leaving_engines_are_avoided() {
+    let [honoured, ignored] = with_and_without_notices(EngineFaultKind::Leave);
     let failed = |runs: &[RelayResult]| -> u64 {
         let kinds = runs.iter().flat_map(|r| &r.kinds);
         kinds.map(|k| k.failed).sum()
     };
-    let (heard, ignored) = (failed(&heard), failed(&ignored));
-    assert!(heard < ignored, "{heard} and {ignored}");
+    let (honoured, ignored) = (failed(&honoured), failed(&ignored));
+    assert!(honoured < ignored, "{honoured} and {ignored}");
 }
