--- a/crates/rw-gate/src/availability.rs
+++ b/crates/rw-gate/src/availability.rs
@@ -15,8 +15,8 @@
 
 /// Whether a target may get new work. If several variants apply, the first one holds.
 ///
-/// Failures and load are no part of it: they make a target expensive for
-/// [`Placer`](crate::placer::Placer), and it still gets work if no other one is left.
+/// Failures and load are no part of it: they make a target a costly choice, and it still gets work if
+/// no other one is left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
     /// Its entry expired during a store outage and was not renewed in time.
