--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -4,14 +4,14 @@
     arrivals::{self, Arrival},
     deployment::Deployment,
     engine::{Engine, Prompt, StepResult},
+    engine_faults::{EngineState, end_us},
     kind_result::{RelayKindResult, RelayResult},
-    options::{EngineFault, EngineFaultKind, RelayOptions},
+    options::{EngineFaultKind, RelayOptions},
     routes::{HOST, ROLE_SWITCH_US, SERVICE, US_PER_MS, client_timeout_ms, routing},
 };
 use rw_gate::{
     CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, Event, Gate, GateSettings,
-    KvHandle, OrderOutcome, Prompt as RequestPrompt, Role, TargetIncarnation, TargetNotice,
-    TargetSpec,
+    KvHandle, OrderOutcome, Prompt as RequestPrompt, Role, TargetSpec,
 };
 use rw_types::{Millis, RequestId};
 use std::{
@@ -21,7 +21,7 @@
 };
 
 /// Time before the first call, in which the nodes change the engines' roles to their initial split.
-const WARMUP_US: u64 = 16_000 * US_PER_MS;
+pub(super) const WARMUP_US: u64 = 16_000 * US_PER_MS;
 /// Time after the last arrival for running calls to end.
 const DRAIN_US: u64 = 20_000 * US_PER_MS;
 /// One-way latency between a node and an engine or another node.
@@ -52,48 +52,31 @@
 }
 
 /// One attempt of a caller; a retry is a call of its own.
-struct Call {
+pub(super) struct Call {
     arrival: usize,
     node: usize,
     retry: bool,
     /// Time of its arrival or of its latest event, in microseconds.
     last_event_us: u64,
-    started: bool,
+    pub(super) started: bool,
     /// Whether an event exceeded the latency objective or the maximum pause.
     late: bool,
-    ended: bool,
+    pub(super) ended: bool,
     /// Engine of its latest dispatch.
-    engine: Option<usize>,
+    pub(super) engine: Option<usize>,
 }
 
-/// What an engine does with new calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EngineState {
-    Open,
-    Pausing { left_ms: u64 },
-    Leaving,
-    Gone,
-}
-
-fn start_us(fault: &EngineFault) -> u64 {
-    WARMUP_US + (fault.at_s * 1e6) as u64
-}
-
-fn end_us(fault: &EngineFault) -> u64 {
-    start_us(fault) + (fault.for_s * 1e6) as u64
-}
-
-struct Simulation<'a> {
+pub(super) struct Simulation<'a> {
     deployment: &'a Deployment,
     arrivals: Vec<Arrival>,
-    now: u64,
+    pub(super) now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, SimEvent>,
     next_key: u64,
     nodes: Vec<Gate>,
-    options: &'a RelayOptions,
-    engines: Vec<Engine>,
-    calls: Vec<Call>,
+    pub(super) options: &'a RelayOptions,
+    pub(super) engines: Vec<Engine>,
+    pub(super) calls: Vec<Call>,
     result: RelayResult,
 }
 
@@ -202,7 +185,7 @@
         }
     }
 
-    fn spec(&self, engine: usize) -> TargetSpec {
+    pub(super) fn spec(&self, engine: usize) -> TargetSpec {
         TargetSpec {
             name: format!("e{engine:03}"),
             incarnation: 1,
@@ -454,63 +437,10 @@
         }
     }
 
-    fn end_dispatch(&mut self, call: usize, outcome: DispatchOutcome) {
+    pub(super) fn end_dispatch(&mut self, call: usize, outcome: DispatchOutcome) {
         self.send_event_after(0, call, |id| Event::DispatchEnded { id, outcome });
     }
 
-    /// What an engine does now, by the faults of the simulation.
-    fn engine_state(&self, engine: usize) -> EngineState {
-        let faults = self.options.faults.iter();
-        let begun = faults.filter(|f| engine < f.engines && start_us(f) <= self.now);
-        let mut state = EngineState::Open;
-        for fault in begun {
-            let left_us = end_us(fault).checked_sub(self.now).filter(|us| *us > 0);
-            state = match (fault.kind, left_us) {
-                (EngineFaultKind::Leave, None) => return EngineState::Gone,
-                (EngineFaultKind::Leave, Some(_)) => EngineState::Leaving,
-                (EngineFaultKind::Pause, Some(us)) => EngineState::Pausing {
-                    left_ms: us / US_PER_MS,
-                },
-                (EngineFaultKind::Pause, None) => state,
-            };
-        }
-        state
-    }
-
-    /// An engine says with the response to a call that it is leaving, or asks for a pause.
-    fn notice(&mut self, engine: usize, call: usize, pause_ms: Option<u64>) {
-        let is_leaving = self.engine_state(engine) == EngineState::Leaving;
-        let notice = TargetNotice {
-            is_leaving,
-            pause_ms,
-        };
-        if self.options.ignores_notices || notice.is_empty() {
-            return;
-        }
-        let target = TargetIncarnation {
-            name: self.spec(engine).name,
-            incarnation: 1,
-        };
-        let event = Event::TargetNotice { target, notice };
-        self.send_event_after(0, call, |_| event);
-    }
-
-    /// Stops an engine for good, which breaks the calls on it.
-    fn stop_engine(&mut self, engine: usize) {
-        for call in 0..self.calls.len() {
-            if self.calls[call].engine != Some(engine) || self.calls[call].ended {
-                continue;
-            }
-            self.engines[engine].cancel(call);
-            let delivered = self.calls[call].started.then_some(0);
-            let outcome = DispatchOutcome::Broken {
-                crashed: true,
-                delivered,
-            };
-            self.end_dispatch(call, outcome);
-        }
-    }
-
     fn start_step(&mut self, engine: usize) {
         if let Some(us) = self.engines[engine].start_step() {
             self.schedule(self.now + us.max(1), SimEvent::EndStep(engine));
@@ -564,7 +494,12 @@
         (self.deployment.engine.first_token_ms * US_PER_MS as f64) as u64
     }
 
-    fn send_event_after(&mut self, us: u64, call: usize, event: impl FnOnce(RequestId) -> Event) {
+    pub(super) fn send_event_after(
+        &mut self,
+        us: u64,
+        call: usize,
+        event: impl FnOnce(RequestId) -> Event,
+    ) {
         let event = Box::new(event(RequestId(call as u64)));
         let node = self.calls[call].node;
         self.schedule(self.now + us + HOP_US, SimEvent::NodeEvent { node, event });
--- a/crates/rw-load/src/relay/mod.rs
+++ b/crates/rw-load/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod deployment;
 mod engine;
+mod engine_faults;
 mod fleet;
 mod kind_result;
 mod options;
