--- a/crates/rw-gate/src/part_suspects.rs
+++ b/crates/rw-gate/src/part_suspects.rs
@@ -201,7 +201,7 @@
         }
     }
 
-    /// Peers hear of a completed call only if it clears crashes that they may know.
+    /// A completed call is published only if it clears crashes that other nodes may know.
     fn complete(&mut self, part: u64, at: Millis) {
         let entry = self.entry(part);
         if entry.complete(at) {
