--- a/crates/rw-http/src/client_response.rs
+++ b/crates/rw-http/src/client_response.rs
@@ -51,7 +51,8 @@
     /// # Errors
     ///
     /// [`SendError::Truncated`] if the body is shorter than its content length;
-    /// [`SendError::Broken`] if the connection broke or the body is over 64 MiB; [`SendError::TimedOut`] after `timeout`.
+    /// [`SendError::Broken`] if the connection broke or the body reaches 64 MiB;
+    /// [`SendError::TimedOut`] after `timeout`.
     pub async fn bytes(mut self, timeout: Duration) -> Result<Vec<u8>, SendError> {
         let content_length = self.content_length();
         let mut body = Vec::with_capacity(content_length.unwrap_or(0).min(MAX_BODY_BYTES) as usize);
--- a/crates/rw-node/src/shell.rs
+++ b/crates/rw-node/src/shell.rs
@@ -26,6 +26,8 @@
     apply_lock: Mutex<()>,
     recent_changes: Mutex<RecentChanges>,
     pub(crate) burn: Mutex<BurnCounters>,
+    /// Addresses of targets with a logged warning about a pause, sorted.
+    pub(crate) warned_targets: Mutex<Vec<String>>,
     started: Instant,
     next_request: AtomicU64,
 }
@@ -46,6 +48,7 @@
             apply_lock: Mutex::default(),
             recent_changes: Mutex::default(),
             burn: Mutex::default(),
+            warned_targets: Mutex::default(),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             settings,
