Relay: log and count the rate limits that targets name

What is sent to a target does not change. A value that is no number of requests per second is warned of once a target.

--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -6,6 +6,7 @@
     metrics::{framing_label, mode_label, outcome_label},
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, PromptPart, Refusal};
+use rw_types::RequestRate;
 use std::{
     cell::{Cell, RefCell},
     io,
@@ -14,7 +15,7 @@
 /// Maximum number of lines in a window. A node of the present size handles some tens of calls per
 /// second.
 const MAX_LINES: u32 = 300;
-/// Maximum number of targets with a warning about a pause.
+/// Maximum number of targets with a warning about a notice.
 const MAX_WARNED: usize = 1_000;
 /// Length of the window in which lines are counted.
 const WINDOW_MS: u64 = 1_000;
@@ -26,7 +27,7 @@
     window: Cell<u64>,
     lines: Cell<u32>,
     dropped: Cell<u64>,
-    /// Targets with a logged warning about a pause, sorted.
+    /// Targets with a logged warning about a notice, sorted.
     warned: RefCell<Vec<String>>,
 }
 
@@ -141,7 +142,21 @@
         }
     }
 
-    /// Whether no warning about a pause of this target was logged before.
+    /// A target named a rate limit.
+    pub(crate) fn rate_limit(&self, target: &str, rate: RequestRate) {
+        if self.allow_line() {
+            log::info!(target, per_s = rate.per_s(); "target names a rate limit");
+        }
+    }
+
+    /// A target named a rate limit that can't be read; it is ignored.
+    pub(crate) fn limit_invalid(&self, target: &str) {
+        if self.warn_once(target) {
+            log::warn!(target; "target names a rate limit that is not a number of requests per second, which was ignored; correct its rate limit header");
+        }
+    }
+
+    /// Whether no warning about a notice of this target was logged before.
     fn warn_once(&self, target: &str) -> bool {
         let mut warned = self.warned.borrow_mut();
         let Err(i) = warned.binary_search_by(|t| t.as_str().cmp(target)) else {
--- a/crates/rw-relay/src/dialect.rs
+++ b/crates/rw-relay/src/dialect.rs
@@ -3,6 +3,7 @@
 use crate::{RequestHead, ResponseHead};
 use rw_gate::{CallRequest, Dispatch, KvHandle, OrderOutcome, Role, TargetLoad};
 use rw_http::RetryAfter;
+use rw_types::RequestRate;
 
 /// Metadata in the head of a target's response.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -19,6 +20,25 @@
     pub is_leaving: bool,
     /// Pause that the target asks for.
     pub pause: Option<RetryAfter>,
+    /// Rate limit that the target names.
+    pub rate_limit: Option<NamedLimit>,
+}
+
+/// Limit that a target names on the requests that it takes from all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// A number of requests per second.
+    Rate(RequestRate),
+    /// The header holds no number of requests per second.
+    Invalid,
+}
+
+impl NamedLimit {
+    /// Parses the header's value: a decimal number of requests per second.
+    #[must_use]
+    pub fn parse(value: &str) -> Self {
+        RequestRate::parse(value).map_or(Self::Invalid, Self::Rate)
+    }
 }
 
 /// State that a target reports when asked, before it gets an order.
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -35,7 +35,7 @@
 pub use byte_budget::ByteBudget;
 pub use clock::BootClock;
 pub use connection::Connection;
-pub use dialect::{Dialect, OrderRequest, ResponseMetadata, RoleOrder, TargetReport};
+pub use dialect::{Dialect, NamedLimit, OrderRequest, ResponseMetadata, RoleOrder, TargetReport};
 pub use head::{HeadError, HeaderField, RequestHead, ResponseHead};
 pub use membership::{DEFAULT_DIGEST_BYTES_PER_S, Peer, Peers};
 pub use metrics::Metrics;
--- a/crates/rw-relay/src/notices.rs
+++ b/crates/rw-relay/src/notices.rs
@@ -1,6 +1,6 @@
 //! What targets say about themselves in the heads of their responses.
 
-use crate::{Dialect, Relay, ResponseHead, ResponseMetadata};
+use crate::{Dialect, NamedLimit, Relay, ResponseHead, ResponseMetadata};
 use rw_gate::{Availability, Digest, Event, MAX_PAUSE_MS, TargetIncarnation, TargetNotice};
 use rw_http::RetryAfter;
 use std::net::SocketAddr;
@@ -34,6 +34,17 @@
             self.log.pause(target.name, ms, MAX_PAUSE_MS);
             self.metrics.notice("pause");
         }
+        match metadata.rate_limit {
+            Some(NamedLimit::Rate(rate)) => {
+                self.log.rate_limit(target.name, rate);
+                self.metrics.notice("limit");
+            }
+            Some(NamedLimit::Invalid) => {
+                self.log.limit_invalid(target.name);
+                self.metrics.notice("invalid-limit");
+            }
+            None => {}
+        }
         if !metadata.is_leaving && pause_ms.is_none() {
             return;
         }
