--- a/crates/rw-core/src/lib.rs
+++ b/crates/rw-core/src/lib.rs
@@ -84,7 +84,7 @@
 pub use policy::{Policy, RoutingStrategy};
 pub use proposed_order::ProposedOrder;
 pub use recorded_response::RecordedResponse;
-pub use rendezvous::{candidate_rank, hash, mix};
+pub use rendezvous::{candidate_rank, hash, mix, weight as rendezvous_weight};
 pub use request::{Phase, Request};
 pub use retry_budget::RetryBudget;
 pub(crate) use role_plan::RolePlans;
--- a/crates/rw-core/src/rendezvous.rs
+++ b/crates/rw-core/src/rendezvous.rs
@@ -21,7 +21,9 @@
     (ahead < MAX_CANDIDATES && !leaving).then_some(ahead)
 }
 
-fn weight(vm: &str, group: &str) -> u64 {
+/// Weight of `vm` in the ranking for `group`; the highest comes first.
+#[must_use]
+pub fn weight(vm: &str, group: &str) -> u64 {
     mix(hash(vm), hash(group))
 }
 
--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -133,10 +133,10 @@
         ms <= call.client_deadline.since(now) as f64 * DEADLINE_FRACTION
     }
 
-    /// Retry time of a call that no target can take: the end of the first pause, if all targets of
-    /// the service that stay are paused.
+    /// Retry time of a call that no target can take: the end of the first wait, if all targets of the
+    /// service that stay are paused or have had this node's part of their rate limits.
     pub(crate) fn no_target_retry_ms(&mut self, now: Millis, service: &str) -> u64 {
-        match self.pause_left_ms(now, service) {
+        match self.wait_ms(now, service) {
             Some(left_ms) => {
                 let spread_ms = (left_ms / 4).max(MIN_RETURN_SPREAD_MS);
                 (left_ms + self.rng.u64(..=spread_ms)).min(MAX_RETRY_MS)
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -223,10 +223,13 @@
                 });
             }
         }
+        let incarnation = target.spec.incarnation;
+        let addr = target.spec.addr.clone();
+        self.targets.record_request(now, &placement.target);
         call.dispatches += 1;
         call.active = Some(ActiveDispatch {
             target: placement.target.clone(),
-            incarnation: target.spec.incarnation,
+            incarnation,
             mode: mode.clone(),
             sent_at: now,
             size: placement.size,
@@ -238,8 +241,8 @@
             .then_some((placement.prefill_ms * STALL_TIMEOUT.0 + STALL_TIMEOUT.1) as u64);
         let dispatch = Dispatch {
             target: placement.target.clone(),
-            incarnation: target.spec.incarnation,
-            addr: target.spec.addr.clone(),
+            incarnation,
+            addr,
             mode,
             fetch_from: placement.fetch_from.clone(),
             left_ms: call.deadline.since(now),
--- a/crates/rw-gate/src/availability.rs
+++ b/crates/rw-gate/src/availability.rs
@@ -28,6 +28,11 @@
         /// End of the pause.
         until: Millis,
     },
+    /// It has named a rate limit, of which this node has used its part.
+    RateLimited {
+        /// Time from which this node may send the next request.
+        until: Millis,
+    },
     /// It may get new work.
     Open,
 }
@@ -42,6 +47,7 @@
             Self::Leaving(LeavingSource::Response) => "leaving-response",
             Self::Leaving(LeavingSource::Peer) => "leaving-peer",
             Self::Paused { .. } => "paused",
+            Self::RateLimited { .. } => "rate-limited",
             Self::Open => "open",
         }
     }
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -4,7 +4,7 @@
 //! several others many times a second.
 
 use crate::{PrefillJob, TargetIncarnation};
-use rw_types::{Role, Suspect};
+use rw_types::{RequestRate, Role, Suspect};
 use serde::{Deserialize, Serialize};
 
 /// Time for which a report about a target is valid, in milliseconds, unless a newer one replaces
@@ -124,6 +124,37 @@
     }
 }
 
+/// Serialized form of a [`LimitReport`], its fields in order.
+type LimitFields = (TargetIncarnation, Option<RequestRate>, u64);
+
+/// What a target has said about its rate limit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "LimitFields", into = "LimitFields")]
+pub struct LimitReport {
+    /// The target.
+    pub target: TargetIncarnation,
+    /// Requests that it takes from all nodes together; `None` if it has withdrawn its limit.
+    pub rate: Option<RequestRate>,
+    /// Time since it said so, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl From<LimitFields> for LimitReport {
+    fn from((target, rate, age_ms): LimitFields) -> Self {
+        Self {
+            target,
+            rate,
+            age_ms,
+        }
+    }
+}
+
+impl From<LimitReport> for LimitFields {
+    fn from(report: LimitReport) -> Self {
+        (report.target, report.rate, report.age_ms)
+    }
+}
+
 /// A role change of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoleChange {
@@ -160,4 +191,7 @@
     /// Targets that have said that they are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<TargetIncarnation>,
+    /// Rate limits that targets have named or withdrawn.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
 }
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -136,8 +136,13 @@
     },
     /// The settings were reloaded.
     Settings(GateSettings),
-    /// Number of nodes in the fleet, including this one.
-    NodeCount(usize),
+    /// A request that belongs to no call was sent to the target at this `ip:port`.
+    RequestSent {
+        /// `ip:port` of the target.
+        addr: String,
+    },
+    /// Names of all VMs in the fleet, including this one.
+    NodesListed(Vec<String>),
     /// A digest from another node arrived.
     DigestReceived(Digest),
 }
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,13 +1,14 @@
 //! State of the reducer and its entry point.
 
 use crate::{
-    Digest, DispatchMode, Effect, Event, GateSettings, LeavingSource, LocalRetryBudget, Overrun,
-    PartReport, PartSuspects, Refusal, RefusalKind, Routing, TargetIncarnation, TargetList,
-    WorkReport,
+    Digest, DispatchMode, Effect, Event, GateSettings, LeavingSource, LimitReport,
+    LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, Routing,
+    TargetIncarnation, TargetList, WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placer::Placer,
     publication::Publication,
+    rate_limits::Sharers,
     roles::{PEER_TIMEOUT_MS, PeerConnection, Roles},
 };
 use rw_core::Suspects;
@@ -104,7 +105,8 @@
             Event::OrderEnded { target, outcome } => self.order_ended(now, &target, outcome),
             Event::ShuttingDown { end } => self.shutdown_at = Some(end),
             Event::Settings(settings) => self.settings = settings,
-            Event::NodeCount(nodes) => self.nodes = nodes.max(1),
+            Event::RequestSent { addr } => self.record_request(now, &addr),
+            Event::NodesListed(nodes) => self.set_nodes(now, nodes),
             Event::DigestReceived(digest) => self.receive_digest(now, &digest),
         }
         effects
@@ -159,6 +161,12 @@
         self.part_suspects.export(now)
     }
 
+    /// All rate limits that targets have named, for a node that has just started.
+    #[must_use]
+    pub fn rate_limits(&self, now: Millis) -> Vec<LimitReport> {
+        self.targets.limits(now)
+    }
+
     /// All targets that have said that they are leaving, for a node that has just started.
     #[must_use]
     pub fn leaving_targets(&self) -> Vec<TargetIncarnation> {
@@ -204,6 +212,15 @@
         }
     }
 
+    fn set_nodes(&mut self, now: Millis, nodes: Vec<String>) {
+        self.nodes = nodes.len().max(1);
+        let sharers = Sharers {
+            vm: self.settings.vm.clone(),
+            nodes,
+        };
+        self.targets.set_sharers(now, sharers);
+    }
+
     fn apply_routing(&mut self, routing: Arc<Routing>) {
         // An older version never replaces the current one.
         if routing.version > self.routing.version {
@@ -269,6 +286,9 @@
         for target in &digest.leaving {
             self.targets.set_leaving(now, target, LeavingSource::Peer);
         }
+        for report in &digest.limits {
+            self.targets.merge_limit(now, report);
+        }
         self.roles.peers.retain(|p| p.vm != digest.vm);
         self.roles.peers.push(PeerConnection {
             vm: digest.vm.clone(),
--- a/crates/rw-gate/src/notice_flow.rs
+++ b/crates/rw-gate/src/notice_flow.rs
@@ -1,4 +1,4 @@
-//! Notices of targets: who is leaving, and who wants a pause.
+//! Notices of targets: who is leaving, who wants a pause, and who takes only so many requests.
 
 use crate::{Availability, Effect, Gate, LeavingSource, TargetIncarnation, TargetNotice};
 use rw_core::pause_with_jitter;
@@ -17,26 +17,37 @@
             let until = now.plus(pause_with_jitter(&mut self.rng, pause_ms));
             self.targets.pause(now, target, until);
         }
-        if notice.is_leaving
+        let has_new_rate = self.targets.set_rate(now, target, notice.rate);
+        let leaves = notice.is_leaving
             && self
                 .targets
-                .set_leaving(now, target, LeavingSource::Response)
-        {
+                .set_leaving(now, target, LeavingSource::Response);
+        if has_new_rate || leaves {
             self.publication.set_urgent();
             effects.push(Effect::PublishDigest);
         }
     }
 
-    /// Milliseconds until the first target of a service returns from its pause; `None` if one is
-    /// open, or none is paused.
-    pub(crate) fn pause_left_ms(&self, now: Millis, service: &str) -> Option<u64> {
+    /// A request that belongs to no call was sent to the target at `addr`.
+    pub(crate) fn record_request(&mut self, now: Millis, addr: &str) {
+        let targets = self.targets.all().iter();
+        let at_addr = targets.filter(|t| t.spec.addr == addr);
+        let names: Vec<String> = at_addr.map(|t| t.spec.name.clone()).collect();
+        for name in names {
+            self.targets.record_request(now, &name);
+        }
+    }
+
+    /// Milliseconds until this node may send to the first target of a service again; `None` if one is
+    /// open, or none will be.
+    pub(crate) fn wait_ms(&self, now: Millis, service: &str) -> Option<u64> {
         let targets = self.targets.all().iter();
         let targets = targets.filter(|t| t.spec.service == service);
         let mut first = None;
         for state in targets.map(|t| t.availability(now)) {
             match state {
                 Availability::Open => return None,
-                Availability::Paused { until } => {
+                Availability::Paused { until } | Availability::RateLimited { until } => {
                     let left_ms = until.since(now);
                     first = Some(first.map_or(left_ms, |ms: u64| ms.min(left_ms)));
                 }
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -24,6 +24,8 @@
 const MAX_PARTS: usize = 4;
 /// Maximum number of leaving targets that one digest carries.
 const MAX_LEAVING: usize = 8;
+/// Maximum number of rate limits that one digest carries.
+const MAX_LIMITS: usize = 4;
 /// Age up to which suspect requests are published, in milliseconds.
 const SUSPECT_PUBLISH_MS: u64 = 5_000;
 /// Number of digests that carry a suspect request, since one may be lost.
@@ -212,8 +214,12 @@
         let suspects = self.publication.take_suspects(recent);
         let parts = self.part_suspects.take_reports(now, MAX_PARTS);
         let leaving = self.targets.take_leaving(MAX_LEAVING);
-        let has_news =
-            !reports.is_empty() || !suspects.is_empty() || !parts.is_empty() || !leaving.is_empty();
+        let limits = self.targets.take_limits(now, MAX_LIMITS);
+        let has_news = !reports.is_empty()
+            || !suspects.is_empty()
+            || !parts.is_empty()
+            || !leaving.is_empty()
+            || !limits.is_empty();
         if !has_news && !self.publication.is_due(now) {
             return None;
         }
@@ -228,6 +234,7 @@
             suspects,
             parts,
             leaving,
+            limits,
         })
     }
 
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -215,7 +215,9 @@
             true => (Role::Decode, Role::Prefill),
             false => (Role::Prefill, Role::Decode),
         };
-        let candidates = engines().filter(|t| t.is_available(now));
+        // An engine in need is left alone: a change takes requests, and makes it unavailable.
+        let is_limited = |t: &Target| t.send_window.is_some();
+        let candidates = engines().filter(|t| t.is_available(now) && !is_limited(t));
         let candidates = candidates.filter(|t| t.spec.role == from && !t.is_changing_role(now));
         let target = candidates.min_by_key(|t| (t.running_calls(), t.spec.name.clone()))?;
         Some((target.spec.name.clone(), to))
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Availability, Health, LeavingSource, PrefillQueue, PrefillSize, PrefixCache, Prompt,
-    TargetLoad, digest::REPORT_TTL_MS,
+    SendWindow, TargetLoad, digest::REPORT_TTL_MS,
 };
 use rw_types::{Millis, Role};
 use serde::{Deserialize, Serialize};
@@ -44,6 +44,8 @@
     pub leaving: Option<LeavingSource>,
     /// End of the pause that it asked this node for.
     pub paused_until: Option<Millis>,
+    /// Set if it has named a rate limit: when this node may send the next request.
+    pub send_window: Option<SendWindow>,
     /// Load from the latest response, and the time of that response.
     pub load: Option<(Millis, TargetLoad)>,
     /// Prefills that are queued or running on the target.
@@ -72,6 +74,7 @@
             remove_at: None,
             leaving: None,
             paused_until: None,
+            send_window: None,
             load: None,
             queue: PrefillQueue::default(),
             cache: PrefixCache::default(),
@@ -125,7 +128,11 @@
             return Availability::Leaving(source);
         }
         match self.paused_until {
-            Some(until) if now < until => Availability::Paused { until },
+            Some(until) if now < until => return Availability::Paused { until },
+            _ => {}
+        }
+        match self.send_window.map(|w| w.next(now)) {
+            Some(until) if now < until => Availability::RateLimited { until },
             _ => Availability::Open,
         }
     }
@@ -136,11 +143,15 @@
         self.availability(now) == Availability::Open
     }
 
-    /// Whether the target will get work, now or after a pause.
+    /// Whether the target will get work, now or later.
     #[must_use]
     pub fn is_staying(&self, now: Millis) -> bool {
-        let state = self.availability(now);
-        matches!(state, Availability::Open | Availability::Paused { .. })
+        match self.availability(now) {
+            Availability::Open | Availability::Paused { .. } | Availability::RateLimited { .. } => {
+                true
+            }
+            Availability::Gone | Availability::Leaving(_) => false,
+        }
     }
 
     /// Prefill work for `prompt`, given the prefix cache.
--- a/crates/rw-gate/src/target_list.rs
+++ b/crates/rw-gate/src/target_list.rs
@@ -1,16 +1,18 @@
 //! The targets known to this node.
 
 use crate::{
-    LeavingSource, Target, TargetIncarnation, TargetSpec,
+    LeavingSource, LimitReport, Target, TargetIncarnation, TargetSpec,
     notice_log::{NoticeEntry, NoticeLog},
+    rate_limits::{RateLimits, Sharers},
 };
-use rw_types::Millis;
+use rw_types::{Millis, RateNotice, RequestRate};
 
 /// Targets sorted by name.
 #[derive(Debug, Clone, Default)]
 pub struct TargetList {
     list: Vec<Target>,
     notices: NoticeLog,
+    limits: RateLimits,
 }
 
 impl TargetList {
@@ -66,6 +68,53 @@
         self.apply_notices(&target.name);
     }
 
+    /// The rate limit that an incarnation of a target has named, if it is in force.
+    #[must_use]
+    pub fn rate_limit(&self, name: &str, incarnation: u64) -> Option<RequestRate> {
+        self.limits.rate(name, incarnation)
+    }
+
+    /// Records what a target says about its rate limit; returns whether this is news.
+    pub(crate) fn set_rate(
+        &mut self,
+        now: Millis,
+        target: &TargetIncarnation,
+        notice: RateNotice,
+    ) -> bool {
+        let is_news = self.limits.record(now, target, notice);
+        self.apply_notices(&target.name);
+        is_news
+    }
+
+    /// Records what another node has heard about a rate limit.
+    pub(crate) fn merge_limit(&mut self, now: Millis, report: &LimitReport) {
+        self.limits.merge_report(now, report);
+        self.apply_notices(&report.target.name);
+    }
+
+    /// Records a request to a target, of whatever kind.
+    pub(crate) fn record_request(&mut self, now: Millis, name: &str) {
+        self.limits.record_request(now, name);
+        self.apply_notices(name);
+    }
+
+    /// Replaces the nodes that share the rate limits.
+    pub(crate) fn set_sharers(&mut self, now: Millis, sharers: Sharers) {
+        self.limits.set_sharers(now, sharers);
+        let names: Vec<String> = self.list.iter().map(|t| t.spec.name.clone()).collect();
+        names.iter().for_each(|name| self.apply_notices(name));
+    }
+
+    /// The rate limits that are due to be published, at most `max`.
+    pub(crate) fn take_limits(&mut self, now: Millis, max: usize) -> Vec<LimitReport> {
+        self.limits.take_reports(now, max)
+    }
+
+    /// All rate limits in force.
+    pub(crate) fn limits(&self, now: Millis) -> Vec<LimitReport> {
+        self.limits.export(now)
+    }
+
     /// The leaving targets that are due to be published, at most `max`.
     pub(crate) fn take_leaving(&mut self, max: usize) -> Vec<TargetIncarnation> {
         self.notices.take_leaving(max)
@@ -85,6 +134,7 @@
         let said = self.notices.find(name, target.spec.incarnation);
         target.leaving = said.and_then(|e| e.leaving);
         target.paused_until = said.and_then(|e: &NoticeEntry| e.paused_until);
+        target.send_window = self.limits.window(name, target.spec.incarnation);
     }
 
     fn replace_entry(&mut self, spec: TargetSpec) -> bool {
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -163,7 +163,7 @@
             retry_slack: case.slack,
             ..GateSettings::default()
         });
-        world.step(Event::NodeCount(case.nodes));
+        world.step(nodes_listed(case.nodes));
         let mut retries = 0;
         for _ in 0..200 {
             world.now += 10;
--- a/crates/rw-gate/tests/notices.rs
+++ b/crates/rw-gate/tests/notices.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    Availability, Digest, Effect, Event, GateSettings, LeavingSource, RefusalKind, Role,
-    TargetIncarnation, TargetNotice,
+    Availability, Digest, Effect, Event, GateSettings, LeavingSource, RateNotice, RefusalKind,
+    Role, TargetIncarnation, TargetNotice,
 };
 use rw_types::Millis;
 use support::*;
@@ -12,6 +12,7 @@
 const LEAVING: TargetNotice = TargetNotice {
     is_leaving: true,
     pause_ms: None,
+    rate: RateNotice::Silent,
 };
 
 fn notice(name: &str, incarnation: u64, notice: TargetNotice) -> Event {
@@ -26,6 +27,7 @@
     let asked = TargetNotice {
         is_leaving: false,
         pause_ms: Some(pause_ms),
+        ..TargetNotice::default()
     };
     notice(name, 1, asked)
 }
@@ -296,6 +298,7 @@
             notice: TargetNotice {
                 is_leaving: false,
                 pause_ms: Some(60_000),
+                rate: RateNotice::Silent,
             },
         },
     ];
--- a/crates/rw-gate/tests/poison_parts.rs
+++ b/crates/rw-gate/tests/poison_parts.rs
@@ -106,7 +106,7 @@
         };
         for node in &mut fleet.nodes {
             node.step(Event::TargetsListed(Vec::new()));
-            node.step(Event::NodeCount(nodes));
+            node.step(nodes_listed(nodes));
         }
         (0..ENGINES_COUNT).for_each(|_| fleet.start_engine());
         fleet
--- a/crates/rw-gate/tests/support/mod.rs
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -148,7 +148,7 @@
         };
         world.step(Event::Routing(Arc::new(routing(1))));
         world.step(Event::TargetsListed(fleet()));
-        world.step(Event::NodeCount(1));
+        world.step(nodes_listed(1));
         world
     }
 
@@ -168,6 +168,11 @@
     }
 }
 
+/// A fleet of `count` nodes.
+pub fn nodes_listed(count: usize) -> Event {
+    Event::NodesListed((0..count).map(|n| format!("vm-{n:03}")).collect())
+}
+
 pub fn dispatch(effects: &[Effect]) -> Option<&Dispatch> {
     effects.iter().find_map(|e| match e {
         Effect::Dispatch { dispatch, .. } => Some(dispatch),
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -71,7 +71,7 @@
             events: vec![
                 (0, Event::StoreConnected),
                 (100, removed()),
-                (2_200, Event::NodeCount(1)),
+                (2_200, nodes_listed(1)),
             ],
             used_targets: &["p2", "p3"],
         },
@@ -117,7 +117,7 @@
                 (0, Event::StoreConnected),
                 (100, removed()),
                 (500, Event::TargetUpdated(entry())),
-                (3_000, Event::NodeCount(1)),
+                (3_000, nodes_listed(1)),
             ],
             used_targets: &["p1", "p2", "p3"],
         },
--- a/crates/rw-load/src/relay/engine_faults.rs
+++ b/crates/rw-load/src/relay/engine_faults.rs
@@ -42,6 +42,7 @@
         let notice = TargetNotice {
             is_leaving,
             pause_ms,
+            ..TargetNotice::default()
         };
         if self.options.ignores_notices || notice.is_empty() {
             return;
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -159,7 +159,8 @@
                 ..GateSettings::default()
             });
             let now = Millis(0);
-            gate.step(now, Event::NodeCount(self.deployment.nodes));
+            let nodes = (0..self.deployment.nodes).map(|n| format!("vm-{n}"));
+            gate.step(now, Event::NodesListed(nodes.collect()));
             gate.step(now, Event::Routing(routing.clone()));
             gate.step(now, Event::TargetsListed(specs.clone()));
             self.nodes.push(gate);
--- a/crates/rw-node/src/notices.rs
+++ b/crates/rw-node/src/notices.rs
@@ -19,6 +19,7 @@
         let notice = TargetNotice {
             is_leaving: says_leaving(response),
             pause_ms: self.pause_ms(addr, response),
+            ..TargetNotice::default()
         };
         if notice.is_empty() {
             return;
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -221,11 +221,7 @@
         dispatch: &Dispatch,
         conn: &mut TargetConnection,
     ) -> io::Result<(ResponseHead, ResponseMetadata)> {
-        let target = Addressee {
-            name: &dispatch.target,
-            incarnation: dispatch.incarnation,
-            addr: conn.addr,
-        };
+        let sent_at = self.clock.now();
         loop {
             let bytes = conn.connection.read_head(MAX_HEAD_BYTES).await?;
             let bytes = bytes.map_err(|_| malformed())?;
@@ -235,21 +231,28 @@
                 continue;
             }
             let metadata = self.dialect.response_metadata(&head);
-            self.notice(target, &metadata);
-            match &metadata.call_id {
-                Some(call_id) if *call_id == call.call_id => return Ok((head, metadata)),
+            let is_own = match &metadata.call_id {
+                Some(call_id) => *call_id == call.call_id,
                 // Without a call identifier, only the first response on a connection is known to
                 // belong to its request.
-                None if !conn.reused => return Ok((head, metadata)),
-                _ => {
-                    self.log.unmatched_response(call, &metadata);
-                    let mut body = BodyReader::new(head.framing);
-                    body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
-                        .await?;
-                    if !head.keep_alive {
-                        return Err(malformed());
-                    }
-                }
+                None => !conn.reused,
+            };
+            let target = Addressee {
+                name: &dispatch.target,
+                incarnation: dispatch.incarnation,
+                addr: conn.addr,
+                asked_at: is_own.then_some(sent_at),
+            };
+            self.notice(target, &metadata);
+            if is_own {
+                return Ok((head, metadata));
+            }
+            self.log.unmatched_response(call, &metadata);
+            let mut body = BodyReader::new(head.framing);
+            body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
+                .await?;
+            if !head.keep_alive {
+                return Err(malformed());
             }
         }
     }
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -142,10 +142,14 @@
         }
     }
 
-    /// A target named a rate limit.
-    pub(crate) fn rate_limit(&self, target: &str, rate: RequestRate) {
-        if self.allow_line() {
-            log::info!(target, per_s = rate.per_s(); "target names a rate limit");
+    /// A target named a rate limit, or withdrew it.
+    pub(crate) fn rate_limit(&self, target: &str, rate: Option<RequestRate>) {
+        if !self.allow_line() {
+            return;
+        }
+        match rate {
+            Some(rate) => log::info!(target, per_s = rate.per_s(); "target names a rate limit"),
+            None => log::info!(target; "target names no rate limit any more"),
         }
     }
 
--- a/crates/rw-relay/src/dialect.rs
+++ b/crates/rw-relay/src/dialect.rs
@@ -20,7 +20,7 @@
     pub is_leaving: bool,
     /// Pause that the target asks for.
     pub pause: Option<RetryAfter>,
-    /// Rate limit that the target names.
+    /// Rate limit that the target names; `None` if the response may be another target's.
     pub rate_limit: Option<NamedLimit>,
 }
 
@@ -31,6 +31,8 @@
     Rate(RequestRate),
     /// The header holds no number of requests per second.
     Invalid,
+    /// There is no header, so that no limit is in force.
+    Unlimited,
 }
 
 impl NamedLimit {
--- a/crates/rw-relay/src/notices.rs
+++ b/crates/rw-relay/src/notices.rs
@@ -1,8 +1,12 @@
 //! What targets say about themselves in the heads of their responses.
 
 use crate::{Dialect, NamedLimit, Relay, ResponseHead, ResponseMetadata};
-use rw_gate::{Availability, Digest, Event, MAX_PAUSE_MS, TargetIncarnation, TargetNotice};
+use rw_gate::{
+    Availability, Digest, Event, MAX_PAUSE_MS, RateNotice, RequestRate, TargetIncarnation,
+    TargetNotice,
+};
 use rw_http::RetryAfter;
+use rw_types::Millis;
 use std::net::SocketAddr;
 
 /// A target as a request addressed it.
@@ -11,6 +15,8 @@
     pub(crate) name: &'a str,
     pub(crate) incarnation: u64,
     pub(crate) addr: SocketAddr,
+    /// When the request was sent; `None` if the response may belong to another request.
+    pub(crate) asked_at: Option<Millis>,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -34,32 +40,52 @@
             self.log.pause(target.name, ms, MAX_PAUSE_MS);
             self.metrics.notice("pause");
         }
-        match metadata.rate_limit {
-            Some(NamedLimit::Rate(rate)) => {
-                self.log.rate_limit(target.name, rate);
-                self.metrics.notice("limit");
-            }
-            Some(NamedLimit::Invalid) => {
-                self.log.limit_invalid(target.name);
-                self.metrics.notice("invalid-limit");
-            }
-            None => {}
-        }
-        if !metadata.is_leaving && pause_ms.is_none() {
-            return;
-        }
-        if metadata.is_leaving {
-            self.note_leaving(target);
-        }
         let notice = TargetNotice {
             is_leaving: metadata.is_leaving,
             pause_ms,
+            rate: self.rate_notice(target, metadata),
         };
-        let target = TargetIncarnation {
+        if notice.is_empty() {
+            return;
+        }
+        if notice.is_leaving {
+            self.note_leaving(target);
+        }
+        let rate_before = self.rate_limit(target);
+        let incarnation = TargetIncarnation {
             name: target.name.to_owned(),
             incarnation: target.incarnation,
         };
-        self.step(Event::TargetNotice { target, notice });
+        self.step(Event::TargetNotice {
+            target: incarnation,
+            notice,
+        });
+        let rate = self.rate_limit(target);
+        if rate != rate_before {
+            self.log.rate_limit(target.name, rate);
+            self.metrics.notice("limit");
+        }
+    }
+
+    /// What a response says about the rate limit of `target`.
+    fn rate_notice(&self, target: Addressee<'_>, metadata: &ResponseMetadata) -> RateNotice {
+        match (metadata.rate_limit, target.asked_at) {
+            (Some(NamedLimit::Rate(rate)), _) => RateNotice::Limited(rate),
+            (Some(NamedLimit::Invalid), _) => {
+                self.log.limit_invalid(target.name);
+                self.metrics.notice("invalid-limit");
+                RateNotice::Silent
+            }
+            (Some(NamedLimit::Unlimited), Some(asked_at)) if self.rate_limit(target).is_some() => {
+                RateNotice::Unlimited { asked_at }
+            }
+            (Some(NamedLimit::Unlimited) | None, _) => RateNotice::Silent,
+        }
+    }
+
+    fn rate_limit(&self, target: Addressee<'_>) -> Option<RequestRate> {
+        let gate = self.gate.borrow();
+        gate.targets().rate_limit(target.name, target.incarnation)
     }
 
     /// Passes on a digest of another node, and logs which targets it says are leaving.
--- a/crates/rw-relay/src/orders.rs
+++ b/crates/rw-relay/src/orders.rs
@@ -30,6 +30,8 @@
             name: &self.target,
             incarnation: self.incarnation,
             addr: self.addr,
+            // A report may come from another target at the same address.
+            asked_at: None,
         }
     }
 }
@@ -96,6 +98,7 @@
             expected_orders: report.accepted_orders,
         };
         let request = self.dialect.order_request(&order);
+        self.record_request(queued.addr);
         let head = format!(
             "POST {} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n{}content-length: {}\r\nconnection: close\r\n\r\n",
             request.path,
@@ -121,9 +124,16 @@
         }
     }
 
+    /// Counts a request that belongs to no call towards the rate limit of the target at `addr`.
+    pub(crate) fn record_request(&self, addr: SocketAddr) {
+        let addr = addr.to_string();
+        self.step(Event::RequestSent { addr });
+    }
+
     async fn fetch_report(&self, queued: &QueuedOrder) -> io::Result<TargetReport> {
         let addr = queued.addr;
         let path = self.dialect.report_path();
+        self.record_request(addr);
         let bytes = format!("GET {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n\r\n");
         let conn = Connection::open(addr).await?;
         let (head, body) = exchange(conn, bytes.as_bytes()).await?;
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -119,6 +119,7 @@
             suspects: snapshot.suspects,
             parts: snapshot.parts,
             leaving: snapshot.leaving,
+            limits: snapshot.limits,
             ..Digest::default()
         };
         self.digest_received(received);
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -34,6 +34,9 @@
     /// Targets that have said that they are leaving.
     #[serde(default)]
     pub leaving: Vec<rw_gate::TargetIncarnation>,
+    /// Rate limits that targets have named.
+    #[serde(default)]
+    pub limits: Vec<rw_gate::LimitReport>,
 }
 
 /// The platform's registry of routes, targets and nodes.
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -147,6 +147,7 @@
             suspects: gate.suspects(self.clock.now()),
             parts: gate.part_suspects(self.clock.now()),
             leaving: gate.leaving_targets(),
+            limits: gate.rate_limits(self.clock.now()),
         }
     }
 
@@ -154,9 +155,9 @@
     pub(crate) fn merge_peers(&self, list: Vec<Peer>) {
         let mut peers = self.peers.borrow_mut();
         list.into_iter().for_each(|p| peers.upsert(p));
-        let nodes = peers.all().len();
+        let nodes = peers.all().iter().map(|p| p.vm.clone()).collect();
         drop(peers);
-        self.step(Event::NodeCount(nodes));
+        self.step(Event::NodesListed(nodes));
     }
 
     fn enqueue_order(&self, order: Effect) {
@@ -173,6 +174,7 @@
         let Ok(addr) = handle.addr.parse::<SocketAddr>() else {
             return;
         };
+        self.record_request(addr);
         let (method, path) = self.dialect.release_request(&handle);
         let request =
             format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n\r\n");
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -38,5 +38,5 @@
 pub use request_rate::RequestRate;
 pub use suspect::Suspect;
 pub use target::{Target, TargetKind};
-pub use target_notice::{MAX_PAUSE_MS, TargetNotice};
+pub use target_notice::{MAX_PAUSE_MS, RateNotice, TargetNotice};
 pub use vm::Vm;
--- a/crates/rw-types/src/request_rate.rs
+++ b/crates/rw-types/src/request_rate.rs
@@ -7,6 +7,7 @@
 
 /// Requests per second, in steps of a thousandth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct RequestRate {
     per_1000_s: u64,
 }
