--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -225,6 +225,7 @@
         }
         let incarnation = target.spec.incarnation;
         let addr = target.spec.addr.clone();
+        let software = target.spec.software.clone();
         self.targets.record_request(now, &placement.target);
         call.dispatches += 1;
         call.active = Some(ActiveDispatch {
@@ -243,6 +244,7 @@
             target: placement.target.clone(),
             incarnation,
             addr,
+            software,
             mode,
             fetch_from: placement.fetch_from.clone(),
             left_ms: call.deadline.since(now),
--- a/crates/rw-gate/src/call_request.rs
+++ b/crates/rw-gate/src/call_request.rs
@@ -37,6 +37,9 @@
     pub deadline_ms: Option<u64>,
     /// Last event that the caller received from an earlier stream.
     pub last_event: Option<u64>,
+    /// Identifier of the caller's earlier call that brought the first event of the stream which this
+    /// call resumes.
+    pub resumes: Option<String>,
     /// Set if the call is a generation.
     pub prompt: Option<Prompt>,
 }
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -23,6 +23,8 @@
     pub incarnation: u64,
     /// `ip:port` of the target.
     pub addr: String,
+    /// Version of the target's software.
+    pub software: String,
     /// What the target is asked to do.
     pub mode: DispatchMode,
     /// `ip:port` of another target from which the cached beginning of the prompt is fetched.
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -30,6 +30,9 @@
     pub leaving: bool,
     /// Names of the loaded models; empty for a plain service.
     pub models: Vec<String>,
+    /// Version of its software; empty if it isn't known.
+    #[serde(default)]
+    pub software: String,
 }
 
 /// A known target and its estimated state.
--- a/crates/rw-gate/tests/support/mod.rs
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -92,6 +92,7 @@
         role,
         leaving: false,
         models: vec!["m".to_owned()],
+        software: "v1".to_owned(),
     }
 }
 
@@ -115,6 +116,7 @@
         fingerprint: 7,
         deadline_ms: Some(5_000),
         last_event: None,
+        resumes: None,
         prompt: None,
     }
 }
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -197,6 +197,7 @@
             role: self.engines[engine].role,
             leaving: false,
             models: vec![MODEL.to_owned()],
+            software: String::new(),
         }
     }
 
@@ -280,6 +281,7 @@
             fingerprint: arrival as u64 + 1,
             deadline_ms: Some(kind.deadline_ms.saturating_sub(elapsed_ms)),
             last_event: None,
+            resumes: None,
             prompt: Some(RequestPrompt {
                 model: MODEL.to_owned(),
                 tokens: a.tokens(),
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -47,9 +47,9 @@
         self.dropped.get()
     }
 
-    pub(crate) fn dispatch(&self, call: &Call, d: &Dispatch) {
+    pub(crate) fn dispatch(&self, call: &Call, d: &Dispatch, resumes: &str) {
         if self.allow_line() {
-            log::info!(call = call.call_id.as_str(), n = call.id.0, to = d.target.as_str(), mode = mode_label(&d.mode), priority = d.priority, fetch = d.fetch_from.as_deref().unwrap_or_default(), left_ms = d.left_ms, resume:? = d.resume_after, why = d.reason.as_str(); "dispatch");
+            log::info!(call = call.call_id.as_str(), n = call.id.0, resumes, to = d.target.as_str(), software = d.software.as_str(), mode = mode_label(&d.mode), priority = d.priority, fetch = d.fetch_from.as_deref().unwrap_or_default(), left_ms = d.left_ms, resume:? = d.resume_after, why = d.reason.as_str(); "dispatch");
         }
     }
 
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -25,11 +25,12 @@
     ) -> Result<(), CallerDisconnected> {
         let id = call.id;
         let request = self.dialect.call_request(&call.head, &call.body);
+        let resumes = request.resumes.clone().unwrap_or_default();
         let mut next = self.next_step(Event::CallArrived { id, request });
         loop {
             match next {
                 NextStep::Dispatch(dispatch) => {
-                    self.log.dispatch(call, &dispatch);
+                    self.log.dispatch(call, &dispatch, &resumes);
                     self.metrics.dispatched(&dispatch);
                     let outcome = self.attempt(call, &dispatch, progress).await?;
                     self.log.ended(call, &dispatch, &outcome, progress.framing);
