--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -12,9 +12,9 @@
 const WAIT_SAFETY_FACTOR: f64 = 2.0;
 /// Time in which a plain call is expected to end, in milliseconds.
 const PLAIN_CALL_MS: u64 = 1_500;
-/// Retry time in a refusal by a node that shuts down, in milliseconds. It is short, because any
-/// other node can serve the call.
-const SHUTDOWN_RETRY_MS: u64 = 50;
+/// Retry time in a refusal for a reason that concerns this node alone, in milliseconds. It is short,
+/// because another node can serve the call.
+const OTHER_NODE_RETRY_MS: u64 = 50;
 /// Minimum interval over which callers return after a pause, in milliseconds.
 const MIN_RETURN_SPREAD_MS: u64 = 100;
 /// Maximum retry time named in a refusal, in milliseconds.
@@ -56,14 +56,17 @@
             return Err(self.refusal(RefusalKind::NoRoute, 0));
         };
         if self.stops_before(now, route) {
-            return Err(self.refusal(RefusalKind::ShuttingDown, SHUTDOWN_RETRY_MS));
+            return Err(self.refusal(RefusalKind::ShuttingDown, OTHER_NODE_RETRY_MS));
         }
         if let Some(left_ms) = self.poisoned_ms(now, &request) {
             return Err(self.refusal(RefusalKind::Poison, left_ms));
         }
-        let Some(service) = self.pick_service(route) else {
+        let began_at = self.origin_service(now, route, &request).map(str::to_owned);
+        let Some(service) = began_at.or_else(|| self.pick_service(route)) else {
             return Err(self.refusal(RefusalKind::NoTarget, self.settings.retry_ms));
         };
+        let software = self.required_version(now, route, &request);
+        let software = software.map_err(|kind| self.refusal(kind, OTHER_NODE_RETRY_MS))?;
         let wait_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
         let client_timeout_ms = match route.retry_policy.is_stream() {
             true => route.client_timeout_ms.min(wait_ms),
@@ -88,6 +91,7 @@
             active: None,
             handle: None,
             resume_after: request.last_event,
+            software,
             request,
         })
     }
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CacheInsert, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle, RefusalKind,
-    SentPrefill, TargetLoad, call_state::ActiveDispatch, placement::Placement,
+    SentPrefill, SoftwareId, TargetLoad, call_state::ActiveDispatch, placement::Placement,
     prefix_cache::prefix_hashes,
 };
 use rw_types::{Millis, RequestId};
@@ -226,12 +226,14 @@
         let incarnation = target.spec.incarnation;
         let addr = target.spec.addr.clone();
         let software = target.spec.software.clone();
+        let software_id = SoftwareId::of_target(&target.spec);
         self.targets.record_request(now, &placement.target);
         call.dispatches += 1;
         call.active = Some(ActiveDispatch {
             target: placement.target.clone(),
             incarnation,
             mode: mode.clone(),
+            software: software_id,
             sent_at: now,
             size: placement.size,
             held_tokens,
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -1,6 +1,8 @@
 //! State of an open call.
 
-use crate::{CallRequest, DispatchMode, KvHandle, PrefillSize, RetryPolicy};
+use crate::{
+    CallRequest, DispatchMode, KvHandle, PrefillSize, RetryPolicy, SoftwareId, TargetSpec,
+};
 use rw_types::{Millis, RequestId};
 
 /// The dispatch of a call that is in flight.
@@ -9,6 +11,8 @@
     pub(crate) target: String,
     pub(crate) incarnation: u64,
     pub(crate) mode: DispatchMode,
+    /// Version of the target's software.
+    pub(crate) software: SoftwareId,
     pub(crate) sent_at: Millis,
     /// Prefill work that the target is expected to do.
     pub(crate) size: PrefillSize,
@@ -54,9 +58,17 @@
     pub(crate) handle: Option<KvHandle>,
     /// Event after which the stream is resumed.
     pub(crate) resume_after: Option<u64>,
+    /// Version of the targets' software at which the stream began; `None` before its first event.
+    pub(crate) software: Option<SoftwareId>,
 }
 
 impl CallState {
+    /// Whether the call may be sent to a target with the version of this one.
+    pub(crate) fn accepts_version(&self, spec: &TargetSpec) -> bool {
+        let required = self.software;
+        required.is_none_or(|software| software == SoftwareId::of_target(spec))
+    }
+
     pub(crate) fn left_ms(&self, now: Millis) -> u64 {
         self.deadline.since(now)
     }
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -3,7 +3,7 @@
 //! Reports and jobs are serialized as arrays without field names, because every node sends them to
 //! several others many times a second.
 
-use crate::{PrefillJob, TargetIncarnation};
+use crate::{HistoryReport, OriginReport, PrefillJob, StreamId, TargetIncarnation};
 use rw_types::{RequestRate, Role, Suspect};
 use serde::{Deserialize, Serialize};
 
@@ -194,4 +194,13 @@
     /// Rate limits that targets have named or withdrawn.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
+    /// Where streams began.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub origins: Vec<OriginReport>,
+    /// Streams of which the node asks where they began.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub asks: Vec<StreamId>,
+    /// Versions of the targets' software that the node has seen, with an answer to such a question.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub history: Option<HistoryReport>,
 }
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -66,6 +66,9 @@
     Overloaded,
     /// The request crashed the targets that ran it.
     Poison,
+    /// The call resumes a stream, and it isn't known at which version of the targets' software that
+    /// began.
+    UnknownOrigin,
     /// This node shuts down before the call could end.
     ShuttingDown,
     /// The call may have run, but its response was lost.
@@ -87,6 +90,7 @@
             Self::TooLate => "too-late",
             Self::Overloaded => "overloaded",
             Self::Poison => "poison",
+            Self::UnknownOrigin => "unknown-origin",
             Self::ShuttingDown => "leaving",
             Self::ResponseLost => "answer-lost",
             Self::TimedOut => "timed-out",
@@ -103,6 +107,7 @@
             | Self::TooLate
             | Self::Overloaded
             | Self::Poison
+            | Self::UnknownOrigin
             | Self::ShuttingDown => Some(503),
             Self::NoRoute => Some(404),
             Self::ResponseLost => Some(502),
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -84,6 +84,11 @@
         /// Identifier of the call.
         id: RequestId,
     },
+    /// An event of a stream is about to be delivered to the caller, the first one of this dispatch.
+    StreamBegun {
+        /// Identifier of the call.
+        id: RequestId,
+    },
     /// A dispatch ended.
     DispatchEnded {
         /// Identifier of the call.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -3,13 +3,15 @@
 use crate::{
     Digest, DispatchMode, Effect, Event, GateSettings, LeavingSource, LimitReport,
     LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, Routing,
-    TargetIncarnation, TargetList, WorkReport,
+    TargetIncarnation, TargetList, TargetSpec, WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placer::Placer,
     publication::Publication,
     rate_limits::Sharers,
     roles::{PEER_TIMEOUT_MS, PeerConnection, Roles},
+    software_history::SoftwareHistory,
+    stream_origins::StreamOrigins,
 };
 use rw_core::Suspects;
 use rw_types::{Millis, RequestId};
@@ -32,6 +34,10 @@
     pub(crate) budget: LocalRetryBudget,
     pub(crate) suspects: Suspects,
     pub(crate) part_suspects: PartSuspects,
+    /// Where recent streams began.
+    pub(crate) origins: StreamOrigins,
+    /// Versions of the targets' software.
+    pub(crate) software: SoftwareHistory,
     pub(crate) nodes: usize,
     /// Estimates of engine speed by service, sorted by name.
     pub(crate) estimates: Vec<(String, EngineEstimates)>,
@@ -58,6 +64,8 @@
             budget: LocalRetryBudget::default(),
             suspects: Suspects::default(),
             part_suspects: PartSuspects::default(),
+            origins: StreamOrigins::default(),
+            software: SoftwareHistory::default(),
             nodes: settings.nodes,
             estimates: Vec::new(),
             overrun: Overrun::default(),
@@ -79,28 +87,32 @@
             }
             Event::ResponseStarted { id, load } => self.response_started(now, id, load),
             Event::FirstEvent { id } => self.first_event(now, id),
+            Event::StreamBegun { id } => self.stream_begun(now, id),
             Event::DispatchEnded { id, outcome } => {
                 self.end_dispatch(now, id, outcome, &mut effects)
             }
             Event::CallerDisconnected { id } => self.cancel_call(now, id, &mut effects),
             Event::Routing(routing) => self.apply_routing(routing),
-            Event::TargetUpdated(spec) => {
-                self.targets.upsert(spec);
-            }
+            Event::TargetUpdated(spec) => self.update_target(now, spec),
             Event::TargetRemoved { name } => self.remove_target(now, &name),
             Event::TargetNotice { target, notice } => {
                 self.notice_received(now, &target, notice, &mut effects);
             }
             Event::TargetsListed(specs) => {
                 self.roles.connected_since.get_or_insert(now);
+                self.software.start(now);
                 self.replace_targets(now, specs);
+                self.observe_software(now);
             }
             Event::StoreConnected => {
                 self.reconnected_at = Some(now);
                 self.roles.connected_since = Some(now);
             }
             Event::StoreDisconnected => self.roles.connected_since = None,
-            Event::Tick => self.check_roles(now, &mut effects),
+            Event::Tick => {
+                self.check_software(now);
+                self.check_roles(now, &mut effects);
+            }
             Event::LeaseResult(token) => self.lease_result(now, token),
             Event::OrderEnded { target, outcome } => self.order_ended(now, &target, outcome),
             Event::ShuttingDown { end } => self.shutdown_at = Some(end),
@@ -257,13 +269,22 @@
             .map_or(0, |at| now.since(at).max(1))
     }
 
+    fn update_target(&mut self, now: Millis, spec: TargetSpec) {
+        let name = spec.name.clone();
+        // Its version may be replaced.
+        self.observe_target(now, &name);
+        self.targets.upsert(spec);
+        self.observe_target(now, &name);
+    }
+
     fn remove_target(&mut self, now: Millis, name: &str) {
         let at = self.removal_time(now);
+        self.observe_target(now, name);
         self.targets.remove(name, now, at);
         self.targets.remove_expired(now);
     }
 
-    fn replace_targets(&mut self, now: Millis, specs: Vec<crate::TargetSpec>) {
+    fn replace_targets(&mut self, now: Millis, specs: Vec<TargetSpec>) {
         let missing: Vec<String> = self
             .targets
             .all()
@@ -283,6 +304,7 @@
         self.suspects.merge(now, &digest.suspects);
         self.suspects.prune(now, self.settings.poison_ms);
         self.part_suspects.merge(now, &digest.parts);
+        self.merge_origins(now, digest);
         for target in &digest.leaving {
             self.targets.set_leaving(now, target, LeavingSource::Peer);
         }
--- /dev/null
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -0,0 +1,159 @@
+//! Streams that callers take up again, and where they may go on.
+
+use crate::{
+    CallRequest, Digest, Gate, OriginReport, RefusalKind, Route, SoftwareId, StreamId,
+    stream_origin::ServiceId,
+};
+use rw_types::{Millis, RequestId};
+
+/// Time beyond a route's timeout after which no caller takes up a stream any more, in milliseconds.
+const RESUME_MARGIN_MS: u64 = 2_000;
+
+impl Gate {
+    /// The stream that a call takes up, if other nodes must be asked where it began.
+    #[must_use]
+    pub fn missing_origin(&self, now: Millis, request: &CallRequest) -> Option<StreamId> {
+        let stream = resumed_stream(request)?;
+        let route = self.routing.find_route(&request.host, &request.path)?;
+        if !route.retry_policy.is_resumable() || self.origins.find(now, stream).is_some() {
+            return None;
+        }
+        self.only_version(now, route).is_none().then_some(stream)
+    }
+
+    /// The service of `route` that a call must go to because the stream that it takes up began there.
+    pub(crate) fn origin_service<'a>(
+        &self,
+        now: Millis,
+        route: &'a Route,
+        request: &CallRequest,
+    ) -> Option<&'a str> {
+        let software = self.origins.find(now, resumed_stream(request)?)?;
+        let has_version = |service: &str| {
+            let mut targets = self.targets.all().iter();
+            targets.any(|t| t.spec.service == service && SoftwareId::of_target(&t.spec) == software)
+        };
+        let mut services = route.traffic_split.iter().map(|s| s.service.as_str());
+        services.find(|service| has_version(service))
+    }
+
+    /// The version at which a call on `route` must go on: `None` if it begins a new stream.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalKind::UnknownOrigin`] if it isn't known where the stream began.
+    pub(crate) fn required_version(
+        &self,
+        now: Millis,
+        route: &Route,
+        request: &CallRequest,
+    ) -> Result<Option<SoftwareId>, RefusalKind> {
+        let is_resumed = request.last_event.is_some() || request.resumes.is_some();
+        if !is_resumed || !route.retry_policy.is_resumable() {
+            return Ok(None);
+        }
+        let stream = resumed_stream(request);
+        let known = stream.and_then(|s| self.origins.find(now, s));
+        let version = known.or_else(|| self.only_version(now, route));
+        version.map(Some).ok_or(RefusalKind::UnknownOrigin)
+    }
+
+    /// An event of a stream is about to be delivered: from now on it may go on only at the version
+    /// that made this event.
+    pub(crate) fn stream_begun(&mut self, now: Millis, id: RequestId) {
+        let Some(i) = self.call_index(id) else {
+            return;
+        };
+        let call = &mut self.calls[i];
+        let Some(active) = call.active.as_ref() else {
+            return;
+        };
+        if !call.retry_policy.is_resumable() {
+            return;
+        }
+        let software = active.software;
+        call.software = Some(software);
+        let request = &call.request;
+        let began = request.resumes.as_ref().unwrap_or(&request.call_id);
+        let stream = StreamId::of_call(began);
+        let service = ServiceId::of_name(&call.service);
+        self.origins.record(now, stream, software, service);
+    }
+
+    /// The digest that asks other nodes where streams began.
+    #[must_use]
+    pub fn ask_origins(&self, now: Millis, streams: Vec<StreamId>) -> Digest {
+        Digest {
+            asks: streams,
+            ..self.empty_digest(now)
+        }
+    }
+
+    /// The digest that tells another node where streams began, as far as this node knows.
+    #[must_use]
+    pub fn answer_origins(&self, now: Millis, streams: &[StreamId]) -> Digest {
+        Digest {
+            origins: self.origins.answer(now, streams),
+            history: Some(self.software.report(now)),
+            ..self.empty_digest(now)
+        }
+    }
+
+    /// Origins of this node's streams that are due to be published, at most `max`. Where a service
+    /// is known to have had one version, no node needs them.
+    pub(crate) fn take_origins(&mut self, now: Millis, max: usize) -> Vec<OriginReport> {
+        let mixed = self.software.mixed_services(now);
+        let services = self.software.is_complete(now).then_some(mixed.as_slice());
+        self.origins.take_reports(now, max, services)
+    }
+
+    pub(crate) fn merge_origins(&mut self, now: Millis, digest: &Digest) {
+        for report in &digest.origins {
+            self.origins.merge(now, report);
+        }
+        if let Some(history) = &digest.history {
+            self.software.merge(now, history);
+        }
+    }
+
+    /// Records at intervals which versions are there, and forgets those of long ago.
+    pub(crate) fn check_software(&mut self, now: Millis) {
+        if self.software.is_due(now) {
+            self.observe_software(now);
+            self.software.prune(now);
+        }
+    }
+
+    /// Records the versions of all known targets as seen now.
+    pub(crate) fn observe_software(&mut self, now: Millis) {
+        for target in self.targets.all() {
+            let software = SoftwareId::of_target(&target.spec);
+            self.software.observe(now, &target.spec.service, software);
+        }
+    }
+
+    /// Records the version of a target as seen now.
+    pub(crate) fn observe_target(&mut self, now: Millis, name: &str) {
+        if let Some(target) = self.targets.find(name) {
+            let software = SoftwareId::of_target(&target.spec);
+            self.software.observe(now, &target.spec.service, software);
+        }
+    }
+
+    /// The only version at which a stream of `route` can have begun that callers still take up;
+    /// `None` if there are several, or if this node can't know.
+    fn only_version(&self, now: Millis, route: &Route) -> Option<SoftwareId> {
+        let [only] = route.traffic_split.as_slice() else {
+            return None;
+        };
+        let window_ms = route.timeout_ms + RESUME_MARGIN_MS;
+        let is_connected = self.roles.connected_since.is_some();
+        self.software
+            .only_version(now, &only.service, window_ms, is_connected)
+    }
+}
+
+/// The stream that a call takes up, if it says which.
+fn resumed_stream(request: &CallRequest) -> Option<StreamId> {
+    request.resumes.as_deref().map(StreamId::of_call)
+}
--- a/crates/rw-gate/src/placer.rs
+++ b/crates/rw-gate/src/placer.rs
@@ -3,8 +3,9 @@
 //! The decision is made in this order:
 //!
 //! 1. The candidates are the available targets of the call's service, except those where an earlier
-//!    dispatch of the call was not sent, was rejected, stalled or broke. Engines must also have
-//!    loaded the model, and not be changing their role.
+//!    dispatch of the call was not sent, was rejected, stalled or broke. A stream that has begun may
+//!    only go on at the same version of their software. Engines must also have loaded the model, and
+//!    not be changing their role.
 //! 2. Each candidate gets a cost in milliseconds. An engine costs what [`EngineScorer`] estimates
 //!    for the prompt, plus penalties if it is unhealthy or has no free slot or memory. A plain
 //!    target costs its load, plus penalties if it is unhealthy or in another data centre.
@@ -126,6 +127,7 @@
             t.spec.service == service.name
                 && t.is_available(self.now)
                 && !call.excluded.contains(&t.spec.name)
+                && call.accepts_version(&t.spec)
         });
         let placements = listed.map(|t| {
             let slots = f64::from(t.spec.slots.max(1));
@@ -164,6 +166,7 @@
                 && !t.is_changing_role(self.now)
                 && t.has_model(&prompt.model)
                 && !call.excluded.contains(&t.spec.name)
+                && call.accepts_version(&t.spec)
         })
     }
 
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -26,6 +26,8 @@
 const MAX_LEAVING: usize = 8;
 /// Maximum number of rate limits that one digest carries.
 const MAX_LIMITS: usize = 4;
+/// Maximum number of streams with their origins that one digest carries.
+const MAX_ORIGINS: usize = 24;
 /// Age up to which suspect requests are published, in milliseconds.
 const SUSPECT_PUBLISH_MS: u64 = 5_000;
 /// Number of digests that carry a suspect request, since one may be lost.
@@ -215,29 +217,40 @@
         let parts = self.part_suspects.take_reports(now, MAX_PARTS);
         let leaving = self.targets.take_leaving(MAX_LEAVING);
         let limits = self.targets.take_limits(now, MAX_LIMITS);
+        let origins = self.take_origins(now, MAX_ORIGINS);
         let has_news = !reports.is_empty()
             || !suspects.is_empty()
             || !parts.is_empty()
             || !leaving.is_empty()
-            || !limits.is_empty();
+            || !limits.is_empty()
+            || !origins.is_empty();
         if !has_news && !self.publication.is_due(now) {
             return None;
         }
         self.publication.is_urgent = false;
         self.publication.published_at = Some(now);
         Some(Digest {
-            vm: self.settings.vm.clone(),
-            version: self.routing.version,
-            connected_ms: self.connected_ms(now),
             reports,
             cache_inserts: self.publication.take_inserts(),
             suspects,
             parts,
             leaving,
             limits,
+            origins,
+            ..self.empty_digest(now)
         })
     }
 
+    /// A digest that tells only who sends it.
+    pub(crate) fn empty_digest(&self, now: Millis) -> Digest {
+        Digest {
+            vm: self.settings.vm.clone(),
+            version: self.routing.version,
+            connected_ms: self.connected_ms(now),
+            ..Digest::default()
+        }
+    }
+
     /// Reports on all targets with work of this node or a role change.
     fn target_reports(&self, now: Millis) -> Vec<WorkReport> {
         let targets = self.targets.all().iter();
--- a/crates/rw-gate/src/routing.rs
+++ b/crates/rw-gate/src/routing.rs
@@ -24,6 +24,12 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Whether a stream may be resumed on another target.
+    #[must_use]
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether the response is a stream of events.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- /dev/null
+++ b/crates/rw-gate/src/software_history.rs
@@ -0,0 +1,154 @@
+//! Software versions that the targets of each service have had lately.
+
+use crate::{SoftwareId, stream_origin::ServiceId, stream_origins::ORIGIN_TTL_MS};
+use rw_types::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Time for which the word of another node counts as complete, in milliseconds.
+const CONFIRMED_MS: u64 = 1_000;
+
+/// Interval at which the versions of all targets are recorded, in milliseconds.
+const OBSERVE_INTERVAL_MS: u64 = 1_000;
+
+/// A version that a service has had.
+#[derive(Debug, Clone)]
+struct SeenSoftware {
+    service: String,
+    software: SoftwareId,
+    last_seen: Millis,
+}
+
+/// Serialized form of a version that a service has had: service, version, and milliseconds since it
+/// was last seen.
+type SeenFields = (String, SoftwareId, u64);
+
+/// What a node has seen, as another node is told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryReport {
+    /// Milliseconds for which the node has seen all versions.
+    pub observed_ms: u64,
+    /// The versions.
+    pub seen: Vec<SeenFields>,
+}
+
+/// Versions by service, sorted by service and version.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SoftwareHistory {
+    seen: Vec<SeenSoftware>,
+    /// Time from which all versions are known, in milliseconds since this process started. It is
+    /// negative if other nodes know them for longer.
+    since_ms: Option<i64>,
+    /// Time at which another node last told what it has seen.
+    confirmed_at: Option<Millis>,
+    /// Time at which the versions of all targets are recorded next.
+    next_observation: Millis,
+}
+
+impl SoftwareHistory {
+    /// Records that a target of `service` has this version at the time `at`.
+    pub(crate) fn observe(&mut self, at: Millis, service: &str, software: SoftwareId) {
+        let found = self
+            .seen
+            .binary_search_by(|s| (s.service.as_str(), s.software).cmp(&(service, software)));
+        match found {
+            Ok(i) => self.seen[i].last_seen = self.seen[i].last_seen.max(at),
+            Err(i) => self.seen.insert(
+                i,
+                SeenSoftware {
+                    service: service.to_owned(),
+                    software,
+                    last_seen: at,
+                },
+            ),
+        }
+    }
+
+    /// Records that from now on all versions are seen.
+    pub(crate) fn start(&mut self, now: Millis) {
+        self.since_ms.get_or_insert(now.0 as i64);
+    }
+
+    /// Forgets what was last seen too long ago to matter.
+    pub(crate) fn prune(&mut self, now: Millis) {
+        self.seen.retain(|s| now.since(s.last_seen) < ORIGIN_TTL_MS);
+    }
+
+    /// The only version that targets of a service have had for `window_ms`; `None` if there were
+    /// several, or if this node can't know. `is_connected` says whether it reaches the registry.
+    pub(crate) fn only_version(
+        &self,
+        now: Millis,
+        service: &str,
+        window_ms: u64,
+        is_connected: bool,
+    ) -> Option<SoftwareId> {
+        let is_confirmed = self
+            .confirmed_at
+            .is_some_and(|at| now.since(at) < CONFIRMED_MS);
+        let is_current = is_connected || is_confirmed;
+        if !is_current || self.observed_ms(now) < window_ms {
+            return None;
+        }
+        let mut versions = self.recent(now, window_ms).filter(|s| s.service == service);
+        let only = versions.next()?;
+        versions.next().is_none().then_some(only.software)
+    }
+
+    /// Whether all versions are known that matter.
+    pub(crate) fn is_complete(&self, now: Millis) -> bool {
+        self.observed_ms(now) >= ORIGIN_TTL_MS
+    }
+
+    /// The services whose targets have had several versions lately.
+    pub(crate) fn mixed_services(&self, now: Millis) -> Vec<ServiceId> {
+        let names: Vec<&str> = self
+            .recent(now, ORIGIN_TTL_MS)
+            .map(|s| s.service.as_str())
+            .collect();
+        let repeated = names.windows(2).filter(|pair| pair[0] == pair[1]);
+        repeated.map(|pair| ServiceId::of_name(pair[0])).collect()
+    }
+
+    /// Whether the versions of all targets are to be recorded again.
+    pub(crate) fn is_due(&mut self, now: Millis) -> bool {
+        let is_due = now >= self.next_observation;
+        if is_due {
+            self.next_observation = now.plus(OBSERVE_INTERVAL_MS);
+        }
+        is_due
+    }
+
+    /// What this node has seen, for another node.
+    pub(crate) fn report(&self, now: Millis) -> HistoryReport {
+        let seen = self.recent(now, ORIGIN_TTL_MS).map(|s| {
+            let age_ms = now.since(s.last_seen);
+            (s.service.clone(), s.software, age_ms)
+        });
+        HistoryReport {
+            observed_ms: self.observed_ms(now),
+            seen: seen.collect(),
+        }
+    }
+
+    /// Records what another node has seen.
+    pub(crate) fn merge(&mut self, now: Millis, report: &HistoryReport) {
+        for (service, software, age_ms) in &report.seen {
+            let at = Millis(now.0.saturating_sub(*age_ms));
+            self.observe(at, service, *software);
+        }
+        let since_ms = now.0 as i64 - report.observed_ms.min(ORIGIN_TTL_MS) as i64;
+        self.since_ms = Some(self.since_ms.map_or(since_ms, |own| own.min(since_ms)));
+        self.confirmed_at = Some(now);
+    }
+
+    /// Milliseconds for which all versions are known.
+    fn observed_ms(&self, now: Millis) -> u64 {
+        let since_ms = self.since_ms.unwrap_or(now.0 as i64);
+        u64::try_from(now.0 as i64 - since_ms).unwrap_or_default()
+    }
+
+    fn recent(&self, now: Millis, window_ms: u64) -> impl Iterator<Item = &SeenSoftware> {
+        let seen = self.seen.iter();
+        seen.filter(move |s| now.since(s.last_seen) < window_ms)
+    }
+}
--- /dev/null
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -0,0 +1,381 @@
+//! Streams that callers take up again: at which version of the targets' software they may go on.
+
+mod support;
+
+use rw_gate::{
+    CallRequest, Digest, DispatchOutcome, Effect, Event, GateSettings, RefusalKind, Role,
+    TargetSpec,
+};
+use rw_types::{Millis, RequestId};
+use support::*;
+
+/// Time after which a node knows all versions that streams of its routes can have.
+const WINDOW_MS: u64 = 7_000;
+
+fn spec(name: &str, software: &str) -> TargetSpec {
+    TargetSpec {
+        software: software.to_owned(),
+        ..target(name, ENGINES, Role::Decode)
+    }
+}
+
+fn engines(versions: &[(&str, &str)]) -> Event {
+    let specs = versions.iter().map(|(name, software)| spec(name, software));
+    Event::TargetsListed(specs.collect())
+}
+
+fn world(vm: &str, versions: &[(&str, &str)]) -> World {
+    let mut world = World::with(GateSettings {
+        vm: vm.to_owned(),
+        ..GateSettings::default()
+    });
+    world.step(engines(versions));
+    world
+}
+
+fn stream(call_id: &str) -> CallRequest {
+    CallRequest {
+        call_id: call_id.to_owned(),
+        ..generation("/brief/1", (1, 100), (2, 10))
+    }
+}
+
+fn resumed(began: Option<&str>) -> CallRequest {
+    CallRequest {
+        last_event: Some(3),
+        resumes: began.map(str::to_owned),
+        ..stream("r")
+    }
+}
+
+/// Begins a stream, and returns its call and target.
+fn begin(world: &mut World, call_id: &str) -> (RequestId, String) {
+    let (id, effects) = world.arrive(stream(call_id));
+    let target = sent_to(&effects).to_owned();
+    assert!(!target.is_empty(), "{call_id} was not sent");
+    world.step(Event::FirstEvent { id });
+    world.step(Event::StreamBegun { id });
+    (id, target)
+}
+
+fn broken(delivered: Option<u64>) -> DispatchOutcome {
+    DispatchOutcome::Broken {
+        crashed: false,
+        delivered,
+    }
+}
+
+/// Passes what `from` publishes to `to`.
+fn tell(from: &mut World, to: &mut World) {
+    let now = Millis(from.now);
+    if let Some(digest) = from.gate.publish(now) {
+        to.step(Event::DigestReceived(digest));
+    }
+}
+
+/// Lets `to` ask `from` where the stream of `request` began, as after a restart of `to`.
+fn ask(to: &mut World, from: &World, request: &CallRequest) -> bool {
+    let Some(stream) = to.gate.missing_origin(Millis(to.now), request) else {
+        return false;
+    };
+    let question = to.gate.ask_origins(Millis(to.now), vec![stream]);
+    let answer = from.gate.answer_origins(Millis(from.now), &question.asks);
+    to.step(Event::DigestReceived(answer));
+    true
+}
+
+#[test]
+fn a_stream_goes_on_at_its_version_within_one_response() {
+    struct Case {
+        name: &'static str,
+        /// Last event delivered before the stream broke.
+        delivered: Option<u64>,
+        /// Engines beside the one that begins.
+        others: &'static [(&'static str, &'static str)],
+        /// Engine that gets the stream next.
+        next: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "one of its version serves",
+            delivered: Some(2),
+            others: &[("a", "v2"), ("b", "v1"), ("c", "v2")],
+            next: "b",
+        },
+        Case {
+            name: "none of its version serves",
+            delivered: Some(2),
+            others: &[("a", "v2")],
+            next: "",
+        },
+        Case {
+            name: "nothing was delivered",
+            delivered: None,
+            others: &[("a", "v2")],
+            next: "a",
+        },
+    ];
+    for case in cases {
+        let mut world = world("x", &[("0", "v1")]);
+        let (id, effects) = world.arrive(stream("c"));
+        assert_eq!(sent_to(&effects), "0", "{}", case.name);
+        if case.delivered.is_some() {
+            world.step(Event::FirstEvent { id });
+            world.step(Event::StreamBegun { id });
+        }
+        for (name, software) in case.others {
+            world.step(Event::TargetUpdated(spec(name, software)));
+        }
+        let effects = world.end(id, broken(case.delivered));
+        assert_eq!(sent_to(&effects), case.next, "{}", case.name);
+        if case.next.is_empty() {
+            assert_eq!(refused(&effects), Some(RefusalKind::Truncated));
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_is_taken_up_elsewhere_goes_on_at_its_version_or_not_at_all() {
+    struct Case {
+        name: &'static str,
+        /// Whether the node has heard of the stream from the one that began it.
+        is_told: bool,
+        /// Whether another node that was told is asked.
+        is_asked: bool,
+        began: Option<&'static str>,
+        /// Engines at the time of the return.
+        engines: &'static [(&'static str, &'static str)],
+        /// Version at which it goes on, or why it doesn't.
+        outcome: Result<&'static str, RefusalKind>,
+    }
+    const BOTH: &[(&str, &str)] = &[("0", "v1"), ("1", "v2"), ("2", "v1"), ("3", "v2")];
+    let cases = [
+        Case {
+            name: "told",
+            is_told: true,
+            is_asked: false,
+            began: Some("c"),
+            engines: BOTH,
+            outcome: Ok("v1"),
+        },
+        Case {
+            name: "told, and its version is gone",
+            is_told: true,
+            is_asked: false,
+            began: Some("c"),
+            engines: &[("1", "v2"), ("3", "v2")],
+            outcome: Err(RefusalKind::NoTarget),
+        },
+        Case {
+            name: "not told, and another node knows",
+            is_told: false,
+            is_asked: true,
+            began: Some("c"),
+            engines: BOTH,
+            outcome: Ok("v1"),
+        },
+        Case {
+            name: "nobody knows",
+            is_told: false,
+            is_asked: true,
+            began: Some("z"),
+            engines: BOTH,
+            outcome: Err(RefusalKind::UnknownOrigin),
+        },
+        Case {
+            name: "nobody is told which stream it is",
+            is_told: true,
+            is_asked: false,
+            began: None,
+            engines: BOTH,
+            outcome: Err(RefusalKind::UnknownOrigin),
+        },
+        Case {
+            name: "nobody knows, and one of the versions left just now",
+            is_told: false,
+            is_asked: true,
+            began: Some("z"),
+            engines: &[("1", "v2"), ("3", "v2")],
+            outcome: Err(RefusalKind::UnknownOrigin),
+        },
+    ];
+    for case in cases {
+        let mut first = world("a", BOTH);
+        let mut witness = world("b", BOTH);
+        let mut second = world("c", BOTH);
+        // A stream that begins at v1, in a fleet that has had both versions for long.
+        for world in [&mut first, &mut witness, &mut second] {
+            world.now += 60_000;
+        }
+        first.step(engines(&[("0", "v1"), ("2", "v1")]));
+        begin(&mut first, "c");
+        first.step(engines(BOTH));
+        let digest = first.gate.publish(Millis(first.now)).expect("a digest");
+        witness.step(Event::DigestReceived(digest.clone()));
+        if case.is_told {
+            second.step(Event::DigestReceived(digest));
+        }
+        second.step(engines(case.engines));
+        let request = resumed(case.began);
+        if case.is_asked {
+            assert!(ask(&mut second, &witness, &request), "{}", case.name);
+        }
+        let (_, effects) = second.arrive(request);
+        let outcome = match refused(&effects) {
+            Some(kind) => Err(kind),
+            None => Ok(dispatch(&effects).map_or("", |d| d.software.as_str())),
+        };
+        assert_eq!(outcome, case.outcome, "{}", case.name);
+    }
+}
+
+#[test]
+fn where_only_one_version_serves_a_stream_goes_on_without_a_question() {
+    struct Case {
+        name: &'static str,
+        /// Time for which the node has known the targets, in milliseconds.
+        known_ms: u64,
+        /// Whether another node that has known them for longer answers a question.
+        is_told: bool,
+        /// Whether the node reaches the store.
+        is_connected: bool,
+        /// A version that was replaced this long ago, in milliseconds.
+        replaced_ms: Option<u64>,
+        goes_on: bool,
+    }
+    let long = Case {
+        name: "known for long",
+        known_ms: WINDOW_MS,
+        is_told: false,
+        is_connected: true,
+        replaced_ms: None,
+        goes_on: true,
+    };
+    let cases = [
+        Case {
+            name: "just started",
+            known_ms: 500,
+            goes_on: false,
+            ..long
+        },
+        Case {
+            name: "just started, another node tells",
+            known_ms: 500,
+            is_told: true,
+            ..long
+        },
+        Case {
+            name: "cut off from the store",
+            is_connected: false,
+            goes_on: false,
+            ..long
+        },
+        Case {
+            name: "cut off from the store, another node tells",
+            is_connected: false,
+            is_told: true,
+            ..long
+        },
+        Case {
+            name: "another version was replaced lately",
+            known_ms: 20_000,
+            replaced_ms: Some(3_000),
+            goes_on: false,
+            ..long
+        },
+        Case {
+            name: "another version was replaced long ago",
+            known_ms: 20_000,
+            replaced_ms: Some(8_000),
+            ..long
+        },
+        long,
+    ];
+    for case in cases {
+        let mut world = world("x", &[]);
+        let mut other = self::world("y", &[("0", "v1")]);
+        other.now += 60_000;
+        world.now += case.known_ms;
+        if let Some(ms) = case.replaced_ms {
+            world.now -= ms;
+            world.step(Event::TargetUpdated(spec("0", "v0")));
+            world.step(Event::TargetUpdated(spec("0", "v1")));
+            world.now += ms;
+        }
+        world.step(engines(&[("0", "v1")]));
+        if !case.is_connected {
+            world.step(Event::StoreDisconnected);
+        }
+        let request = resumed(Some("z"));
+        if case.is_told {
+            assert!(ask(&mut world, &other, &request), "{}", case.name);
+        }
+        let asks = world.gate.missing_origin(Millis(world.now), &request);
+        assert_eq!(asks.is_none(), case.goes_on, "{}", case.name);
+        let (_, effects) = world.arrive(request);
+        let expected = (!case.goes_on).then_some(RefusalKind::UnknownOrigin);
+        assert_eq!(refused(&effects), expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn streams_that_began_before_a_second_version_came_are_published_when_it_comes() {
+    let mut first = world("a", &[("0", "v1")]);
+    let mut second = world("b", &[("0", "v1")]);
+    for world in [&mut first, &mut second] {
+        world.now += 60_000;
+        world.step(Event::Tick);
+    }
+    begin(&mut first, "c");
+    tell(&mut first, &mut second);
+    let request = resumed(Some("c"));
+    let now = Millis(second.now);
+    assert!(second.gate.missing_origin(now, &request).is_none());
+    for world in [&mut first, &mut second] {
+        world.now += 1_000;
+        world.step(Event::TargetUpdated(spec("1", "v2")));
+    }
+    let now = Millis(second.now);
+    assert!(second.gate.missing_origin(now, &request).is_some());
+    tell(&mut first, &mut second);
+    assert!(second.gate.missing_origin(now, &request).is_none());
+    let (_, effects) = second.arrive(request);
+    assert_eq!(sent_to(&effects), "0");
+}
+
+#[test]
+fn a_digest_stays_small_however_many_streams_begin_at_once() {
+    /// A digest fits into one datagram on any link.
+    const MAX_BYTES: usize = 1_500;
+    let mut world = world("a", &[("0", "v1"), ("1", "v2")]);
+    for n in 0..300 {
+        let (id, _) = begin(&mut world, &format!("c{n}"));
+        world.end(id, DispatchOutcome::Delivered);
+    }
+    let mut told = 0;
+    for _ in 0..20 {
+        world.now += 50;
+        let Some(digest) = world.gate.publish(Millis(world.now)) else {
+            continue;
+        };
+        let origins: usize = digest.origins.iter().map(|r| r.streams.len()).sum();
+        told += origins;
+        let only = Digest {
+            origins: digest.origins,
+            ..Digest::default()
+        };
+        let bytes = serde_json::to_vec(&only).expect("a digest").len();
+        assert!(bytes < MAX_BYTES / 3, "{bytes} bytes for {origins} streams");
+    }
+    assert_eq!(told, 300);
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_is_not_remembered() {
+    let mut world = world("a", &[("0", "v1"), ("1", "v2")]);
+    let (id, effects) = world.arrive(generation("/chat/1", (1, 100), (2, 10)));
+    assert!(effects.iter().any(|e| matches!(e, Effect::Dispatch { .. })));
+    world.step(Event::StreamBegun { id });
+    let digest = world.gate.publish(Millis(world.now)).expect("a digest");
+    assert!(digest.origins.is_empty());
+}
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -26,6 +26,7 @@
         let id = call.id;
         let request = self.dialect.call_request(&call.head, &call.body);
         let resumes = request.resumes.clone().unwrap_or_default();
+        self.find_origin(&request).await;
         let mut next = self.next_step(Event::CallArrived { id, request });
         loop {
             match next {
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod notices;
 mod orders;
+mod origins;
 mod peers;
 mod pool;
 mod registry;
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -19,6 +19,7 @@
     refusals: IntCounterVec,
     rejects: IntCounterVec,
     notices: IntCounterVec,
+    origin_lookups: IntCounterVec,
     target_states: IntGaugeVec,
     over_limit: IntCounter,
     skipped_rows: IntCounter,
@@ -134,6 +135,11 @@
                 "what targets said about themselves with responses, by kind",
                 "kind",
             )?,
+            origin_lookups: labelled(
+                "rw_origin_lookups_total",
+                "questions to other nodes where a stream began, by result",
+                "result",
+            )?,
             target_states: states,
             timer_delay: histogram(
                 "rw_timer_delay_seconds",
@@ -192,6 +198,10 @@
     }
 
     /// A target said something about itself with a response.
+    pub(crate) fn origin_lookup(&self, result: &str) {
+        self.origin_lookups.with_label_values(&[result]).inc();
+    }
+
     pub(crate) fn notice(&self, kind: &str) {
         self.notices.with_label_values(&[kind]).inc();
     }
--- /dev/null
+++ b/crates/rw-relay/src/origins.rs
@@ -0,0 +1,61 @@
+//! Questions to other nodes about where streams began.
+
+use crate::{Dialect, Peer, Relay};
+use rw_gate::{CallRequest, StreamId};
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+/// Minimum number of nodes that are asked, because some may have stopped.
+const MIN_SOURCES: usize = 4;
+/// Time for which a call waits for an answer.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(120);
+/// Interval at which the answer is looked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time after which the question is asked once more, since a datagram may be lost.
+const REPEAT_AFTER: Duration = Duration::from_millis(50);
+
+impl<D: Dialect> Relay<D> {
+    /// Asks other nodes where the stream began that a call takes up, unless this node knows it.
+    pub(crate) async fn find_origin(&self, request: &CallRequest) {
+        let Some(stream) = self.missing_origin(request) else {
+            return;
+        };
+        let asked_at = Instant::now();
+        let mut repeats_at = Some(asked_at + REPEAT_AFTER);
+        self.ask_origin(stream);
+        while asked_at.elapsed() < LOOKUP_TIMEOUT {
+            Timer::after(POLL_INTERVAL).await;
+            if self.missing_origin(request).is_none() {
+                return self.metrics.origin_lookup("found");
+            }
+            if repeats_at.is_some_and(|at| Instant::now() >= at) {
+                repeats_at = None;
+                self.ask_origin(stream);
+            }
+        }
+        self.metrics.origin_lookup("not-found");
+    }
+
+    fn missing_origin(&self, request: &CallRequest) -> Option<StreamId> {
+        let now = self.clock.now();
+        self.gate.borrow().missing_origin(now, request)
+    }
+
+    fn ask_origin(&self, stream: StreamId) {
+        // A full queue means that many callers return at once; they are refused, and come back.
+        if self.origin_asks.try_send(stream).is_err() {
+            log::debug!("question to other nodes dropped because the queue is full");
+        }
+    }
+
+    /// The nodes that are asked, at least [`MIN_SOURCES`] if there are as many. Each node tells the
+    /// `fanout` that follow it in the order of names, so that two of those that any node tells are
+    /// among those asked.
+    pub(crate) fn origin_sources(&self, fanout: usize) -> Vec<Peer> {
+        let peers = self.peers.borrow();
+        let others = peers.all().iter();
+        let others: Vec<&Peer> = others.filter(|p| p.vm != self.settings.gate.vm).collect();
+        let step = (others.len() / MIN_SOURCES).clamp(1, fanout / 2);
+        others.into_iter().step_by(step).cloned().collect()
+    }
+}
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -10,7 +10,7 @@
 };
 use async_channel::Receiver;
 use jsonrpsee_types::{Id, Request, Response, ResponsePayload};
-use rw_gate::{Digest, Event};
+use rw_gate::{Digest, Event, StreamId};
 use rw_http::{Client, Pooling, post_json};
 use serde::Deserialize;
 use smol::{Async, Timer, future};
@@ -27,6 +27,8 @@
 const FANOUT: usize = 16;
 /// Minimum rate of digests, so that nodes hear of each other whatever limits they state.
 const MIN_BYTES_PER_S: u32 = 2_000;
+/// Maximum number of streams in one question.
+const MAX_ASKS: usize = 24;
 /// Bytes that the IP and UDP headers add to a datagram.
 const HEADER_BYTES: usize = 28;
 /// Size of the buffer for a received datagram.
@@ -71,12 +73,13 @@
         self: Rc<Self>,
         socket: Async<UdpSocket>,
         digest_wakes: Receiver<()>,
+        asks: Receiver<StreamId>,
     ) {
-        future::zip(
+        let digests = future::zip(
             self.send_digests(&socket, digest_wakes),
             self.receive_digests(&socket),
-        )
-        .await;
+        );
+        future::zip(digests, self.send_asks(&socket, asks)).await;
     }
 
     /// Fetches snapshots from the seeds until a configuration is known from any source.
@@ -152,26 +155,13 @@
         digest: &Digest,
         budget: &mut ByteBudget,
     ) {
-        let text = match notification(digest) {
-            Ok(text) => text,
-            Err(error) => {
-                log::warn!(error:%; "digest could not be serialized; this is a bug");
-                return;
-            }
+        let Some(text) = encode(digest) else {
+            return;
         };
         let receivers = self.digest_receivers();
-        // The slowest receiver sets the rate, so that none receives more than it can bear.
-        let rates = receivers.iter().map(|p| p.digest_bytes_per_s);
-        let rate = rates.fold(self.settings.digest_bytes_per_s, u32::min);
-        let rate = rate.max(MIN_BYTES_PER_S);
+        let rate = self.digest_rate(&receivers);
         for peer in receivers {
-            // A lost datagram is superseded by later ones.
-            match socket.send_to(text.as_bytes(), peer.digests).await {
-                Ok(bytes) => self.metrics.digest(Direction::Sent, bytes),
-                Err(error) => {
-                    log::debug!(to = peer.vm.as_str(), error:%; "digest not sent")
-                }
-            }
+            self.send_text(socket, &text, peer.digests).await;
             budget.spend(self.clock.now(), text.len() + HEADER_BYTES, rate);
             let debt = budget.debt(self.clock.now());
             if debt > DIGEST_INTERVAL {
@@ -180,6 +170,54 @@
         }
     }
 
+    /// Asks other nodes where streams began. Questions that come up meanwhile are joined.
+    async fn send_asks(&self, socket: &Async<UdpSocket>, asks: Receiver<StreamId>) {
+        let mut budget = ByteBudget::default();
+        while let Ok(first) = asks.recv().await {
+            Timer::after(budget.debt(self.clock.now())).await;
+            let more = std::iter::from_fn(|| asks.try_recv().ok());
+            let streams = std::iter::once(first).chain(more).take(MAX_ASKS).collect();
+            let digest = self.gate.borrow().ask_origins(self.clock.now(), streams);
+            let Some(text) = encode(&digest) else {
+                continue;
+            };
+            let peers = self.origin_sources(FANOUT);
+            let rate = self.digest_rate(&peers);
+            for peer in peers {
+                self.send_text(socket, &text, peer.digests).await;
+                budget.spend(self.clock.now(), text.len() + HEADER_BYTES, rate);
+            }
+        }
+    }
+
+    /// Bytes per second that may be sent to `receivers`. The slowest one sets the rate, so that none
+    /// receives more than it can bear.
+    fn digest_rate(&self, receivers: &[Peer]) -> u32 {
+        let rates = receivers.iter().map(|p| p.digest_bytes_per_s);
+        let rate = rates.fold(self.settings.digest_bytes_per_s, u32::min);
+        rate.max(MIN_BYTES_PER_S)
+    }
+
+    /// Tells the node at `to` where the streams began that it asks for.
+    async fn answer_asks(&self, socket: &Async<UdpSocket>, asks: &[StreamId], to: SocketAddr) {
+        if asks.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let answer = self.gate.borrow().answer_origins(now, asks);
+        if let Some(text) = encode(&answer) {
+            self.send_text(socket, &text, to).await;
+        }
+    }
+
+    async fn send_text(&self, socket: &Async<UdpSocket>, text: &str, to: SocketAddr) {
+        // A lost datagram is superseded by later ones.
+        match socket.send_to(text.as_bytes(), to).await {
+            Ok(bytes) => self.metrics.digest(Direction::Sent, bytes),
+            Err(error) => log::debug!(to:%, error:%; "digest not sent"),
+        }
+    }
+
     /// The nodes that digests are sent to: those that follow in the order of names, so that each
     /// node receives as many digests as it sends.
     fn digest_receivers(&self) -> Vec<Peer> {
@@ -200,13 +238,26 @@
             };
             self.metrics.digest(Direction::Received, n);
             match parse_digest(&buf[..n]) {
-                Ok(digest) => self.digest_received(digest),
+                Ok(digest) => {
+                    let asks = digest.asks.clone();
+                    self.digest_received(digest);
+                    self.answer_asks(socket, &asks, from).await;
+                }
                 Err(error) => log::debug!(from:%, error:%; "datagram is not a digest; dropped"),
             }
         }
     }
 }
 
+/// Serializes a digest for a datagram.
+fn encode(digest: &Digest) -> Option<String> {
+    let text = notification(digest);
+    if let Err(error) = &text {
+        log::warn!(error:%; "digest could not be serialized; this is a bug");
+    }
+    text.ok()
+}
+
 fn notification(digest: &Digest) -> serde_json::Result<String> {
     let params = serde_json::value::to_raw_value(digest)?;
     let sent = jsonrpsee_types::Notification::new(Cow::Borrowed("digest"), params);
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -5,7 +5,7 @@
     pool::Pool, timeout::timeout,
 };
 use async_channel::Sender;
-use rw_gate::{Effect, Event, Gate, KvHandle};
+use rw_gate::{Effect, Event, Gate, KvHandle, StreamId};
 use rw_types::RequestId;
 use smol::LocalExecutor;
 use std::{
@@ -38,6 +38,8 @@
     pub(crate) wake_digests: Sender<()>,
     /// Requests the lease on role changes.
     pub(crate) request_lease: Sender<()>,
+    /// Queue of streams to ask other nodes about.
+    pub(crate) origin_asks: Sender<StreamId>,
     /// Queue of orders to send to targets.
     pub(crate) order_queue: Sender<Effect>,
     /// A stop was requested: not ready, but still serving.
@@ -55,6 +57,15 @@
     next_request: Cell<u64>,
 }
 
+/// Channels to the tasks that perform the effects that concern no single call.
+#[derive(Debug)]
+pub(crate) struct Senders {
+    pub(crate) wake_digests: Sender<()>,
+    pub(crate) request_lease: Sender<()>,
+    pub(crate) origin_asks: Sender<StreamId>,
+    pub(crate) order_queue: Sender<Effect>,
+}
+
 impl<D: Dialect> Relay<D> {
     /// Creates a node that has no configuration, targets or peers yet.
     pub(crate) fn new(
@@ -62,7 +73,7 @@
         dialect: D,
         metrics: Metrics,
         executor: Rc<LocalExecutor<'static>>,
-        (wake_digests, request_lease, order_queue): (Sender<()>, Sender<()>, Sender<Effect>),
+        senders: Senders,
     ) -> Self {
         let clock = BootClock::start();
         Self {
@@ -74,9 +85,10 @@
             metrics,
             log: DecisionLog::new(clock),
             executor,
-            wake_digests,
-            request_lease,
-            order_queue,
+            wake_digests: senders.wake_digests,
+            request_lease: senders.request_lease,
+            origin_asks: senders.origin_asks,
+            order_queue: senders.order_queue,
             stopping: Cell::new(false),
             close_idle: Cell::new(false),
             in_flight: Cell::new(0),
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -5,6 +5,7 @@
     endpoint_server::{MetricsText, Readiness},
     front::listen,
     peers::PeerCalls,
+    relay::Senders,
 };
 use async_channel::Receiver;
 use displaydoc::Display;
@@ -29,6 +30,8 @@
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 /// Capacity of the order queue.
 const ORDER_QUEUE: usize = 64;
+/// Maximum number of streams that wait until other nodes are asked about them.
+const ASK_QUEUE: usize = 256;
 /// Interval between ticks of the gate.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Capacity of the queue of registry updates.
@@ -94,7 +97,13 @@
         let (wake_digests, digest_wakes) = async_channel::bounded(1);
         let (request_lease, lease_requests) = async_channel::bounded(1);
         let (order_queue, orders) = async_channel::bounded(ORDER_QUEUE);
-        let senders = (wake_digests, request_lease, order_queue);
+        let (origin_asks, asks) = async_channel::bounded(ASK_QUEUE);
+        let senders = Senders {
+            wake_digests,
+            request_lease,
+            origin_asks,
+            order_queue,
+        };
         let relay = Relay::new(self.settings, dialect, metrics, executor.clone(), senders);
         let relay = Rc::new(relay);
         let (sender, updates) = async_channel::bounded(UPDATE_QUEUE);
@@ -106,7 +115,7 @@
                 .detach();
         }
         executor
-            .spawn(relay.clone().gossip(self.digests, digest_wakes))
+            .spawn(relay.clone().gossip(self.digests, digest_wakes, asks))
             .detach();
         executor.spawn(relay.clone().query_seeds()).detach();
         executor
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -48,6 +48,7 @@
             head.framing = Framing::Chunked;
         }
         let mut is_first = true;
+        let mut is_begun = false;
         while let Some(bytes) = body.next(&mut conn.connection).await? {
             if is_first {
                 self.first_bytes(call, dispatch);
@@ -61,6 +62,10 @@
                 return Err(malformed().into());
             }
             if !bytes.is_empty() {
+                if has_events && !is_begun {
+                    self.step(Event::StreamBegun { id: call.id });
+                    is_begun = true;
+                }
                 write_body(progress, &head, &bytes).await?;
                 progress.last_event = splitter.last_id();
             }
