A node that knows its targets from a peer doesn't claim to reach the store

What callers saw: after an outage of the store, targets whose entries had lapsed in it could be dropped at once instead of 2.2 s later, since another node claimed to have reached the store all along; and a node without the store could become the one that asks for the lease on role changes, so that no role changed.

Change: an event of its own for what another node knows; the gate decides whether it still counts.

--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -119,6 +119,9 @@
     },
     /// All entries were read; known targets that are not listed were removed.
     TargetsListed(Vec<TargetSpec>),
+    /// All entries that another node knows; ignored once any entry is known from the store, whose
+    /// data is newer.
+    TargetsReported(Vec<TargetSpec>),
     /// The store is reachable again after an outage.
     StoreConnected,
     /// The store is unreachable.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -104,6 +104,7 @@
                 self.replace_targets(now, specs);
                 self.observe_software(now);
             }
+            Event::TargetsReported(specs) => self.apply_reported(now, specs),
             Event::StoreConnected => {
                 self.reconnected_at = Some(now);
                 self.roles.connected_since = Some(now);
@@ -269,6 +270,14 @@
             .map_or(0, |at| now.since(at).max(1))
     }
 
+    fn apply_reported(&mut self, now: Millis, specs: Vec<TargetSpec>) {
+        if self.targets.all().is_empty() {
+            specs
+                .into_iter()
+                .for_each(|spec| self.update_target(now, spec));
+        }
+    }
+
     fn update_target(&mut self, now: Millis, spec: TargetSpec) {
         let name = spec.name.clone();
         // Its version may be replaced.
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -114,10 +114,7 @@
     fn apply_snapshot(&self, snapshot: Snapshot) {
         self.merge_peers(snapshot.peers);
         self.step(Event::Routing(snapshot.routing));
-        // Only if the store has reported no targets yet, because its data is newer.
-        if self.gate.borrow().targets().all().is_empty() {
-            self.step(Event::TargetsListed(snapshot.targets));
-        }
+        self.step(Event::TargetsReported(snapshot.targets));
         let received = Digest {
             suspects: snapshot.suspects,
             parts: snapshot.parts,
