A node without the store believes only those who can know better which versions serve

Cause: a node that is cut off from the store took the word of any other node that answered its question as current, also of one that is cut off as well, while others hear of a new software version.

Change: an answer confirms what it says only if its sender reaches the store. If all nodes that are heard say that they don't, no node hears of new targets, and what is known stays current.

Figures: rw-gate tests/stream_origins.rs, one of four new cases red before, green now.

--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CallRequest, Digest, Gate, OriginReport, RefusalKind, Route, SoftwareId, StreamId,
-    stream_origin::ServiceId,
+    roles::PEER_TIMEOUT_MS, stream_origin::ServiceId,
 };
 use rw_types::{Millis, RequestId};
 
@@ -113,6 +113,9 @@
         }
         if let Some(history) = &digest.history {
             self.software.merge(now, history);
+            if digest.connected_ms > 0 {
+                self.software.confirm(now);
+            }
         }
     }
 
@@ -147,9 +150,18 @@
             return None;
         };
         let window_ms = route.timeout_ms + RESUME_MARGIN_MS;
-        let is_connected = self.roles.connected_since.is_some();
+        let is_current = self.roles.connected_since.is_some() || self.is_store_away(now);
         self.software
-            .only_version(now, &only.service, window_ms, is_connected)
+            .only_version(now, &only.service, window_ms, is_current)
+    }
+
+    /// Whether all other nodes that are heard say that they don't reach the store, so that no node
+    /// hears of new targets.
+    fn is_store_away(&self, now: Millis) -> bool {
+        let peers = self.roles.peers.iter();
+        let mut heard = peers.filter(|p| now.since(p.received_at) < PEER_TIMEOUT_MS);
+        let first = heard.next();
+        first.is_some_and(|p| p.connected_ms == 0) && heard.all(|p| p.connected_ms == 0)
     }
 }
 
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -38,7 +38,7 @@
     /// Time from which all versions are known, in milliseconds since this process started. It is
     /// negative if other nodes know them for longer.
     since_ms: Option<i64>,
-    /// Time at which another node last told what it has seen.
+    /// Time at which a node that reaches the registry last told what it has seen.
     confirmed_at: Option<Millis>,
     /// Time at which the versions of all targets are recorded next.
     next_observation: Millis,
@@ -74,19 +74,19 @@
     }
 
     /// The only version that targets of a service have had for `window_ms`; `None` if there were
-    /// several, or if this node can't know. `is_connected` says whether it reaches the registry.
+    /// several, or if this node can't know. `is_current` says whether nothing can have changed that it
+    /// hasn't heard of.
     pub(crate) fn only_version(
         &self,
         now: Millis,
         service: &str,
         window_ms: u64,
-        is_connected: bool,
+        is_current: bool,
     ) -> Option<SoftwareId> {
         let is_confirmed = self
             .confirmed_at
             .is_some_and(|at| now.since(at) < CONFIRMED_MS);
-        let is_current = is_connected || is_confirmed;
-        if !is_current || self.observed_ms(now) < window_ms {
+        if !(is_current || is_confirmed) || self.observed_ms(now) < window_ms {
             return None;
         }
         let mut versions = self.recent(now, window_ms).filter(|s| s.service == service);
@@ -138,6 +138,10 @@
         }
         let since_ms = now.0 as i64 - report.observed_ms.min(ORIGIN_TTL_MS) as i64;
         self.since_ms = Some(self.since_ms.map_or(since_ms, |own| own.min(since_ms)));
+    }
+
+    /// Records that the word of a node that reaches the registry was merged.
+    pub(crate) fn confirm(&mut self, now: Millis) {
         self.confirmed_at = Some(now);
     }
 
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -318,6 +318,70 @@
     }
 }
 
+#[test]
+fn a_node_without_the_store_trusts_only_those_who_can_know_better() {
+    struct Case {
+        name: &'static str,
+        /// Whether the node that answers reaches the store.
+        answer_connected: bool,
+        /// Whether another node says in its digests that it reaches the store; `None` if none is
+        /// heard.
+        other_connected: Option<bool>,
+        goes_on: bool,
+    }
+    let cases = [
+        Case {
+            name: "cut off together with the node that answers",
+            answer_connected: false,
+            other_connected: Some(true),
+            goes_on: false,
+        },
+        Case {
+            name: "the node that answers reaches the store",
+            answer_connected: true,
+            other_connected: Some(true),
+            goes_on: true,
+        },
+        Case {
+            name: "the store is away for all",
+            answer_connected: false,
+            other_connected: Some(false),
+            goes_on: true,
+        },
+        Case {
+            name: "no other node is heard",
+            answer_connected: false,
+            other_connected: None,
+            goes_on: false,
+        },
+    ];
+    for case in cases {
+        let mut world = world("x", &[("0", "v1")]);
+        let mut other = self::world("y", &[("0", "v1")]);
+        for world in [&mut world, &mut other] {
+            world.now += 60_000;
+            world.step(Event::Tick);
+        }
+        world.step(Event::StoreDisconnected);
+        if !case.answer_connected {
+            other.step(Event::StoreDisconnected);
+        }
+        if let Some(connected) = case.other_connected {
+            world.step(Event::DigestReceived(Digest {
+                vm: "z".to_owned(),
+                connected_ms: u64::from(connected) * 5_000,
+                ..Digest::default()
+            }));
+        }
+        let request = resumed(Some("began"));
+        if case.other_connected.is_some() {
+            ask(&mut world, &other, &request);
+        }
+        let asks = world.gate.missing_origin(Millis(world.now), &request);
+        assert_eq!(asks.is_none(), case.goes_on, "{}", case.name);
+    }
+}
+
 #[test]
 fn streams_that_began_before_a_second_version_came_are_published_when_it_comes() {
     let mut first = world("a", &[("0", "v1")]);
