The registry keeps which software versions streams may have begun at

Ruled out: to guess from the targets that serve after the restart (one that has left since may have begun the stream).

Change: the leader of the role changes writes a row for each service with resumable streams when the set of versions seen within 30 s changes, and once when it becomes the leader; a node reads the rows at boot.

--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects that the reducer requests from the shell.
 
-use crate::KvHandle;
+use crate::{KvHandle, VersionRecord};
 use rw_types::{Millis, RequestId, Role};
 
 /// What a target is asked to do.
@@ -168,6 +168,8 @@
         /// The order must not be sent at or after this time.
         until: Millis,
     },
+    /// Replace the registry's record of the versions of a service.
+    RecordVersions(VersionRecord),
     /// Release the handle of a prefilled prompt that will not be used.
     ReleaseHandle(KvHandle),
     /// Publish a digest to the other nodes immediately, because a call crashed its target or a role
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CallRequest, Digest, GateSettings, OrderOutcome, Routing, TargetIncarnation, TargetNotice,
-    TargetSpec,
+    TargetSpec, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
@@ -119,6 +119,8 @@
     },
     /// All entries were read; known targets that are not listed were removed.
     TargetsListed(Vec<TargetSpec>),
+    /// All records of software versions were read, when this node started.
+    VersionsRead(Vec<VersionRecord>),
     /// All entries that another node knows; ignored once any entry is known from the store, whose
     /// data is newer.
     TargetsReported(Vec<TargetSpec>),
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -3,7 +3,7 @@
 use crate::{
     Digest, DispatchMode, Effect, Event, GateSettings, LeavingSource, LimitReport,
     LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, Routing,
-    TargetIncarnation, TargetList, TargetSpec, WorkReport,
+    TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
     placer::Placer,
@@ -38,6 +38,8 @@
     pub(crate) origins: StreamOrigins,
     /// Versions of the targets' software.
     pub(crate) software: SoftwareHistory,
+    /// Records of versions that this node has requested as the leader.
+    pub(crate) records: Vec<VersionRecord>,
     pub(crate) nodes: usize,
     /// Estimates of engine speed by service, sorted by name.
     pub(crate) estimates: Vec<(String, EngineEstimates)>,
@@ -66,6 +68,7 @@
             part_suspects: PartSuspects::default(),
             origins: StreamOrigins::default(),
             software: SoftwareHistory::default(),
+            records: Vec::new(),
             nodes: settings.nodes,
             estimates: Vec::new(),
             overrun: Overrun::default(),
@@ -104,6 +107,7 @@
                 self.replace_targets(now, specs);
                 self.observe_software(now);
             }
+            Event::VersionsRead(records) => self.software.merge_records(now, &records),
             Event::TargetsReported(specs) => self.apply_reported(now, specs),
             Event::StoreConnected => {
                 self.reconnected_at = Some(now);
@@ -111,7 +115,7 @@
             }
             Event::StoreDisconnected => self.roles.connected_since = None,
             Event::Tick => {
-                self.check_software(now);
+                self.check_software(now, &mut effects);
                 self.check_roles(now, &mut effects);
             }
             Event::LeaseResult(token) => self.lease_result(now, token),
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -43,6 +43,7 @@
 mod target_incarnation;
 mod target_list;
 mod token_bucket;
+mod version_record;
 
 pub use availability::{Availability, LeavingSource};
 pub use call_request::{CallRequest, Prompt, PromptPart};
@@ -69,4 +70,6 @@
 pub use target_incarnation::TargetIncarnation;
 pub use target_list::TargetList;
 
+pub use version_record::VersionRecord;
+
 pub use rw_types::{MAX_PAUSE_MS, RateNotice, RequestRate, Role, TargetNotice};
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -1,7 +1,7 @@
 //! Streams that callers take up again, and where they may go on.
 
 use crate::{
-    CallRequest, Digest, Gate, OriginReport, RefusalKind, Route, SoftwareId, StreamId,
+    CallRequest, Digest, Effect, Gate, OriginReport, RefusalKind, Route, SoftwareId, StreamId,
     roles::PEER_TIMEOUT_MS, stream_origin::ServiceId,
 };
 use rw_types::{Millis, RequestId};
@@ -119,27 +119,58 @@
         }
     }
 
-    /// Records at intervals which versions are there, and forgets those of long ago.
-    pub(crate) fn check_software(&mut self, now: Millis) {
+    /// Records at intervals which versions are there, forgets those of long ago, and lets the leader
+    /// keep the registry's records up to date.
+    pub(crate) fn check_software(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         if self.software.is_due(now) {
             self.observe_software(now);
             self.software.prune(now);
         }
+        if self.is_leader(now) {
+            self.update_records(now, effects);
+        } else {
+            // Another node may change the records.
+            self.records.clear();
+        }
+    }
+
+    /// Requests a new record for each service whose versions have changed, or that this node hasn't
+    /// recorded since it became the leader.
+    fn update_records(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let routing = self.routing.clone();
+        let routes = routing.routes.iter();
+        let resumable = routes.filter(|r| r.retry_policy.is_resumable());
+        let services = resumable.flat_map(|r| r.traffic_split.iter());
+        for service in services {
+            let Some(record) = self.software.record(now, &service.service) else {
+                continue;
+            };
+            let known = self
+                .records
+                .iter()
+                .position(|r| r.service == record.service);
+            match known {
+                Some(i) if self.records[i] == record => continue,
+                Some(i) => self.records[i] = record.clone(),
+                None => self.records.push(record.clone()),
+            }
+            effects.push(Effect::RecordVersions(record));
+        }
     }
 
     /// Records the versions of all known targets as seen now.
     pub(crate) fn observe_software(&mut self, now: Millis) {
         for target in self.targets.all() {
-            let software = SoftwareId::of_target(&target.spec);
-            self.software.observe(now, &target.spec.service, software);
+            let spec = &target.spec;
+            self.software.observe(now, &spec.service, &spec.software);
         }
     }
 
     /// Records the version of a target as seen now.
     pub(crate) fn observe_target(&mut self, now: Millis, name: &str) {
         if let Some(target) = self.targets.find(name) {
-            let software = SoftwareId::of_target(&target.spec);
-            self.software.observe(now, &target.spec.service, software);
+            let spec = &target.spec;
+            self.software.observe(now, &spec.service, &spec.software);
         }
     }
 
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -160,7 +160,7 @@
     }
 
     /// Whether this node is the first by name among the live nodes that reach the store.
-    fn is_leader(&self, now: Millis) -> bool {
+    pub(crate) fn is_leader(&self, now: Millis) -> bool {
         let peers = self.roles.peers.iter();
         let mut eligible =
             peers.filter(|p| p.connected_ms > 0 && now.since(p.received_at) < PEER_TIMEOUT_MS);
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -1,6 +1,6 @@
 //! Software versions that the targets of each service have had lately.
 
-use crate::{SoftwareId, stream_origin::ServiceId, stream_origins::ORIGIN_TTL_MS};
+use crate::{SoftwareId, VersionRecord, stream_origin::ServiceId, stream_origins::ORIGIN_TTL_MS};
 use rw_types::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -14,13 +14,13 @@
 #[derive(Debug, Clone)]
 struct SeenSoftware {
     service: String,
-    software: SoftwareId,
+    version: String,
     last_seen: Millis,
 }
 
 /// Serialized form of a version that a service has had: service, version, and milliseconds since it
 /// was last seen.
-type SeenFields = (String, SoftwareId, u64);
+type SeenFields = (String, String, u64);
 
 /// What a node has seen, as another node is told.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,29 +40,52 @@
     since_ms: Option<i64>,
     /// Time at which a node that reaches the registry last told what it has seen.
     confirmed_at: Option<Millis>,
+    /// Whether the registry's records have been read.
+    has_records: bool,
     /// Time at which the versions of all targets are recorded next.
     next_observation: Millis,
 }
 
 impl SoftwareHistory {
     /// Records that a target of `service` has this version at the time `at`.
-    pub(crate) fn observe(&mut self, at: Millis, service: &str, software: SoftwareId) {
-        let found = self
-            .seen
-            .binary_search_by(|s| (s.service.as_str(), s.software).cmp(&(service, software)));
+    pub(crate) fn observe(&mut self, at: Millis, service: &str, version: &str) {
+        let found = self.seen.binary_search_by(|s| {
+            (s.service.as_str(), s.version.as_str()).cmp(&(service, version))
+        });
         match found {
             Ok(i) => self.seen[i].last_seen = self.seen[i].last_seen.max(at),
             Err(i) => self.seen.insert(
                 i,
                 SeenSoftware {
                     service: service.to_owned(),
-                    software,
+                    version: version.to_owned(),
                     last_seen: at,
                 },
             ),
         }
     }
 
+    /// Records what the registry keeps about all versions that streams may have begun at.
+    pub(crate) fn merge_records(&mut self, now: Millis, records: &[VersionRecord]) {
+        for record in records {
+            for version in &record.versions {
+                self.observe(now, &record.service, version);
+            }
+        }
+        self.merge_since(now, ORIGIN_TTL_MS);
+        self.has_records = true;
+    }
+
+    /// What the registry is to keep about a service; `None` before its records have been read.
+    pub(crate) fn record(&self, now: Millis, service: &str) -> Option<VersionRecord> {
+        let seen = self.recent(now, ORIGIN_TTL_MS);
+        let versions = seen.filter(|s| s.service == service);
+        self.has_records.then(|| VersionRecord {
+            service: service.to_owned(),
+            versions: versions.map(|s| s.version.clone()).collect(),
+        })
+    }
+
     /// Records that from now on all versions are seen.
     pub(crate) fn start(&mut self, now: Millis) {
         self.since_ms.get_or_insert(now.0 as i64);
@@ -91,7 +114,8 @@
         }
         let mut versions = self.recent(now, window_ms).filter(|s| s.service == service);
         let only = versions.next()?;
-        versions.next().is_none().then_some(only.software)
+        let id = SoftwareId::of(service, &only.version);
+        versions.next().is_none().then_some(id)
     }
 
     /// Whether all versions are known that matter.
@@ -122,7 +146,7 @@
     pub(crate) fn report(&self, now: Millis) -> HistoryReport {
         let seen = self.recent(now, ORIGIN_TTL_MS).map(|s| {
             let age_ms = now.since(s.last_seen);
-            (s.service.clone(), s.software, age_ms)
+            (s.service.clone(), s.version.clone(), age_ms)
         });
         HistoryReport {
             observed_ms: self.observed_ms(now),
@@ -132,11 +156,15 @@
 
     /// Records what another node has seen.
     pub(crate) fn merge(&mut self, now: Millis, report: &HistoryReport) {
-        for (service, software, age_ms) in &report.seen {
+        for (service, version, age_ms) in &report.seen {
             let at = Millis(now.0.saturating_sub(*age_ms));
-            self.observe(at, service, *software);
+            self.observe(at, service, version);
         }
-        let since_ms = now.0 as i64 - report.observed_ms.min(ORIGIN_TTL_MS) as i64;
+        self.merge_since(now, report.observed_ms);
+    }
+
+    fn merge_since(&mut self, now: Millis, observed_ms: u64) {
+        let since_ms = now.0 as i64 - observed_ms.min(ORIGIN_TTL_MS) as i64;
         self.since_ms = Some(self.since_ms.map_or(since_ms, |own| own.min(since_ms)));
     }
 
--- a/crates/rw-gate/src/stream_origin.rs
+++ b/crates/rw-gate/src/stream_origin.rs
@@ -31,11 +31,16 @@
 pub struct SoftwareId(u32);
 
 impl SoftwareId {
+    /// A version of the software of `service`.
+    #[must_use]
+    pub fn of(service: &str, version: &str) -> Self {
+        Self(fold(rw_core::hash(service), rw_core::hash(version)))
+    }
+
     /// The version that a target has.
     #[must_use]
     pub fn of_target(spec: &TargetSpec) -> Self {
-        let service = rw_core::hash(&spec.service);
-        Self(fold(service, rw_core::hash(&spec.software)))
+        Self::of(&spec.service, &spec.software)
     }
 }
 
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -4,7 +4,7 @@
 
 use rw_gate::{
     CallRequest, Digest, DispatchOutcome, Effect, Event, GateSettings, RefusalKind, Role,
-    TargetSpec,
+    TargetSpec, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
 use support::*;
@@ -443,3 +443,92 @@
     let digest = world.gate.publish(Millis(world.now)).expect("a digest");
     assert!(digest.origins.is_empty());
 }
+
+/// Lets a node be the leader of its fleet, and returns the records that it requests.
+fn recorded(world: &mut World) -> Vec<Vec<String>> {
+    let effects = world.step(Event::Tick);
+    let records = effects.into_iter().filter_map(|e| match e {
+        Effect::RecordVersions(record) if record.service == ENGINES => Some(record.versions),
+        _ => None,
+    });
+    records.collect()
+}
+
+fn record(versions: &[&str]) -> Event {
+    Event::VersionsRead(vec![VersionRecord {
+        service: ENGINES.to_owned(),
+        versions: versions.iter().map(|v| (*v).to_owned()).collect(),
+    }])
+}
+
+#[test]
+fn the_leader_records_each_change_of_the_versions_that_streams_may_have_begun_at() {
+    let mut world = world("a", &[("0", "v1")]);
+    assert!(recorded(&mut world).is_empty(), "before it has read them");
+    world.step(record(&[]));
+    assert_eq!(recorded(&mut world), [["v1"]]);
+    assert!(recorded(&mut world).is_empty(), "nothing has changed");
+    world.step(Event::TargetUpdated(spec("1", "v2")));
+    assert_eq!(recorded(&mut world), [["v1", "v2"]]);
+    world.step(Event::TargetRemoved {
+        name: "0".to_owned(),
+    });
+    world.now += 10_000;
+    assert!(recorded(&mut world).is_empty(), "streams of v1 may go on");
+    world.now += 25_000;
+    assert_eq!(recorded(&mut world), [["v2"]]);
+    // Another node leads for a while, and may have written something else.
+    world.step(Event::DigestReceived(Digest {
+        vm: "0".to_owned(),
+        connected_ms: 5_000,
+        ..Digest::default()
+    }));
+    assert!(recorded(&mut world).is_empty(), "another node leads");
+    world.now += 5_000;
+    assert_eq!(recorded(&mut world), [["v2"]]);
+}
+
+#[test]
+fn after_a_restart_of_all_nodes_the_records_tell_whether_there_is_one_version() {
+    struct Case {
+        name: &'static str,
+        records: Option<Event>,
+        goes_on: bool,
+    }
+    let cases = [
+        Case {
+            name: "not read",
+            records: None,
+            goes_on: false,
+        },
+        Case {
+            name: "the version that serves",
+            records: Some(record(&["v1"])),
+            goes_on: true,
+        },
+        Case {
+            name: "none, since the fleet is new",
+            records: Some(record(&[])),
+            goes_on: true,
+        },
+        Case {
+            name: "another one too",
+            records: Some(record(&["v0", "v1"])),
+            goes_on: false,
+        },
+        Case {
+            name: "another one",
+            records: Some(record(&["v0"])),
+            goes_on: false,
+        },
+    ];
+    for case in cases {
+        let mut world = world("a", &[("0", "v1")]);
+        if let Some(event) = case.records {
+            world.step(event);
+        }
+        let now = Millis(world.now);
+        let asks = world.gate.missing_origin(now, &resumed(Some("c")));
+        assert_eq!(asks.is_none(), case.goes_on, "{}", case.name);
+    }
+}
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -350,7 +350,10 @@
                 let outcome = OrderOutcome::Accepted;
                 self.send_event(node, Event::OrderEnded { target, outcome });
             }
-            Effect::Deliver { .. } | Effect::ReleaseHandle(_) | Effect::PublishDigest => {}
+            Effect::Deliver { .. }
+            | Effect::ReleaseHandle(_)
+            | Effect::PublishDigest
+            | Effect::RecordVersions(_) => {}
         }
     }
 
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -80,6 +80,7 @@
                 Effect::ReleaseHandle(_)
                 | Effect::PublishDigest
                 | Effect::AcquireLease
+                | Effect::RecordVersions(_)
                 | Effect::Order { .. } => {
                     continue;
                 }
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -40,7 +40,7 @@
 pub use head::{HeadError, HeaderField, RequestHead, ResponseHead};
 pub use membership::{DEFAULT_DIGEST_BYTES_PER_S, Peer, Peers};
 pub use metrics::Metrics;
-pub use registry::{Registry, RegistryUpdate, Snapshot};
+pub use registry::{Registry, RegistryRequests, RegistryUpdate, Snapshot};
 pub use relay::Relay;
 pub use serve::{BoundRelay, ServeError};
 pub use settings::RelaySettings;
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::Peer;
 use async_channel::{Receiver, Sender};
-use rw_gate::{Event, Routing, TargetSpec};
+use rw_gate::{Event, Routing, TargetSpec, VersionRecord};
 use serde::{Deserialize, Serialize};
 use std::{future::Future, sync::Arc};
 
@@ -39,14 +39,23 @@
     pub limits: Vec<rw_gate::LimitReport>,
 }
 
+/// What a node wants from a registry.
+#[derive(Debug)]
+pub struct RegistryRequests {
+    /// Requests for the lease on role changes.
+    pub leases: Receiver<()>,
+    /// Records of software versions to keep; one replaces the one before of the same service.
+    pub records: Receiver<VersionRecord>,
+}
+
 /// The platform's registry of routes, targets and nodes.
 pub trait Registry: 'static {
-    /// Registers this node as `me`, sends all changes to `updates`, and tries to take the lease
-    /// for each of the `lease_requests`, until the future is dropped.
+    /// Registers this node as `me`, sends all changes to `updates`, and carries out `requests`,
+    /// until the future is dropped.
     fn watch(
         self,
         me: Peer,
         updates: Sender<RegistryUpdate>,
-        lease_requests: Receiver<()>,
+        requests: RegistryRequests,
     ) -> impl Future<Output = ()>;
 }
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -5,7 +5,7 @@
     pool::Pool, timeout::timeout,
 };
 use async_channel::Sender;
-use rw_gate::{Effect, Event, Gate, KvHandle, StreamId};
+use rw_gate::{Effect, Event, Gate, KvHandle, StreamId, VersionRecord};
 use rw_types::RequestId;
 use smol::LocalExecutor;
 use std::{
@@ -38,6 +38,8 @@
     pub(crate) wake_digests: Sender<()>,
     /// Requests the lease on role changes.
     pub(crate) request_lease: Sender<()>,
+    /// Queue of records of software versions.
+    pub(crate) version_records: Sender<VersionRecord>,
     /// Queue of streams to ask other nodes about.
     pub(crate) origin_asks: Sender<StreamId>,
     /// Queue of orders to send to targets.
@@ -62,6 +64,7 @@
 pub(crate) struct Senders {
     pub(crate) wake_digests: Sender<()>,
     pub(crate) request_lease: Sender<()>,
+    pub(crate) version_records: Sender<VersionRecord>,
     pub(crate) origin_asks: Sender<StreamId>,
     pub(crate) order_queue: Sender<Effect>,
 }
@@ -87,6 +90,7 @@
             executor,
             wake_digests: senders.wake_digests,
             request_lease: senders.request_lease,
+            version_records: senders.version_records,
             origin_asks: senders.origin_asks,
             order_queue: senders.order_queue,
             stopping: Cell::new(false),
@@ -109,6 +113,7 @@
                 Effect::ReleaseHandle(handle) => self.release_handle(handle.clone()),
                 // A full channel means that a request is already pending.
                 Effect::AcquireLease => drop(self.request_lease.try_send(())),
+                Effect::RecordVersions(record) => self.record_versions(record.clone()),
                 Effect::Order { .. } => self.enqueue_order(effect.clone()),
                 // A full channel means that a digest is already triggered.
                 Effect::PublishDigest => drop(self.wake_digests.try_send(())),
@@ -172,6 +177,14 @@
         self.step(Event::NodesListed(nodes));
     }
 
+    fn record_versions(&self, record: VersionRecord) {
+        if self.version_records.try_send(record).is_err() {
+            log::warn!(
+                "record of software versions dropped because the queue is full; it is written with the next change"
+            );
+        }
+    }
+
     fn enqueue_order(&self, order: Effect) {
         if self.order_queue.try_send(order).is_err() {
             log::warn!("order dropped because the queue is full; the gate will plan it again");
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -1,7 +1,7 @@
 //! Runs a node from startup to graceful shutdown.
 
 use crate::{
-    Dialect, Metrics, Registry, RegistryUpdate, Relay, RelaySettings,
+    Dialect, Metrics, Registry, RegistryRequests, RegistryUpdate, Relay, RelaySettings,
     endpoint_server::{MetricsText, Readiness},
     front::listen,
     peers::PeerCalls,
@@ -32,6 +32,8 @@
 const ORDER_QUEUE: usize = 64;
 /// Maximum number of streams that wait until other nodes are asked about them.
 const ASK_QUEUE: usize = 256;
+/// Maximum number of records of software versions that wait to be written.
+const RECORD_QUEUE: usize = 64;
 /// Interval between ticks of the gate.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Capacity of the queue of registry updates.
@@ -97,10 +99,16 @@
         let (wake_digests, digest_wakes) = async_channel::bounded(1);
         let (request_lease, lease_requests) = async_channel::bounded(1);
         let (order_queue, orders) = async_channel::bounded(ORDER_QUEUE);
+        let (version_records, records) = async_channel::bounded(RECORD_QUEUE);
         let (origin_asks, asks) = async_channel::bounded(ASK_QUEUE);
+        let requests = RegistryRequests {
+            leases: lease_requests,
+            records,
+        };
         let senders = Senders {
             wake_digests,
             request_lease,
+            version_records,
             origin_asks,
             order_queue,
         };
@@ -119,7 +127,7 @@
             .detach();
         executor.spawn(relay.clone().query_seeds()).detach();
         executor
-            .spawn(registry.watch(relay.me(), sender, lease_requests))
+            .spawn(registry.watch(relay.me(), sender, requests))
             .detach();
         spawn(Box::pin(apply_updates(relay.clone(), updates)));
         executor.spawn(reload).detach();
