rw-gate: the versions of a service are compared once, however many routes it has

Cause: the leader made a record for each route with resumable streams, four times a second; a configuration may have a thousand routes to one service. Found by reading.

Change: by service, each once. What is recorded does not change.

Figures: rw-gate tests/stream_origins.rs green as before; no measurement.

--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -141,8 +141,11 @@
         let routes = routing.routes.iter();
         let resumable = routes.filter(|r| r.retry_policy.is_resumable());
         let services = resumable.flat_map(|r| r.traffic_split.iter());
+        let mut services: Vec<&str> = services.map(|s| s.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
         for service in services {
-            let Some(record) = self.software.record(now, &service.service) else {
+            let Some(record) = self.software.record(now, service) else {
                 continue;
             };
             let known = self
