rw-relay: calls, the progress of a response and the errors of an exchange have files of their own

attempt.rs and streaming.rs used each other's types. Both now use those of call.rs, response_progress.rs and exchange_error.rs; streaming.rs no longer depends on attempt.rs.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -1,18 +1,19 @@
 //! Performs one dispatch of a call to a target.
 
 use crate::{
-    Dialect, Framing, Relay, RequestHead, ResponseHead, ResponseMetadata,
+    Dialect, Framing, Relay, ResponseHead, ResponseMetadata,
     body::BodyReader,
+    call::Call,
+    exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
     notices::Addressee,
     pool::{ConnectError, TargetConnection},
-    response_writer::ResponseWriter,
+    response_progress::{BufferedResponse, ResponseProgress},
     streaming::StreamedResponse,
     timeout::timeout_at,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
-use rw_types::{Millis, RequestId};
 use smol::{future, io::AsyncWriteExt as _};
 use std::{
     cell::Cell,
@@ -30,69 +31,6 @@
 /// Extra wait after a call's deadline, so that the target's own final response can still arrive.
 const DEADLINE_GRACE: Duration = Duration::from_millis(40);
 
-/// A request read from a caller.
-#[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) id: RequestId,
-    pub(crate) head: RequestHead,
-    pub(crate) body: Vec<u8>,
-    /// Identifier that the caller gave the call; empty if it gave none.
-    pub(crate) call_id: String,
-    /// When the request had been read in full.
-    pub(crate) arrived: Millis,
-}
-
-/// A response received in full.
-#[derive(Debug)]
-pub(crate) struct BufferedResponse {
-    pub(crate) head: ResponseHead,
-    pub(crate) body: Vec<u8>,
-}
-
-/// State of the response to a call, over all its dispatches.
-#[derive(Debug)]
-pub(crate) struct ResponseProgress {
-    /// Writes the response to the caller.
-    pub(crate) out: ResponseWriter,
-    /// Full response, held until the gate decides whether to deliver it.
-    pub(crate) buffered: Option<BufferedResponse>,
-    /// Framing of the response to the latest dispatch, if its head was read.
-    pub(crate) framing: Option<Framing>,
-    /// Identifier of the last event sent to the caller.
-    pub(crate) last_event: Option<u64>,
-}
-
-impl ResponseProgress {
-    pub(crate) fn new(out: ResponseWriter) -> Self {
-        Self {
-            out,
-            buffered: None,
-            framing: None,
-            last_event: None,
-        }
-    }
-}
-
-/// The caller closed its connection, or the connection failed.
-#[derive(Debug)]
-pub(crate) struct CallerDisconnected;
-
-/// Which side failed during an exchange.
-pub(crate) enum ExchangeError {
-    Caller,
-    Target(io::Error),
-}
-
-impl From<io::Error> for ExchangeError {
-    fn from(error: io::Error) -> Self {
-        Self::Target(error)
-    }
-}
-
-pub(crate) fn caller_result(sent: io::Result<()>) -> Result<(), ExchangeError> {
-    sent.map_err(|_| ExchangeError::Caller)
-}
-
 impl<D: Dialect> Relay<D> {
     /// Sends `call` to the target of `dispatch`, and forwards a streamed response.
     pub(crate) async fn attempt(
--- /dev/null
+++ b/crates/rw-relay/src/call.rs
@@ -0,0 +1,16 @@
+//! Calls as the relay has read them.
+
+use crate::RequestHead;
+use rw_types::{Millis, RequestId};
+
+/// A request read from a caller.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) id: RequestId,
+    pub(crate) head: RequestHead,
+    pub(crate) body: Vec<u8>,
+    /// Identifier that the caller gave the call; empty if it gave none.
+    pub(crate) call_id: String,
+    /// When the request had been read in full.
+    pub(crate) arrived: Millis,
+}
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     BootClock, Framing, ResponseMetadata,
-    attempt::Call,
+    call::Call,
     metrics::{framing_label, mode_label, outcome_label},
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, PromptPart, Refusal};
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -1,9 +1,8 @@
 //! Drives a call to its final response.
 
 use crate::{
-    Dialect, Relay,
-    attempt::{Call, CallerDisconnected, ResponseProgress},
-    response_writer::ResponseWriter,
+    Dialect, Relay, call::Call, exchange_error::CallerDisconnected,
+    response_progress::ResponseProgress, response_writer::ResponseWriter,
 };
 use rw_gate::{Dispatch, Effect, Event, Refusal};
 
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -1,11 +1,8 @@
 //! Server for callers' connections.
 
 use crate::{
-    BootClock, Connection, Dialect, HeadError, Relay, RequestHead,
-    attempt::{Call, ResponseProgress},
-    body::BodyReader,
-    response_writer::ResponseWriter,
-    timeout::timeout,
+    BootClock, Connection, Dialect, HeadError, Relay, RequestHead, body::BodyReader, call::Call,
+    response_progress::ResponseProgress, response_writer::ResponseWriter, timeout::timeout,
 };
 use rw_gate::{CallLimits, Event};
 use smol::{Async, future};
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     Dialect, EventSplitter, Framing, Relay, ResponseHead,
-    attempt::{Call, ExchangeError, ResponseProgress, caller_result},
     body::BodyReader,
+    call::Call,
+    exchange_error::{ExchangeError, caller_result},
     io_error::{malformed, truncated},
     pool::TargetConnection,
+    response_progress::ResponseProgress,
 };
 use rw_gate::{Dispatch, DispatchOutcome, Event};
 
