--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -7,6 +7,7 @@
 };
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use rw_core::Split;
+use rw_gate::RequestRate;
 use rw_load::{
     Comparison, Deployment, EngineFault, EngineFaultKind, Experiment, Fault, Profile, RelayOptions,
     ScheduledFault, Variant, compare, decision_cost_table, html_report, run_relay, run_sockets,
@@ -44,7 +45,7 @@
             Arg::new("fault")
                 .long("fault")
                 .action(ArgAction::Append)
-                .help("Injects a fault: SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; with --relay: SECONDS:pause=N/SECONDS or :leave=N/SECONDS; may be repeated"),
+                .help("Injects a fault: SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; with --relay: SECONDS:pause=N/SECONDS or :leave=N/SECONDS or :limit=N@RATE/SECONDS; may be repeated"),
         )
         .arg(flag_arg("compare", "Compares the baselines and 'ours', also with one feature disabled at a time"))
         .arg(flag_arg(
@@ -298,14 +299,19 @@
     let invalid = || CliError::InvalidSetting {
         name: "--fault".to_owned(),
         value: text.to_owned(),
-        expected: "SECONDS:pause=N/SECONDS or SECONDS:leave=N/SECONDS, with --relay",
+        expected: "SECONDS:pause=N/SECONDS, SECONDS:leave=N/SECONDS or SECONDS:limit=N@RATE/SECONDS, with --relay",
     };
     let (at, rest) = text.split_once(':').ok_or_else(invalid)?;
     let (kind, rest) = rest.split_once('=').ok_or_else(invalid)?;
     let (engines, duration) = rest.split_once('/').ok_or_else(invalid)?;
-    let kind = match kind {
-        "pause" => EngineFaultKind::Pause,
-        "leave" => EngineFaultKind::Leave,
+    let (engines, rate) = match engines.split_once('@') {
+        Some((engines, rate)) => (engines, Some(RequestRate::parse(rate).ok_or_else(invalid)?)),
+        None => (engines, None),
+    };
+    let kind = match (kind, rate) {
+        ("pause", None) => EngineFaultKind::Pause,
+        ("leave", None) => EngineFaultKind::Leave,
+        ("limit", Some(rate)) => EngineFaultKind::Limit(rate),
         _ => return Err(invalid()),
     };
     Ok(EngineFault {
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -4,7 +4,7 @@
     arrivals::{self, Arrival},
     deployment::Deployment,
     engine::{Engine, Prompt, StepResult},
-    engine_faults::{EngineState, end_us},
+    engine_faults::{EngineState, LimitUsage, end_us},
     kind_result::{RelayKindResult, RelayResult},
     options::{EngineFaultKind, RelayOptions},
     routes::{HOST, ROLE_SWITCH_US, SERVICE, US_PER_MS, client_timeout_ms, routing},
@@ -78,6 +78,8 @@
     pub(super) engines: Vec<Engine>,
     pub(super) calls: Vec<Call>,
     result: RelayResult,
+    /// Requests to engines that have named a limit.
+    pub(super) limit_usage: Vec<LimitUsage>,
 }
 
 /// Simulates `seconds` at `load` times the deployment's rates, with arrivals drawn from `seed`.
@@ -132,6 +134,7 @@
                 .map(|i| Engine::new(&deployment.engine, i))
                 .collect(),
             calls: Vec::new(),
+            limit_usage: Vec::new(),
             result: RelayResult {
                 kinds: kinds.collect(),
                 ..RelayResult::default()
@@ -224,7 +227,7 @@
         }
     }
 
-    fn millis(&self) -> Millis {
+    pub(super) fn millis(&self) -> Millis {
         Millis(self.now / US_PER_MS)
     }
 
@@ -430,6 +433,7 @@
         if self.calls[call].ended {
             return;
         }
+        self.count_request(engine);
         match self.engine_state(engine) {
             EngineState::Gone => self.end_dispatch(call, DispatchOutcome::NotSent),
             EngineState::Pausing { left_ms } => {
@@ -555,6 +559,7 @@
         self.result.prefilled_tokens = self.engines.iter().map(|e| e.prefilled_tokens).sum();
         let decode = self.engines.iter().filter(|e| e.role != Role::Prefill);
         self.result.decode_engines = decode.count();
+        self.result.limit_ratio = self.worst_limit_ratio();
         self.result.cached_tokens = self.engines.iter().map(|e| e.cached_tokens).sum();
         self.result
     }
--- a/crates/rw-load/src/relay/kind_result.rs
+++ b/crates/rw-load/src/relay/kind_result.rs
@@ -64,6 +64,9 @@
     pub cached_tokens: u64,
     /// Engines that decode at the end of the run.
     pub decode_engines: usize,
+    /// Most requests in any 4 s to an engine that named a rate limit, as a fraction of what the limit
+    /// allows; `None` if none did.
+    pub limit_ratio: Option<f64>,
 }
 
 impl RelayResult {
@@ -102,6 +105,10 @@
             f,
             "prompt tokens: {} filled, {} kept; engines that decode: {}",
             self.prefilled_tokens, self.cached_tokens, self.decode_engines
-        )
+        )?;
+        match self.limit_ratio {
+            Some(ratio) => write!(f, "; worst 4 s against a rate limit: {ratio:.2}"),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/rw-load/src/relay/options.rs
+++ b/crates/rw-load/src/relay/options.rs
@@ -1,5 +1,7 @@
 //! Options of a simulation of forwarded calls.
 
+use rw_gate::RequestRate;
+
 /// What some engines do during a part of a simulation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EngineFaultKind {
@@ -7,6 +9,8 @@
     Pause,
     /// They say that they are leaving, and are gone at the end of the time. Their entries stay.
     Leave,
+    /// They name a rate limit, which all nodes together are to keep to.
+    Limit(RequestRate),
 }
 
 /// A fault of the first engines of the deployment.
--- a/crates/rw-load/tests/relay.rs
+++ b/crates/rw-load/tests/relay.rs
@@ -1,5 +1,6 @@
 //! Forwarded calls under the load of both deployments, on simulated engines.
 
+use rw_gate::RequestRate;
 use rw_load::{
     Deployment, EngineFault, EngineFaultKind, RelayOptions, RelayResult, SheetError, run_relay,
 };
@@ -193,3 +194,18 @@
     let (honoured, ignored) = (failed(&honoured), failed(&ignored));
     assert!(honoured < ignored, "{honoured} and {ignored}");
 }
+
+#[test]
+fn engines_that_name_a_rate_limit_get_no_more_than_it_allows() {
+    let rate = RequestRate::parse("5.8").expect("a rate");
+    let [honoured, ignored] = with_and_without_notices(EngineFaultKind::Limit(rate));
+    let worst = |runs: &[RelayResult]| {
+        let ratios = runs.iter().map(|r| r.limit_ratio.unwrap_or_default());
+        ratios.fold(0.0, f64::max)
+    };
+    let (honoured, ignored) = (worst(&honoured), worst(&ignored));
+    assert!(honoured <= 1.0, "{honoured} with, {ignored} without");
+    // The load would break the limit, and the engines still get calls.
+    assert!(ignored > 1.0, "{honoured} with, {ignored} without");
+    assert!(honoured > 0.0);
+}
