Tests: a rate limit that changes each second; random fleets, losses and restarts

Test file only. Three fleets of 1, 6 and 71 nodes against limits of 8, 2 and 5 a second in turn; 16 seeds of 1 to 60 nodes, limits from 0 to 19, any loss of digests, a node restarted eight times.

--- a/crates/rw-gate/tests/rate_limits.rs
+++ b/crates/rw-gate/tests/rate_limits.rs
@@ -279,6 +279,66 @@
     }
 }
 
+#[test]
+fn a_limit_that_changes_each_second_holds_over_every_window() {
+    const LIMITS: [&str; 3] = ["8", "2", "5"];
+    for count in [1, 6, 71] {
+        let mut fleet = Fleet::new(count, LIMITS[0], 0.1);
+        let start = fleet.now;
+        let mut allowed_by = vec![0.0];
+        for second in 1..=30 {
+            let limit = LIMITS[second % LIMITS.len()];
+            fleet.limit = Some(limit);
+            fleet.play(start + 1_000 * second as u64, 2);
+            let sum = allowed_by[second - 1] + 1.5 * rate(limit).per_s();
+            allowed_by.push(sum);
+        }
+        let settled = fleet.arrivals.iter().filter(|at| **at >= start + SETTLE_MS);
+        for first in settled {
+            let window = *first..*first + WINDOW_MS;
+            let count_in = fleet
+                .arrivals
+                .iter()
+                .filter(|at| window.contains(at))
+                .count();
+            // Whole seconds that the window covers; what it covers of others is not counted.
+            let from = (first - start).div_ceil(1_000) as usize;
+            let to = ((first - start + WINDOW_MS) / 1_000).min(30) as usize;
+            let allowed = allowed_by[to] - allowed_by[from] + 5.0;
+            // The limits are in force in turn, so that the rest of the window allows at least this.
+            let rest = 1.5 * 2.0 * (4 - (to - from)) as f64;
+            assert!(
+                count_in as f64 <= allowed + rest,
+                "{count} nodes at {first}: {count_in} in 4 s, {allowed} allowed"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_limit_holds_with_random_fleets_losses_and_restarts() {
+    for seed in 0..16 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let count = rng.usize(1..=60);
+        let limit = ["0", "0.4", "1", "3.3", "7", "19"][rng.usize(..6)];
+        let loss = rng.f64();
+        let mut fleet = Fleet::new(count, limit, loss);
+        let start = fleet.now;
+        for _ in 0..8 {
+            let until = fleet.now + rng.u64(500..5_000);
+            fleet.play(until, rng.usize(1..=4));
+            let restarted = rng.usize(..count);
+            fleet.restart(restarted);
+        }
+        let worst = fleet.worst_window(start + SETTLE_MS);
+        let allowed = allowed(limit);
+        assert!(
+            worst <= allowed,
+            "seed {seed}: {count} nodes, limit {limit}, loss {loss:.2}: {worst} in 4 s, {allowed} allowed"
+        );
+    }
+}
+
 #[test]
 fn the_latest_statement_of_the_incarnation_holds() {
     const NOW: u64 = 10_000;
