rw-load: the states of engines and the usage of limits have files of their own

fleet.rs and engine_faults.rs used each other's types. What engines do under faults is engine_state.rs and methods of EngineFault, requests against limits are limit_usage.rs; fleet.rs no longer depends on engine_faults.rs.

--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -4,10 +4,11 @@
     arrivals::{self, Arrival},
     deployment::Deployment,
     engine::{Engine, Prompt, StepResult},
-    engine_faults::{EngineState, LimitUsage, end_us},
+    engine_state::EngineState,
     kind_result::{RelayKindResult, RelayResult},
+    limit_usage::LimitUsage,
     options::{EngineFaultKind, RelayOptions},
-    routes::{HOST, ROLE_SWITCH_US, SERVICE, US_PER_MS, client_timeout_ms, routing},
+    routes::{HOST, ROLE_SWITCH_US, SERVICE, US_PER_MS, WARMUP_US, client_timeout_ms, routing},
 };
 use rw_gate::{
     CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, Event, Gate, GateSettings,
@@ -20,8 +21,6 @@
     sync::Arc,
 };
 
-/// Time before the first call, in which the nodes change the engines' roles to their initial split.
-pub(super) const WARMUP_US: u64 = 16_000 * US_PER_MS;
 /// Time after the last arrival for running calls to end.
 const DRAIN_US: u64 = 20_000 * US_PER_MS;
 /// One-way latency between a node and an engine or another node.
@@ -79,7 +78,7 @@
     pub(super) calls: Vec<Call>,
     result: RelayResult,
     /// Requests to engines that have named a limit.
-    pub(super) limit_usage: Vec<LimitUsage>,
+    pub(super) limit_usage: LimitUsage,
 }
 
 /// Simulates `seconds` at `load` times the deployment's rates, with arrivals drawn from `seed`.
@@ -134,7 +133,7 @@
                 .map(|i| Engine::new(&deployment.engine, i))
                 .collect(),
             calls: Vec::new(),
-            limit_usage: Vec::new(),
+            limit_usage: LimitUsage::default(),
             result: RelayResult {
                 kinds: kinds.collect(),
                 ..RelayResult::default()
@@ -174,7 +173,7 @@
         let leaving = self.options.faults.iter();
         for fault in leaving.filter(|f| f.kind == EngineFaultKind::Leave) {
             for engine in 0..fault.engines.min(self.engines.len()) {
-                self.schedule(end_us(fault), SimEvent::EngineGone(engine));
+                self.schedule(fault.end_us(), SimEvent::EngineGone(engine));
             }
         }
         for i in 0..self.arrivals.len() {
@@ -559,7 +558,7 @@
         self.result.prefilled_tokens = self.engines.iter().map(|e| e.prefilled_tokens).sum();
         let decode = self.engines.iter().filter(|e| e.role != Role::Prefill);
         self.result.decode_engines = decode.count();
-        self.result.limit_ratio = self.worst_limit_ratio();
+        self.result.limit_ratio = self.limit_usage.worst_ratio();
         self.result.cached_tokens = self.engines.iter().map(|e| e.cached_tokens).sum();
         self.result
     }
--- a/crates/rw-load/src/relay/options.rs
+++ b/crates/rw-load/src/relay/options.rs
@@ -1,5 +1,6 @@
 //! Options of a simulation of forwarded calls.
 
+use super::routes::WARMUP_US;
 use rw_gate::RequestRate;
 
 /// What some engines do during a part of a simulation.
@@ -26,6 +27,23 @@
     pub for_s: f64,
 }
 
+impl EngineFault {
+    /// Start in microseconds of the simulation.
+    pub(super) fn start_us(&self) -> u64 {
+        WARMUP_US + (self.at_s * 1e6) as u64
+    }
+
+    /// End in microseconds of the simulation.
+    pub(super) fn end_us(&self) -> u64 {
+        self.start_us() + (self.for_s * 1e6) as u64
+    }
+
+    /// Whether the fault of an engine has begun by the time `now`, in microseconds.
+    pub(super) fn has_begun(&self, now: u64, engine: usize) -> bool {
+        engine < self.engines && self.start_us() <= now
+    }
+}
+
 /// What a simulation does beside the load.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RelayOptions {
--- a/crates/rw-load/src/relay/routes.rs
+++ b/crates/rw-load/src/relay/routes.rs
@@ -5,6 +5,8 @@
 
 /// Microseconds in a millisecond.
 pub(crate) const US_PER_MS: u64 = 1_000;
+/// Time before the first call, in which the nodes change the engines' roles to their initial split.
+pub(crate) const WARMUP_US: u64 = 16_000 * US_PER_MS;
 /// Time from a role order until the engine has the new role.
 pub(crate) const ROLE_SWITCH_US: u64 = 3_000 * US_PER_MS;
 /// Callers disconnect when no event arrives for the longest of: this many milliseconds, this
