Origins and versions are remembered as long as callers of the slowest route return

Cause: where a stream began and which versions have served was kept for 30 s. A route whose calls may last longer has streams that are taken up later, and those were refused, or went on at another version because the one that began them was forgotten. Found by reading the diff; no route of the deployments at hand is that slow.

Change: the time follows the longest timeout of the routes in force that allow resumption, and a margin; 30 s remain the minimum.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -61,7 +61,7 @@
         if let Some(left_ms) = self.poisoned_ms(now, &request) {
             return Err(self.refusal(RefusalKind::Poison, left_ms));
         }
-        let began_at = self.origin_service(now, route, &request).map(str::to_owned);
+        let began_at = self.origin_service(route, &request).map(str::to_owned);
         let Some(service) = began_at.or_else(|| self.pick_service(route)) else {
             return Err(self.refusal(RefusalKind::NoTarget, self.settings.retry_ms));
         };
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -6,6 +6,7 @@
     TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
     call_state::CallState,
     engine_estimates::EngineEstimates,
+    origin_flow::origin_ttl_ms,
     placer::Placer,
     publication::Publication,
     rate_limits::Sharers,
@@ -36,6 +37,8 @@
     pub(crate) part_suspects: PartSuspects,
     /// Where recent streams began.
     pub(crate) origins: StreamOrigins,
+    /// Time for which origins and versions matter, by the routes in force, in milliseconds.
+    pub(crate) origin_ttl_ms: u64,
     /// Versions of the targets' software.
     pub(crate) software: SoftwareHistory,
     /// Records of versions that this node has requested as the leader.
@@ -67,6 +70,7 @@
             suspects: Suspects::default(),
             part_suspects: PartSuspects::default(),
             origins: StreamOrigins::default(),
+            origin_ttl_ms: origin_ttl_ms(&Routing::default()),
             software: SoftwareHistory::default(),
             records: Vec::new(),
             nodes: settings.nodes,
@@ -241,6 +245,7 @@
     fn apply_routing(&mut self, routing: Arc<Routing>) {
         // An older version never replaces the current one.
         if routing.version > self.routing.version {
+            self.origin_ttl_ms = origin_ttl_ms(&routing);
             self.routing = routing;
         }
     }
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -64,7 +64,7 @@
 pub use routing::{CallLimits, EngineSpec, RetryPolicy, Route, Routing, Service, ServiceWeight};
 pub use send_window::{SendWindow, Slots};
 pub use settings::GateSettings;
-pub use software_history::HistoryReport;
+pub use software_history::{HistoryReport, SeenVersion};
 pub use stream_origin::{OriginReport, SoftwareId, StreamId};
 pub use target::{Target, TargetSpec};
 pub use target_incarnation::TargetIncarnation;
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -1,13 +1,15 @@
 //! Streams that callers take up again, and where they may go on.
 
 use crate::{
-    CallRequest, Digest, Effect, Gate, OriginReport, RefusalKind, Route, SoftwareId, StreamId,
-    roles::PEER_TIMEOUT_MS, stream_origin::ServiceId,
+    CallRequest, Digest, Effect, Gate, OriginReport, RefusalKind, Route, Routing, SoftwareId,
+    StreamId, roles::PEER_TIMEOUT_MS, stream_origin::ServiceId,
 };
 use rw_types::{Millis, RequestId};
 
 /// Time beyond a route's timeout after which no caller takes up a stream any more, in milliseconds.
 const RESUME_MARGIN_MS: u64 = 2_000;
+/// Minimum time for which origins and versions are remembered, in milliseconds.
+const MIN_ORIGIN_TTL_MS: u64 = 30_000;
 
 impl Gate {
     /// The stream that a call takes up, if other nodes must be asked where it began.
@@ -15,7 +17,7 @@
     pub fn missing_origin(&self, now: Millis, request: &CallRequest) -> Option<StreamId> {
         let stream = resumed_stream(request)?;
         let route = self.routing.find_route(&request.host, &request.path)?;
-        if !route.retry_policy.is_resumable() || self.origins.find(now, stream).is_some() {
+        if !route.retry_policy.is_resumable() || self.origins.find(stream).is_some() {
             return None;
         }
         self.only_version(now, route).is_none().then_some(stream)
@@ -24,11 +26,10 @@
     /// The service of `route` that a call must go to because the stream that it takes up began there.
     pub(crate) fn origin_service<'a>(
         &self,
-        now: Millis,
         route: &'a Route,
         request: &CallRequest,
     ) -> Option<&'a str> {
-        let software = self.origins.find(now, resumed_stream(request)?)?;
+        let software = self.origins.find(resumed_stream(request)?)?;
         let has_version = |service: &str| {
             let mut targets = self.targets.all().iter();
             targets.any(|t| t.spec.service == service && SoftwareId::of_target(&t.spec) == software)
@@ -53,7 +54,7 @@
             return Ok(None);
         }
         let stream = resumed_stream(request);
-        let known = stream.and_then(|s| self.origins.find(now, s));
+        let known = stream.and_then(|s| self.origins.find(s));
         let version = known.or_else(|| self.only_version(now, route));
         version.map(Some).ok_or(RefusalKind::UnknownOrigin)
     }
@@ -93,7 +94,7 @@
     #[must_use]
     pub fn answer_origins(&self, now: Millis, streams: &[StreamId]) -> Digest {
         Digest {
-            origins: self.origins.answer(now, streams),
+            origins: self.origins.answer(streams),
             history: Some(self.software.report(now)),
             ..self.empty_digest(now)
         }
@@ -102,9 +103,11 @@
     /// Origins of this node's streams that are due to be published, at most `max`. Where a service
     /// is known to have had one version, no node needs them.
     pub(crate) fn take_origins(&mut self, now: Millis, max: usize) -> Vec<OriginReport> {
-        let mixed = self.software.mixed_services(now);
-        let services = self.software.is_complete(now).then_some(mixed.as_slice());
-        self.origins.take_reports(now, max, services)
+        let ttl_ms = self.origin_ttl_ms;
+        let mixed = self.software.mixed_services(now, ttl_ms);
+        let is_complete = self.software.is_complete(now, ttl_ms);
+        let services = is_complete.then_some(mixed.as_slice());
+        self.origins.take_reports(max, services)
     }
 
     pub(crate) fn merge_origins(&mut self, now: Millis, digest: &Digest) {
@@ -124,7 +127,8 @@
     pub(crate) fn check_software(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         if self.software.is_due(now) {
             self.observe_software(now);
-            self.software.prune(now);
+            self.software.prune(now, self.origin_ttl_ms);
+            self.origins.prune(now, self.origin_ttl_ms);
         }
         if self.is_leader(now) {
             self.update_records(now, effects);
@@ -145,7 +149,7 @@
         services.sort_unstable();
         services.dedup();
         for service in services {
-            let Some(record) = self.software.record(now, service) else {
+            let Some(record) = self.software.record(now, service, self.origin_ttl_ms) else {
                 continue;
             };
             let known = self
@@ -199,6 +203,14 @@
     }
 }
 
+/// Time for which origins and versions matter: as long as callers of any route take up streams.
+pub(crate) fn origin_ttl_ms(routing: &Routing) -> u64 {
+    let routes = routing.routes.iter();
+    let resumable = routes.filter(|r| r.retry_policy.is_resumable());
+    let longest_ms = resumable.map(|r| r.timeout_ms).max().unwrap_or_default();
+    (longest_ms + RESUME_MARGIN_MS).max(MIN_ORIGIN_TTL_MS)
+}
+
 /// The stream that a call takes up, if it says which.
 fn resumed_stream(request: &CallRequest) -> Option<StreamId> {
     request.resumes.as_deref().map(StreamId::of_call)
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -1,12 +1,14 @@
 //! Software versions that the targets of each service have had lately.
 
-use crate::{SoftwareId, VersionRecord, stream_origin::ServiceId, stream_origins::ORIGIN_TTL_MS};
+use crate::{SoftwareId, VersionRecord, stream_origin::ServiceId};
 use rw_types::Millis;
 use serde::{Deserialize, Serialize};
 
 /// Time for which the word of another node counts as complete, in milliseconds.
 const CONFIRMED_MS: u64 = 1_000;
-
+/// Time for which a node counts as having known all versions after it has read the registry's
+/// records, in milliseconds. Callers take up no stream that began earlier.
+const RECORDED_MS: u64 = 86_400_000;
 /// Interval at which the versions of all targets are recorded, in milliseconds.
 const OBSERVE_INTERVAL_MS: u64 = 1_000;
 
@@ -18,9 +20,16 @@
     last_seen: Millis,
 }
 
-/// Serialized form of a version that a service has had: service, version, and milliseconds since it
-/// was last seen.
-type SeenFields = (String, String, u64);
+/// A version that a service has had, as another node is told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenVersion {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the version.
+    pub version: String,
+    /// Milliseconds since it was last seen.
+    pub age_ms: u64,
+}
 
 /// What a node has seen, as another node is told.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,7 +37,7 @@
     /// Milliseconds for which the node has seen all versions.
     pub observed_ms: u64,
     /// The versions.
-    pub seen: Vec<SeenFields>,
+    pub seen: Vec<SeenVersion>,
 }
 
 /// Versions by service, sorted by service and version.
@@ -72,13 +81,14 @@
                 self.observe(now, &record.service, version);
             }
         }
-        self.merge_since(now, ORIGIN_TTL_MS);
+        self.merge_since(now, RECORDED_MS);
         self.has_records = true;
     }
 
-    /// What the registry is to keep about a service; `None` before its records have been read.
-    pub(crate) fn record(&self, now: Millis, service: &str) -> Option<VersionRecord> {
-        let seen = self.recent(now, ORIGIN_TTL_MS);
+    /// What the registry is to keep about a service: the versions seen within `ttl_ms`; `None` before
+    /// its records have been read.
+    pub(crate) fn record(&self, now: Millis, service: &str, ttl_ms: u64) -> Option<VersionRecord> {
+        let seen = self.recent(now, ttl_ms);
         let versions = seen.filter(|s| s.service == service);
         self.has_records.then(|| VersionRecord {
             service: service.to_owned(),
@@ -91,9 +101,9 @@
         self.since_ms.get_or_insert(now.0 as i64);
     }
 
-    /// Forgets what was last seen too long ago to matter.
-    pub(crate) fn prune(&mut self, now: Millis) {
-        self.seen.retain(|s| now.since(s.last_seen) < ORIGIN_TTL_MS);
+    /// Forgets what was last seen longer than `ttl_ms` ago.
+    pub(crate) fn prune(&mut self, now: Millis, ttl_ms: u64) {
+        self.seen.retain(|s| now.since(s.last_seen) < ttl_ms);
     }
 
     /// The only version that targets of a service have had for `window_ms`; `None` if there were
@@ -118,15 +128,15 @@
         versions.next().is_none().then_some(id)
     }
 
-    /// Whether all versions are known that matter.
-    pub(crate) fn is_complete(&self, now: Millis) -> bool {
-        self.observed_ms(now) >= ORIGIN_TTL_MS
+    /// Whether all versions are known that there were within `ttl_ms`.
+    pub(crate) fn is_complete(&self, now: Millis, ttl_ms: u64) -> bool {
+        self.observed_ms(now) >= ttl_ms
     }
 
-    /// The services whose targets have had several versions lately.
-    pub(crate) fn mixed_services(&self, now: Millis) -> Vec<ServiceId> {
+    /// The services whose targets have had several versions within `ttl_ms`.
+    pub(crate) fn mixed_services(&self, now: Millis, ttl_ms: u64) -> Vec<ServiceId> {
         let names: Vec<&str> = self
-            .recent(now, ORIGIN_TTL_MS)
+            .recent(now, ttl_ms)
             .map(|s| s.service.as_str())
             .collect();
         let repeated = names.windows(2).filter(|pair| pair[0] == pair[1]);
@@ -144,9 +154,10 @@
 
     /// What this node has seen, for another node.
     pub(crate) fn report(&self, now: Millis) -> HistoryReport {
-        let seen = self.recent(now, ORIGIN_TTL_MS).map(|s| {
-            let age_ms = now.since(s.last_seen);
-            (s.service.clone(), s.version.clone(), age_ms)
+        let seen = self.seen.iter().map(|s| SeenVersion {
+            service: s.service.clone(),
+            version: s.version.clone(),
+            age_ms: now.since(s.last_seen),
         });
         HistoryReport {
             observed_ms: self.observed_ms(now),
@@ -156,15 +167,15 @@
 
     /// Records what another node has seen.
     pub(crate) fn merge(&mut self, now: Millis, report: &HistoryReport) {
-        for (service, version, age_ms) in &report.seen {
-            let at = Millis(now.0.saturating_sub(*age_ms));
-            self.observe(at, service, version);
+        for seen in &report.seen {
+            let at = Millis(now.0.saturating_sub(seen.age_ms));
+            self.observe(at, &seen.service, &seen.version);
         }
         self.merge_since(now, report.observed_ms);
     }
 
     fn merge_since(&mut self, now: Millis, observed_ms: u64) {
-        let since_ms = now.0 as i64 - observed_ms.min(ORIGIN_TTL_MS) as i64;
+        let since_ms = now.0 as i64 - observed_ms.min(RECORDED_MS) as i64;
         self.since_ms = Some(self.since_ms.map_or(since_ms, |own| own.min(since_ms)));
     }
 
--- a/crates/rw-gate/src/stream_origins.rs
+++ b/crates/rw-gate/src/stream_origins.rs
@@ -6,9 +6,6 @@
 use crate::{OriginReport, SoftwareId, StreamId, stream_origin::ServiceId};
 use rw_types::Millis;
 
-/// Time after its latest begin or resumption for which a stream is remembered, in milliseconds. It is
-/// longer than callers wait for a stream.
-pub(crate) const ORIGIN_TTL_MS: u64 = 30_000;
 /// Maximum number of streams remembered; those heard of longest ago go first.
 const MAX_STREAMS: usize = 32_768;
 
@@ -58,20 +55,22 @@
     }
 
     /// The version at which a stream began, if it is known.
-    pub(crate) fn find(&self, now: Millis, stream: StreamId) -> Option<SoftwareId> {
-        let entry = &self.entries[self.index(stream).ok()?];
-        is_recent(now, entry).then_some(entry.software)
+    pub(crate) fn find(&self, stream: StreamId) -> Option<SoftwareId> {
+        Some(self.entries[self.index(stream).ok()?].software)
+    }
+
+    /// Forgets streams that began or were resumed longer than `ttl_ms` ago.
+    pub(crate) fn prune(&mut self, now: Millis, ttl_ms: u64) {
+        self.entries.retain(|e| now.since(e.updated_at) < ttl_ms);
     }
 
     /// The streams of this node that the others have not been told of, at most `max`, of `services` or
     /// of all services.
     pub(crate) fn take_reports(
         &mut self,
-        now: Millis,
         max: usize,
         services: Option<&[ServiceId]>,
     ) -> Vec<OriginReport> {
-        self.entries.retain(|e| is_recent(now, e));
         let due = self.entries.iter_mut();
         let is_wanted = |service| services.is_none_or(|all| all.contains(&service));
         let due = due.filter(|e| e.unpublished.is_some_and(is_wanted));
@@ -83,10 +82,8 @@
     }
 
     /// What is known of `streams`.
-    pub(crate) fn answer(&self, now: Millis, streams: &[StreamId]) -> Vec<OriginReport> {
-        let known = streams
-            .iter()
-            .filter_map(|s| Some((self.find(now, *s)?, *s)));
+    pub(crate) fn answer(&self, streams: &[StreamId]) -> Vec<OriginReport> {
+        let known = streams.iter().filter_map(|s| Some((self.find(*s)?, *s)));
         group(known)
     }
 
@@ -114,10 +111,6 @@
     }
 }
 
-fn is_recent(now: Millis, entry: &OriginEntry) -> bool {
-    now.since(entry.updated_at) < ORIGIN_TTL_MS
-}
-
 /// Groups streams by the version at which they began.
 fn group(streams: impl Iterator<Item = (SoftwareId, StreamId)>) -> Vec<OriginReport> {
     let mut reports: Vec<OriginReport> = Vec::new();
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -7,6 +7,7 @@
     TargetSpec, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
+use std::sync::Arc;
 use support::*;
 
 /// Time after which a node knows all versions that streams of its routes can have.
@@ -532,3 +533,35 @@
         assert_eq!(asks.is_none(), case.goes_on, "{}", case.name);
     }
 }
+
+/// The usual routes, of which `/brief/` has another timeout.
+fn routing_with_timeout(timeout_ms: u64) -> Event {
+    let mut routing = routing(2);
+    let brief = routing.routes.iter_mut().find(|r| r.prefix == "/brief/");
+    brief.expect("a route").timeout_ms = timeout_ms;
+    Event::Routing(Arc::new(routing))
+}
+
+#[test]
+fn origins_and_versions_are_remembered_as_long_as_callers_of_a_slow_route_return() {
+    const TIMEOUT_MS: u64 = 90_000;
+    let mut world = world("a", &[("0", "v1")]);
+    world.step(routing_with_timeout(TIMEOUT_MS));
+    world.step(record(&["v1"]));
+    begin(&mut world, "c");
+    world.step(Event::TargetUpdated(spec("1", "v2")));
+    world.step(Event::TargetRemoved {
+        name: "0".to_owned(),
+    });
+    for _ in 0..60 {
+        world.now += 1_000;
+        world.step(Event::Tick);
+    }
+    let now = Millis(world.now);
+    let is_unknown = |began| {
+        let request = resumed(Some(began));
+        world.gate.missing_origin(now, &request).is_some()
+    };
+    assert!(!is_unknown("c"), "the stream is forgotten");
+    assert!(is_unknown("z"), "its version is forgotten");
+}
