After an outage of the store a node reads anew which versions have served

Cause: a node that was cut off from the store took its knowledge of versions for complete once it was back. A version that came and left meanwhile began streams at other nodes; a caller that took one up here went on at the version that serves. Found by reading the diff.

Change: the end of an outage restarts the history of versions, and the node reads the records in the store again, one call. Until then it asks other nodes. The leader writes its records anew after each reading, since one that was on its way may be missing.

--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -119,7 +119,7 @@
     },
     /// All entries were read; known targets that are not listed were removed.
     TargetsListed(Vec<TargetSpec>),
-    /// All records of software versions were read, when this node started.
+    /// All records of software versions were read, when this node started or after an outage.
     VersionsRead(Vec<VersionRecord>),
     /// All entries that another node knows; ignored once any entry is known from the store, whose
     /// data is newer.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -111,10 +111,11 @@
                 self.replace_targets(now, specs);
                 self.observe_software(now);
             }
-            Event::VersionsRead(records) => self.software.merge_records(now, &records),
+            Event::VersionsRead(records) => self.merge_records(now, &records),
             Event::TargetsReported(specs) => self.apply_reported(now, specs),
             Event::StoreConnected => {
                 self.reconnected_at = Some(now);
+                self.software.restart(now);
                 self.roles.connected_since = Some(now);
             }
             Event::StoreDisconnected => self.roles.connected_since = None,
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CallRequest, Digest, Effect, Gate, OriginReport, RefusalKind, Route, Routing, SoftwareId,
-    StreamId, roles::PEER_TIMEOUT_MS, stream_origin::ServiceId,
+    StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, stream_origin::ServiceId,
 };
 use rw_types::{Millis, RequestId};
 
@@ -165,6 +165,13 @@
         }
     }
 
+    /// Takes over the registry's records of versions. A change that was requested before they were
+    /// read may be missing in them, so that the leader requests them all anew.
+    pub(crate) fn merge_records(&mut self, now: Millis, records: &[VersionRecord]) {
+        self.software.merge_records(now, records);
+        self.records.clear();
+    }
+
     /// Records the versions of all known targets as seen now.
     pub(crate) fn observe_software(&mut self, now: Millis) {
         for target in self.targets.all() {
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -101,6 +101,13 @@
         self.since_ms.get_or_insert(now.0 as i64);
     }
 
+    /// Records that versions may have been missed until now, and may be until the records are read
+    /// again.
+    pub(crate) fn restart(&mut self, now: Millis) {
+        self.since_ms = Some(now.0 as i64);
+        self.has_records = false;
+    }
+
     /// Forgets what was last seen longer than `ttl_ms` ago.
     pub(crate) fn prune(&mut self, now: Millis, ttl_ms: u64) {
         self.seen.retain(|s| now.since(s.last_seen) < ttl_ms);
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -565,3 +565,31 @@
     assert!(!is_unknown("c"), "the stream is forgotten");
     assert!(is_unknown("z"), "its version is forgotten");
 }
+
+#[test]
+fn after_an_outage_of_the_store_a_node_does_not_know_which_versions_came_and_went() {
+    let mut world = world("a", &[("0", "v1")]);
+    world.step(record(&["v1"]));
+    world.now += 60_000;
+    world.step(Event::Tick);
+    let is_unknown = |world: &World| {
+        let now = Millis(world.now);
+        let request = resumed(Some("z"));
+        world.gate.missing_origin(now, &request).is_some()
+    };
+    assert!(!is_unknown(&world));
+    world.step(Event::StoreDisconnected);
+    world.now += 5_000;
+    world.step(Event::StoreConnected);
+    world.step(engines(&[("0", "v1")]));
+    assert!(is_unknown(&world), "before the records are read");
+    world.step(record(&["v1", "v2"]));
+    assert!(is_unknown(&world), "another version came and went");
+    world.now += 1_000;
+    world.step(Event::StoreDisconnected);
+    world.now += 60_000;
+    world.step(Event::StoreConnected);
+    world.step(engines(&[("0", "v1")]));
+    world.step(record(&["v1"]));
+    assert!(!is_unknown(&world), "no other version came");
+}
