--- a/crates/rw-gate/src/rate_limits.rs
+++ b/crates/rw-gate/src/rate_limits.rs
@@ -86,10 +86,11 @@
 
     /// Number of nodes that precede this one in the ranking for a target.
     fn rank(&self, target: &str) -> usize {
-        let key = |vm: &str| (rendezvous_weight(vm, target), vm.to_owned());
-        let own = key(&self.vm);
-        let others = self.nodes.iter().filter(|vm| **vm != self.vm);
-        others.filter(|vm| key(vm) > own).count()
+        let own = (rendezvous_weight(&self.vm, target), self.vm.as_str());
+        let others = self.nodes.iter().map(String::as_str);
+        let others = others.filter(|vm| *vm != self.vm);
+        let keys = others.map(|vm| (rendezvous_weight(vm, target), vm));
+        keys.filter(|key| *key > own).count()
     }
 }
 
