rw-relay: which nodes hear of a node, and which are asked, is decided by Peers

Cause: the choice of the nodes that are asked where a stream began had no test, and its comment promised two listeners of every node where one is certain.

Change: moved beside the list of nodes, with the comment put right. Which nodes are chosen doesn't change.

--- a/crates/rw-relay/src/membership.rs
+++ b/crates/rw-relay/src/membership.rs
@@ -7,6 +7,9 @@
 /// stays within 23 KB/s for control.
 pub const DEFAULT_DIGEST_BYTES_PER_S: u32 = 18_000;
 
+/// Minimum number of nodes that are asked, because some may have stopped.
+const MIN_SOURCES: usize = 4;
+
 /// A node, as registered by itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
@@ -40,6 +43,25 @@
         }
     }
 
+    /// The nodes that `vm` sends its digests to, at most `fanout`: those that follow it in the order
+    /// of names, so that each node receives as many digests as it sends.
+    #[must_use]
+    pub fn listeners(&self, vm: &str, fanout: usize) -> Vec<Peer> {
+        let start = self.list.partition_point(|p| p.vm.as_str() <= vm);
+        let following = self.list[start..].iter().chain(&self.list[..start]);
+        let others = following.filter(|p| p.vm != vm);
+        others.take(fanout).cloned().collect()
+    }
+
+    /// The nodes that `vm` asks for what any node has told its listeners: at least [`MIN_SOURCES`], if
+    /// there are as many, and among them a listener of every other node.
+    #[must_use]
+    pub fn sources(&self, vm: &str, fanout: usize) -> Vec<Peer> {
+        let others: Vec<&Peer> = self.list.iter().filter(|p| p.vm != vm).collect();
+        let step = (others.len() / MIN_SOURCES).clamp(1, (fanout / 2).max(1));
+        others.into_iter().step_by(step).cloned().collect()
+    }
+
     /// All known nodes, sorted by VM name.
     #[must_use]
     pub fn all(&self) -> &[Peer] {
--- a/crates/rw-relay/src/origins.rs
+++ b/crates/rw-relay/src/origins.rs
@@ -1,12 +1,10 @@
 //! Questions to other nodes about where streams began.
 
-use crate::{Dialect, Peer, Relay};
+use crate::{Dialect, Relay};
 use rw_gate::{CallRequest, StreamId};
 use smol::Timer;
 use std::time::{Duration, Instant};
 
-/// Minimum number of nodes that are asked, because some may have stopped.
-const MIN_SOURCES: usize = 4;
 /// Time for which a call waits for an answer.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(120);
 /// Interval at which the answer is looked for.
@@ -47,15 +45,4 @@
             log::debug!("question to other nodes dropped because the queue is full");
         }
     }
-
-    /// The nodes that are asked, at least [`MIN_SOURCES`] if there are as many. Each node tells the
-    /// `fanout` that follow it in the order of names, so that two of those that any node tells are
-    /// among those asked.
-    pub(crate) fn origin_sources(&self, fanout: usize) -> Vec<Peer> {
-        let peers = self.peers.borrow();
-        let others = peers.all().iter();
-        let others: Vec<&Peer> = others.filter(|p| p.vm != self.settings.gate.vm).collect();
-        let step = (others.len() / MIN_SOURCES).clamp(1, fanout / 2);
-        others.into_iter().step_by(step).cloned().collect()
-    }
 }
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -155,7 +155,10 @@
         let Some(text) = encode(digest) else {
             return;
         };
-        let receivers = self.digest_receivers();
+        let receivers = self
+            .peers
+            .borrow()
+            .listeners(&self.settings.gate.vm, FANOUT);
         let rate = self.digest_rate(&receivers);
         for peer in receivers {
             self.send_text(socket, &text, peer.digests).await;
@@ -178,7 +181,7 @@
             let Some(text) = encode(&digest) else {
                 continue;
             };
-            let peers = self.origin_sources(FANOUT);
+            let peers = self.peers.borrow().sources(&self.settings.gate.vm, FANOUT);
             let rate = self.digest_rate(&peers);
             for peer in peers {
                 self.send_text(socket, &text, peer.digests).await;
@@ -215,17 +218,6 @@
         }
     }
 
-    /// The nodes that digests are sent to: those that follow in the order of names, so that each
-    /// node receives as many digests as it sends.
-    fn digest_receivers(&self) -> Vec<Peer> {
-        let peers = self.peers.borrow();
-        let all = peers.all();
-        let me = all.partition_point(|p| p.vm <= self.settings.gate.vm);
-        let after = all[me..].iter().chain(&all[..me]);
-        let others = after.filter(|p| p.vm != self.settings.gate.vm);
-        others.take(FANOUT).cloned().collect()
-    }
-
     async fn receive_digests(&self, socket: &Async<UdpSocket>) {
         let mut buf = vec![0; DATAGRAM_BUFFER_BYTES];
         loop {
