Relay: a question to other nodes where a stream began is logged with the earlier call

Cause: the line of a refusal doesn't name the call that its caller resumes, so that an unknown-origin could not be followed to the stream's first call from the logs.

Change: one line a question, within the limit of decision lines, with its result.

--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -5,7 +5,7 @@
     call::Call,
     metrics::{framing_label, mode_label, outcome_label},
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, PromptPart, Refusal};
+use rw_gate::{CallRequest, Dispatch, DispatchMode, DispatchOutcome, PromptPart, Refusal};
 use rw_types::RequestRate;
 use std::{
     cell::{Cell, RefCell},
@@ -142,6 +142,14 @@
         }
     }
 
+    /// Other nodes were asked where the stream began that a call takes up.
+    pub(crate) fn origin_lookup(&self, request: &CallRequest, result: &str) {
+        if self.allow_line() {
+            let resumes = request.resumes.as_deref().unwrap_or_default();
+            log::info!(call = request.call_id.as_str(), resumes, result; "other nodes asked where the stream began");
+        }
+    }
+
     /// A target named a rate limit, or withdrew it.
     pub(crate) fn rate_limit(&self, target: &str, rate: Option<RequestRate>) {
         if !self.allow_line() {
--- a/crates/rw-relay/src/origins.rs
+++ b/crates/rw-relay/src/origins.rs
@@ -24,14 +24,19 @@
         while asked_at.elapsed() < LOOKUP_TIMEOUT {
             Timer::after(POLL_INTERVAL).await;
             if self.missing_origin(request).is_none() {
-                return self.metrics.origin_lookup("found");
+                return self.lookup_ended(request, "found");
             }
             if repeats_at.is_some_and(|at| Instant::now() >= at) {
                 repeats_at = None;
                 self.ask_origin(stream);
             }
         }
-        self.metrics.origin_lookup("not-found");
+        self.lookup_ended(request, "not-found");
+    }
+
+    fn lookup_ended(&self, request: &CallRequest, result: &str) {
+        self.log.origin_lookup(request, result);
+        self.metrics.origin_lookup(result);
     }
 
     fn missing_origin(&self, request: &CallRequest) -> Option<StreamId> {
