--- a/crates/rw-intent/src/check.rs
+++ b/crates/rw-intent/src/check.rs
@@ -1,9 +1,6 @@
 //! Checks of an intent file in addition to the consistency checks of every configuration.
 
-use crate::{
-    IntentError, IntentErrorKind,
-    parse::{Place, line_of},
-};
+use crate::{IntentError, IntentErrorKind, places::Places};
 use rw_types::{Account, Config, Model, Service, ServiceKind, Target, TargetKind, WorkKind};
 
 /// Length of a key hash in hex digits.
@@ -14,10 +11,10 @@
 const MAX_NAME_BYTES: usize = 64;
 
 /// Adds the errors of single values and of values that contradict each other.
-pub(crate) fn check_values(config: &Config, places: &[Place], errors: &mut Vec<IntentError>) {
+pub(crate) fn check_values(config: &Config, places: &Places, errors: &mut Vec<IntentError>) {
     let mut check = |list: &'static str, name: &str, reason: Option<String>| {
         errors.extend(reason.map(|reason| IntentError {
-            file_line: line_of(places, list, name),
+            file_line: places.line_of(list, name),
             kind: IntentErrorKind::InvalidItem {
                 list,
                 name: name.to_owned(),
@@ -25,7 +22,7 @@
             },
         }));
     };
-    for place in places {
+    for place in places.all() {
         check(place.list, &place.name, name_error(&place.name));
     }
     for model in &config.models {
--- a/crates/rw-intent/src/lib.rs
+++ b/crates/rw-intent/src/lib.rs
@@ -9,6 +9,7 @@
 mod fields;
 mod intent_error;
 mod parse;
+mod places;
 mod plan;
 mod steps;
 
--- a/crates/rw-intent/src/parse.rs
+++ b/crates/rw-intent/src/parse.rs
@@ -4,6 +4,7 @@
     IntentError, IntentErrorKind,
     check::check_values,
     fields::{Fields, Lines},
+    places::{Place, Places},
 };
 use rw_types::{
     Account, Config, Model, Role, Service, ServiceKind, Target, TargetKind, Version, WorkKind,
@@ -11,14 +12,6 @@
 };
 use toml::de::DeTable;
 
-/// Position of an item in the file, to give later errors their line.
-#[derive(Debug)]
-pub(crate) struct Place {
-    pub(crate) list: &'static str,
-    pub(crate) name: String,
-    pub(crate) line: usize,
-}
-
 /// Parses an intent file. The configuration has version zero and sorted lists.
 ///
 /// # Errors
@@ -37,7 +30,7 @@
     let mut parser = Parser {
         lines: &lines,
         errors: &mut errors,
-        places: Vec::new(),
+        places: Places::default(),
     };
     let config = parser.file(table.get_ref());
     let places = parser.places;
@@ -46,7 +39,7 @@
         errors.extend(check_config(&config).into_iter().map(|error| {
             let (list, name) = error.item();
             IntentError {
-                file_line: line_of(&places, list, name),
+                file_line: places.line_of(list, name),
                 kind: IntentErrorKind::Config(error),
             }
         }));
@@ -60,18 +53,10 @@
     Err(errors)
 }
 
-/// Line of the last item with this name; of two duplicates, that is the one to remove.
-pub(crate) fn line_of(places: &[Place], list: &str, name: &str) -> usize {
-    let mut items = places.iter().rev();
-    items
-        .find(|p| p.list == list && p.name == name)
-        .map_or(1, |p| p.line)
-}
-
 struct Parser<'a> {
     lines: &'a Lines,
     errors: &'a mut Vec<IntentError>,
-    places: Vec<Place>,
+    places: Places,
 }
 
 impl Parser<'_> {
