rw-node: the state of a request and its caller have files of their own

attempt.rs, drive.rs and tickets.rs used each other. RequestState and RunOutcome stand in request_state.rs, the destination of a response in request_caller.rs; attempt.rs and tickets.rs no longer depend on drive.rs, nor tickets.rs on attempt.rs.

--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -1,38 +1,18 @@
 //! Dispatches a generation request to an engine and reads the response token by token.
 
-use crate::{BurnCause, Shell, completion::chunk, drive::Caller, payload::Payload, watch::Wait};
-use rw_core::{AttemptOutcome, Call, Operation};
-use rw_http::{Pooling, Response, SendError, SseLines, post_json};
-use rw_types::{AttemptId, RequestId};
+use crate::{
+    Shell,
+    completion::chunk,
+    payload::Payload,
+    request_caller::RequestCaller,
+    request_state::{RequestState, RunOutcome},
+    watch::Wait,
+};
+use rw_core::{AttemptOutcome, Operation};
+use rw_http::{Pooling, SendError, SseLines, post_json};
+use rw_types::AttemptId;
 use serde::{Deserialize, Serialize};
 
-/// State of a request that is kept across its attempts.
-#[derive(Debug)]
-pub(crate) struct RequestState {
-    pub(crate) id: RequestId,
-    pub(crate) kind: String,
-    pub(crate) key: Option<String>,
-    pub(crate) operation: Operation,
-    pub(crate) payload: Payload,
-    /// Text received so far, for a response that is not streamed.
-    pub(crate) text: String,
-    /// Number of tokens received so far.
-    pub(crate) tokens: u64,
-    /// Response of a plain service, or of the VM that the request was forwarded to.
-    pub(crate) response: Option<Response>,
-    /// How the final response counts in the burn report; `None` if this VM does not count it.
-    pub(crate) cause: Option<BurnCause>,
-}
-
-/// Why an attempt is no longer running.
-#[derive(Debug)]
-pub(crate) enum RunOutcome {
-    /// The attempt ended at the target.
-    AttemptEnded(AttemptOutcome),
-    /// The caller closed its connection.
-    CallerDisconnected,
-}
-
 #[derive(Debug, Serialize)]
 struct Generate<'a> {
     attempt: AttemptId,
@@ -54,22 +34,6 @@
     end: bool,
 }
 
-impl RequestState {
-    pub(crate) fn new(id: RequestId, call: &Call, payload: Payload) -> Self {
-        Self {
-            id,
-            kind: call.kind.clone(),
-            key: call.key.clone(),
-            operation: call.operation.clone(),
-            payload,
-            text: String::new(),
-            tokens: 0,
-            response: None,
-            cause: None,
-        }
-    }
-}
-
 impl Shell {
     pub(crate) async fn run_attempt(
         &self,
@@ -77,7 +41,7 @@
         addr: &str,
         resume: u64,
         state: &mut RequestState,
-        caller: &mut Caller,
+        caller: &mut RequestCaller,
     ) -> RunOutcome {
         let outcome = match state.payload {
             Payload::Generate { .. } => self.generate(n, addr, resume, state, caller).await,
@@ -120,7 +84,7 @@
         addr: &str,
         resume: u64,
         state: &mut RequestState,
-        caller: &mut Caller,
+        caller: &mut RequestCaller,
     ) -> RunOutcome {
         let relayed = match self.open_stream(n, addr, resume, state).await {
             Ok(Some(lines)) => self.relay_tokens(n, addr, lines, state, caller).await,
@@ -187,7 +151,7 @@
         addr: &str,
         mut lines: SseLines,
         state: &mut RequestState,
-        caller: &mut Caller,
+        caller: &mut RequestCaller,
     ) -> Result<RunOutcome, SendError> {
         let mut wait = Wait::FirstByte;
         loop {
@@ -221,7 +185,7 @@
 
 /// Streams a token to the caller, or buffers it for a response that is not streamed; false if the
 /// caller has disconnected.
-async fn forward_token(state: &mut RequestState, caller: &mut Caller, text: &str) -> bool {
+async fn forward_token(state: &mut RequestState, caller: &mut RequestCaller, text: &str) -> bool {
     let (
         Payload::Generate {
             stream: true, chat, ..
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -2,66 +2,23 @@
 
 use crate::{
     BurnCause, Shell,
-    attempt::{RequestState, RunOutcome},
     claim_query::ClaimQuery,
-    completion::{full_response, refusal_body, refuse, with_outcome},
+    completion::{full_response, refuse, with_outcome},
     payload::Payload,
+    request_caller::RequestCaller,
+    request_state::{RequestState, RunOutcome},
     tickets::outcome_of,
 };
 use rw_core::{Call, Effect, Event, Operation};
-use rw_http::{Response, event_stream, raw, spawn};
+use rw_http::{Response, raw, spawn};
 use rw_types::{AttemptId, Outcome, Refusal, RequestId};
-use std::{io, sync::Arc};
-
-/// Number of stream events buffered for a slow caller.
-const STREAM_BUFFER: usize = 64;
-
-/// Destination of the response to a request.
-#[derive(Debug)]
-pub(crate) struct Caller {
-    /// Channel for the response; taken when the response or the head of its stream is sent.
-    responder: Option<async_channel::Sender<Response>>,
-    /// Channel for the body of a streamed response, once its head is sent.
-    pub(crate) stream: Option<async_channel::Sender<io::Result<Vec<u8>>>>,
-}
-
-impl Caller {
-    /// Sends the head of a streamed response, unless it was sent before.
-    pub(crate) fn start_stream(&mut self) {
-        if let Some(responder) = self.responder.take() {
-            let (tx, rx) = async_channel::bounded(STREAM_BUFFER);
-            self.stream = Some(tx);
-            let _ = responder.try_send(with_outcome(event_stream(rx), Outcome::Done));
-        }
-    }
-
-    async fn respond(&mut self, response: Response) {
-        if let Some(responder) = self.responder.take() {
-            let _ = responder.try_send(response);
-        }
-    }
-
-    /// Ends a started stream with an error event and aborts the connection, so that the caller can
-    /// tell that the response is incomplete.
-    async fn abort_stream(&mut self, refusal: &Refusal) {
-        if let Some(stream) = self.stream.take() {
-            let event = format!("event: error\ndata: {}\n\n", refusal_body(refusal));
-            let _ = stream.send(Ok(event.into_bytes())).await;
-            let _ = stream
-                .send(Err(io::ErrorKind::ConnectionAborted.into()))
-                .await;
-        }
-    }
-}
+use std::sync::Arc;
 
 impl Shell {
     /// Runs a request and returns its final response, or the head of its stream.
     pub(crate) async fn handle_call(self: Arc<Self>, call: Call, payload: Payload) -> Response {
         let (tx, rx) = async_channel::bounded(1);
-        let caller = Caller {
-            responder: Some(tx),
-            stream: None,
-        };
+        let caller = RequestCaller::new(tx);
         let shell = self.clone();
         // Runs in its own task, because the outcome of a non-idempotent request must be recorded
         // even if its caller disconnects.
@@ -72,7 +29,7 @@
         }
     }
 
-    async fn drive(self: Arc<Self>, call: Call, payload: Payload, mut caller: Caller) {
+    async fn drive(self: Arc<Self>, call: Call, payload: Payload, mut caller: RequestCaller) {
         let id = self.new_request();
         let arrived = self.now();
         let kind = call.kind.clone();
@@ -104,7 +61,7 @@
         call: &Call,
         effects: Vec<Effect>,
         state: &mut RequestState,
-        caller: &mut Caller,
+        caller: &mut RequestCaller,
     ) -> Option<Event> {
         let mut next = None;
         for effect in effects {
@@ -202,7 +159,7 @@
         id: RequestId,
         effect: Effect,
         state: &mut RequestState,
-        caller: &mut Caller,
+        caller: &mut RequestCaller,
     ) {
         match effect {
             Effect::Deliver { .. } => self.deliver(id, state, caller).await,
@@ -229,7 +186,7 @@
         addr: &str,
         resume: u64,
         state: &mut RequestState,
-        caller: &mut Caller,
+        caller: &mut RequestCaller,
     ) -> Event {
         match self.run_attempt(n, addr, resume, state, caller).await {
             RunOutcome::AttemptEnded(outcome) => Event::AttemptEnded {
@@ -241,7 +198,7 @@
         }
     }
 
-    async fn deliver(&self, id: RequestId, state: &mut RequestState, caller: &mut Caller) {
+    async fn deliver(&self, id: RequestId, state: &mut RequestState, caller: &mut RequestCaller) {
         // A response forwarded from another VM names its own outcome, and that VM counts it in its
         // burn report.
         let forwarded = state
--- a/crates/rw-node/src/plain.rs
+++ b/crates/rw-node/src/plain.rs
@@ -1,6 +1,6 @@
 //! Dispatches a call to a plain service.
 
-use crate::{Shell, attempt::RequestState, payload::Payload};
+use crate::{Shell, payload::Payload, request_state::RequestState};
 use rw_core::{AttemptOutcome, Operation, RecordedResponse};
 use rw_http::{Method, Pooling, Request, SendError, Url, raw};
 use rw_types::AttemptId;
--- a/crates/rw-node/src/tickets.rs
+++ b/crates/rw-node/src/tickets.rs
@@ -1,8 +1,8 @@
 //! Mints tickets and forwards their requests to the VM that minted them.
 
 use crate::{
-    Shell, attempt::RequestState, completion::refuse, completion::with_outcome, parse::header,
-    payload::Payload,
+    Shell, completion::refuse, completion::with_outcome, parse::header, payload::Payload,
+    request_state::RequestState,
 };
 use rw_core::{Call, Operation, RecordedResponse, Ticket};
 use rw_http::{Method, Response, json, raw};
