Streams begin at a new software version once other nodes can know of it

What callers saw: with roll-outs at any moment, a stream that began at a version which had just appeared could go on at another version at a node that had not heard of it yet.

Cause: a change reaches the nodes some 0.2 s after the store has it, and the answer of a node that reaches the store counted for a second. A caller that came back within that time met a node that knew one version only. Class: knowledge that is true when it is given, used when it is older than what it must rule out.

Ruled out: a lost digest alone (the node asked, and was told what the others knew before).

Change: a version that appeared within a second beside an older one gets new resumable streams only if no other target can; the answer of another node counts for 0.3 s.

--- a/crates/rw-gate/src/placer.rs
+++ b/crates/rw-gate/src/placer.rs
@@ -33,6 +33,8 @@
 /// Cost of an unhealthy target, in milliseconds; high enough that it is chosen only if no other
 /// target is left.
 const UNHEALTHY_COST_MS: f64 = 20_000.0;
+/// Cost of a target whose software version is new, in milliseconds; as high, for the same reason.
+const SETTLING_COST_MS: f64 = 20_000.0;
 /// Cost of an engine without free slots or memory, in milliseconds.
 const FULL_COST_MS: f64 = 300.0;
 /// Fraction of an engine's KV cache that running calls may fill.
@@ -85,7 +87,8 @@
                 REMOTE_TRANSFER_MS
             };
             let load = f64::from(t.running_calls()) / f64::from(t.spec.slots.max(1));
-            let cost = self.state_cost(t, engine, prompt) + load * DECODE_LOAD_COST_MS + remote;
+            let state_cost = self.state_cost(t, engine, prompt) + self.settling_cost(call, t);
+            let cost = state_cost + load * DECODE_LOAD_COST_MS + remote;
             let queue_ms = estimates.wait_ms(self.now, call, t) * DECODE_QUEUE_WEIGHT;
             Placement::without_prefill(t, cost + queue_ms)
         });
@@ -116,7 +119,8 @@
                 && has_decode,
         };
         let placements = candidates().filter_map(|t| {
-            let state_cost = self.state_cost(t, engine, prompt) + self.jitter(t);
+            let state_cost = self.state_cost(t, engine, prompt) + self.settling_cost(call, t);
+            let state_cost = state_cost + self.jitter(t);
             scorer.placement(t, state_cost)
         });
         cheapest(placements)
@@ -148,7 +152,11 @@
             };
             Placement::without_prefill(
                 t,
-                load * PLAIN_LOAD_COST_MS + unhealthy + remote + self.jitter(t),
+                load * PLAIN_LOAD_COST_MS
+                    + unhealthy
+                    + remote
+                    + self.settling_cost(call, t)
+                    + self.jitter(t),
             )
         });
         cheapest(placements)
@@ -197,6 +205,17 @@
         unhealthy + no_slot + no_memory
     }
 
+    /// Cost of beginning a stream that may be resumed at a software version that other nodes may not
+    /// know of.
+    fn settling_cost(&self, call: &CallState, t: &Target) -> f64 {
+        let begins = call.software.is_none() && call.retry_policy.is_resumable();
+        let software = &self.gate.software;
+        match begins && software.is_settling(self.now, &t.spec.service, &t.spec.software) {
+            true => SETTLING_COST_MS,
+            false => 0.0,
+        }
+    }
+
     /// Names of the prefill engines, sorted.
     fn prefill_engines(&self, service: &Service) -> Vec<&str> {
         let all = self.gate.targets.all().iter();
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -5,7 +5,11 @@
 use serde::{Deserialize, Serialize};
 
 /// Time for which the word of another node counts as complete, in milliseconds.
-const CONFIRMED_MS: u64 = 1_000;
+const CONFIRMED_MS: u64 = 300;
+/// Time for which a new version gets streams only if no other can, in milliseconds, so that by then
+/// all nodes that reach the registry know of it. It is longer than changes take to reach them and
+/// [`CONFIRMED_MS`] together.
+const SETTLE_MS: u64 = 1_000;
 /// Time for which a node counts as having known all versions after it has read the registry's
 /// records, in milliseconds. Callers take up no stream that began earlier.
 const RECORDED_MS: u64 = 86_400_000;
@@ -17,6 +21,7 @@
 struct SeenSoftware {
     service: String,
     version: String,
+    first_seen: Millis,
     last_seen: Millis,
 }
 
@@ -68,6 +73,7 @@
                 SeenSoftware {
                     service: service.to_owned(),
                     version: version.to_owned(),
+                    first_seen: at,
                     last_seen: at,
                 },
             ),
@@ -96,6 +102,16 @@
         })
     }
 
+    /// Whether a version is so new that other nodes may not know of it, beside one that they know.
+    pub(crate) fn is_settling(&self, now: Millis, service: &str, version: &str) -> bool {
+        let found = self.seen.iter().filter(|s| s.service == service);
+        let first = found.clone().map(|s| s.first_seen).min();
+        let mut this = found.filter(|s| s.version == version);
+        this.next().is_some_and(|s| {
+            now.since(s.first_seen) < SETTLE_MS && first.is_some_and(|first| first < s.first_seen)
+        })
+    }
+
     /// Records that from now on all versions are seen.
     pub(crate) fn start(&mut self, now: Millis) {
         self.since_ms.get_or_insert(now.0 as i64);
