--- a/crates/rw-relay/src/membership.rs
+++ b/crates/rw-relay/src/membership.rs
@@ -53,7 +53,7 @@
         others.take(fanout).cloned().collect()
     }
 
-    /// The nodes that `vm` asks for what any node has told its listeners: at least [`MIN_SOURCES`], if
+    /// The nodes that `vm` asks for what any node has told its listeners: at least four, if
     /// there are as many, and among them a listener of every other node.
     #[must_use]
     pub fn sources(&self, vm: &str, fanout: usize) -> Vec<Peer> {
