Wording of the change, as a newcomer reads it

Comments and two pages of docs only: nodes receive, report, query and confirm, where the comments had them hear, tell and ask; a token count may be negative.

--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -197,10 +197,10 @@
     /// Where streams began.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub origins: Vec<OriginReport>,
-    /// Streams of which the node asks where they began.
+    /// Streams whose origins the node queries.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub asks: Vec<StreamId>,
-    /// Versions of the targets' software that the node has seen, with an answer to such a question.
+    /// Versions of the targets' software that the node has seen, with an answer to such a query.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub history: Option<HistoryReport>,
 }
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -12,7 +12,7 @@
 const MIN_ORIGIN_TTL_MS: u64 = 30_000;
 
 impl Gate {
-    /// The stream that a call takes up, if other nodes must be asked where it began.
+    /// The stream that a call takes up, if other nodes must be queried for its origin.
     #[must_use]
     pub fn missing_origin(&self, now: Millis, request: &CallRequest) -> Option<StreamId> {
         let stream = resumed_stream(request)?;
@@ -81,7 +81,7 @@
         self.origins.record(now, stream, software, service);
     }
 
-    /// The digest that asks other nodes where streams began.
+    /// The digest that queries other nodes for the origins of streams.
     #[must_use]
     pub fn ask_origins(&self, now: Millis, streams: Vec<StreamId>) -> Digest {
         Digest {
@@ -90,7 +90,7 @@
         }
     }
 
-    /// The digest that tells another node where streams began, as far as this node knows.
+    /// The digest that answers such a query, as far as this node knows.
     #[must_use]
     pub fn answer_origins(&self, now: Millis, streams: &[StreamId]) -> Digest {
         Digest {
@@ -200,8 +200,8 @@
             .only_version(now, &only.service, window_ms, is_current)
     }
 
-    /// Whether all other nodes that are heard say that they don't reach the store, so that no node
-    /// hears of new targets.
+    /// Whether no node from which digests arrive reaches the store, so that new targets can't become
+    /// known to any of them.
     fn is_store_away(&self, now: Millis) -> bool {
         let peers = self.roles.peers.iter();
         let mut heard = peers.filter(|p| now.since(p.received_at) < PEER_TIMEOUT_MS);
--- a/crates/rw-gate/src/rate_limits.rs
+++ b/crates/rw-gate/src/rate_limits.rs
@@ -6,10 +6,10 @@
 //! them gets an equal part. With a few nodes these are all of them; with hundreds, equal parts for
 //! all would permit hundreds of requests at once.
 //!
-//! The others send nothing for as long as they hear that the limit is in force. If nobody repeats
-//! it, each of them may send one request in a slot of its own, and learns from the response. The
-//! slots recur so rarely that all of them together stay within the part of the limit that the
-//! senders leave.
+//! The other nodes send nothing while digests confirm that the limit is in force. Without
+//! confirmation, each of them may send one request in a time slot of its own, and the response shows
+//! whether the limit still applies. The slots recur so rarely that all of them together stay within
+//! the part of the limit that the senders leave.
 
 use crate::{
     LimitReport, SendWindow, Slots, TargetIncarnation,
@@ -25,13 +25,13 @@
 const MIN_PER_S: f64 = 0.25;
 /// Age from which a limit in force is published again, in milliseconds.
 const REPEAT_MS: u64 = 5_000;
-/// Age from which a node without a share asks the target itself, in milliseconds.
+/// Age of a confirmation from which a node without a share may probe the target, in milliseconds.
 const EXPIRY_MS: u64 = 15_000;
 /// Fraction of the limit that the slots of all nodes without a share use.
 const SLOTS_FRACTION: f64 = 0.125;
 /// Number of digests that carry a change, since one may be lost.
 const SENDS: u32 = 2;
-/// Maximum number of targets remembered; those heard of longest ago go first.
+/// Maximum number of targets remembered; those updated longest ago go first.
 const MAX_TARGETS: usize = 4_096;
 
 /// The nodes that share the limits.
@@ -47,8 +47,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Share {
     refill: Refill,
-    /// Set if this node sends nothing while it hears that the limit is in force: its slots for the
-    /// time after.
+    /// Set if this node sends nothing while the limit is confirmed: its time slots for probes without
+    /// confirmation.
     slots: Option<Slots>,
 }
 
@@ -183,7 +183,7 @@
         }
     }
 
-    /// Records what another node has heard from a target.
+    /// Records what another node has reported about a target.
     pub(crate) fn merge_report(&mut self, now: Millis, report: &LimitReport) {
         let said_at = Millis(now.0.saturating_sub(report.age_ms));
         self.merge(now, &report.target, report.rate, said_at);
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -4,7 +4,7 @@
 use rw_types::Millis;
 use serde::{Deserialize, Serialize};
 
-/// Time for which the word of another node counts as complete, in milliseconds.
+/// Time for which a report of another node counts as current, in milliseconds.
 const CONFIRMED_MS: u64 = 300;
 /// Time for which a new version gets streams only if no other can, in milliseconds, so that by then
 /// all nodes that reach the registry know of it. It is longer than changes take to reach them and
@@ -25,7 +25,7 @@
     last_seen: Millis,
 }
 
-/// A version that a service has had, as another node is told.
+/// A version that a service has had, in a report to another node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeenVersion {
     /// Name of the service.
@@ -36,7 +36,7 @@
     pub age_ms: u64,
 }
 
-/// What a node has seen, as another node is told.
+/// Versions that a node has seen, as reported to another node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HistoryReport {
     /// Milliseconds for which the node has seen all versions.
@@ -52,7 +52,7 @@
     /// Time from which all versions are known, in milliseconds since this process started. It is
     /// negative if other nodes know them for longer.
     since_ms: Option<i64>,
-    /// Time at which a node that reaches the registry last told what it has seen.
+    /// Time of the latest report from a node that reaches the registry.
     confirmed_at: Option<Millis>,
     /// Whether the registry's records have been read.
     has_records: bool,
@@ -130,8 +130,8 @@
     }
 
     /// The only version that targets of a service have had for `window_ms`; `None` if there were
-    /// several, or if this node can't know. `is_current` says whether nothing can have changed that it
-    /// hasn't heard of.
+    /// several, or if this node can't know. `is_current` says whether this node's own knowledge is
+    /// up to date.
     pub(crate) fn only_version(
         &self,
         now: Millis,
@@ -202,7 +202,7 @@
         self.since_ms = Some(self.since_ms.map_or(since_ms, |own| own.min(since_ms)));
     }
 
-    /// Records that the word of a node that reaches the registry was merged.
+    /// Records that a report of a node that reaches the registry was merged.
     pub(crate) fn confirm(&mut self, now: Millis) {
         self.confirmed_at = Some(now);
     }
--- a/crates/rw-gate/src/stream_origins.rs
+++ b/crates/rw-gate/src/stream_origins.rs
@@ -6,7 +6,7 @@
 use crate::{OriginReport, SoftwareId, StreamId, stream_origin::ServiceId};
 use rw_types::Millis;
 
-/// Maximum number of streams remembered; those heard of longest ago go first.
+/// Maximum number of streams remembered; those updated longest ago go first.
 const MAX_STREAMS: usize = 32_768;
 
 /// Where one stream began.
@@ -14,7 +14,7 @@
 struct OriginEntry {
     stream: StreamId,
     software: SoftwareId,
-    /// Set until the other nodes have been told: the service of a stream of this node.
+    /// Set until it is published: the service of a stream of this node.
     unpublished: Option<ServiceId>,
     updated_at: Millis,
 }
@@ -64,8 +64,8 @@
         self.entries.retain(|e| now.since(e.updated_at) < ttl_ms);
     }
 
-    /// The streams of this node that the others have not been told of, at most `max`, of `services` or
-    /// of all services.
+    /// The streams of this node that are not published yet, at most `max`, of `services` or of all
+    /// services.
     pub(crate) fn take_reports(
         &mut self,
         max: usize,
--- a/crates/rw-gate/src/target_list.rs
+++ b/crates/rw-gate/src/target_list.rs
@@ -86,7 +86,7 @@
         is_news
     }
 
-    /// Records what another node has heard about a rate limit.
+    /// Records what another node has reported about a rate limit.
     pub(crate) fn merge_limit(&mut self, now: Millis, report: &LimitReport) {
         self.limits.merge_report(now, report);
         self.apply_notices(&report.target.name);
--- a/crates/rw-gate/src/token_bucket.rs
+++ b/crates/rw-gate/src/token_bucket.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    /// Takes one token. The bucket may owe tokens, for requests that were not asked for permission.
+    /// Takes one token. The count may become negative, because some requests are sent without a check.
     pub(crate) fn take(&mut self, now: Millis, refill: Refill) {
         self.refill(now, refill);
         self.tokens -= 1.0;
--- a/crates/rw-relay/src/membership.rs
+++ b/crates/rw-relay/src/membership.rs
@@ -7,7 +7,7 @@
 /// stays within 23 KB/s for control.
 pub const DEFAULT_DIGEST_BYTES_PER_S: u32 = 18_000;
 
-/// Minimum number of nodes that are asked, because some may have stopped.
+/// Minimum number of nodes that are queried, because some may have stopped.
 const MIN_SOURCES: usize = 4;
 
 /// A node, as registered by itself.
@@ -53,8 +53,8 @@
         others.take(fanout).cloned().collect()
     }
 
-    /// The nodes that `vm` asks for what any node has told its listeners: at least four, if
-    /// there are as many, and among them a listener of every other node.
+    /// The nodes that `vm` queries for what any node has published: at least four, if there are as
+    /// many, and among them a listener of every other node.
     #[must_use]
     pub fn sources(&self, vm: &str, fanout: usize) -> Vec<Peer> {
         let others: Vec<&Peer> = self.list.iter().filter(|p| p.vm != vm).collect();
--- a/crates/rw-relay/src/origins.rs
+++ b/crates/rw-relay/src/origins.rs
@@ -1,4 +1,4 @@
-//! Questions to other nodes about where streams began.
+//! Queries to other nodes for the origins of streams.
 
 use crate::{Dialect, Relay};
 use rw_gate::{CallRequest, StreamId};
@@ -9,11 +9,11 @@
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(120);
 /// Interval at which the answer is looked for.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// Time after which the question is asked once more, since a datagram may be lost.
+/// Time after which the query is repeated, since a datagram may be lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(50);
 
 impl<D: Dialect> Relay<D> {
-    /// Asks other nodes where the stream began that a call takes up, unless this node knows it.
+    /// Queries other nodes for the origin of the stream that a call resumes, unless this node knows it.
     pub(crate) async fn find_origin(&self, request: &CallRequest) {
         let Some(stream) = self.missing_origin(request) else {
             return;
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -27,7 +27,7 @@
 const FANOUT: usize = 16;
 /// Minimum rate of digests, so that nodes hear of each other whatever limits they state.
 const MIN_BYTES_PER_S: u32 = 2_000;
-/// Maximum number of streams in one question.
+/// Maximum number of streams in one query.
 const MAX_ASKS: usize = 24;
 /// Bytes that the IP and UDP headers add to a datagram.
 const HEADER_BYTES: usize = 28;
@@ -170,7 +170,7 @@
         }
     }
 
-    /// Asks other nodes where streams began. Questions that come up meanwhile are joined.
+    /// Queries other nodes for the origins of streams. Queries that come up meanwhile are joined.
     async fn send_asks(&self, socket: &Async<UdpSocket>, asks: Receiver<StreamId>) {
         let mut budget = ByteBudget::default();
         while let Ok(first) = asks.recv().await {
@@ -198,7 +198,7 @@
         rate.max(MIN_BYTES_PER_S)
     }
 
-    /// Tells the node at `to` where the streams began that it asks for.
+    /// Answers a query of the node at `to` for the origins of streams.
     async fn answer_asks(&self, socket: &Async<UdpSocket>, asks: &[StreamId], to: SocketAddr) {
         if asks.is_empty() {
             return;
