--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -31,7 +31,10 @@
         self.targets.remove_expired(now);
         let refusal = match self.admit(now, id, request) {
             Ok(call) => {
-                self.budget.record_call(now, &call.service);
+                let delegated = call.request.delegated.as_ref();
+                if !delegated.is_some_and(|d| d.is_counted) {
+                    self.budget.record_call(now, &call.service);
+                }
                 let at = self.calls.partition_point(|c| c.id < id);
                 self.calls.insert(at, call);
                 self.dispatch_first(now, id, effects);
@@ -61,8 +64,10 @@
         if let Some(left_ms) = self.poisoned_ms(now, &request) {
             return Err(self.refusal(RefusalKind::Poison, left_ms));
         }
-        let began_at = self.origin_service(route, &request).map(str::to_owned);
-        let Some(service) = began_at.or_else(|| self.pick_service(route)) else {
+        let delegated_to = delegated_service(route, &request);
+        let began_at = || self.origin_service(route, &request);
+        let service = delegated_to.or_else(began_at).map(str::to_owned);
+        let Some(service) = service.or_else(|| self.pick_service(route)) else {
             return Err(self.refusal(RefusalKind::NoTarget, self.settings.retry_ms));
         };
         let software = self.required_version(now, route, &request);
@@ -82,8 +87,12 @@
             deadline: now.plus(wait_ms.min(route.timeout_ms)),
             client_timeout_ms,
             client_deadline: now.plus(client_timeout_ms),
-            runs: 0,
+            runs: request.delegated.as_ref().map_or(0, |d| d.runs),
             dispatches: 0,
+            arrivals: 0,
+            unsent: 0,
+            delegate: None,
+            delegates: Vec::new(),
             excluded: Vec::new(),
             outcome_unknown: false,
             kept_response: false,
@@ -156,3 +165,10 @@
         delay / 2 + self.rng.u64(..=delay / 2)
     }
 }
+
+/// The service that the node which passed on a call has chosen for it, if `route` still has it.
+fn delegated_service<'a>(route: &'a Route, request: &CallRequest) -> Option<&'a str> {
+    let wanted = request.delegated.as_ref()?.service.as_str();
+    let mut services = route.traffic_split.iter().map(|s| s.service.as_str());
+    services.find(|service| *service == wanted)
+}
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -19,6 +19,9 @@
         let Some(i) = self.call_index(id) else {
             return;
         };
+        if self.reachability.is_unreachable(&self.calls[i].service) {
+            return self.delegate_or_refuse(now, i, effects);
+        }
         let Some(placement) = self.placer(now).choose(&self.calls[i]) else {
             return self.refuse_without_target(now, i, RefusalKind::NoTarget, effects);
         };
@@ -35,11 +38,17 @@
         now: Millis,
         id: RequestId,
         load: Option<TargetLoad>,
+        effects: &mut Vec<Effect>,
     ) {
-        let Some(current) = self.active_dispatch(id) else {
+        let Some(call) = self.call_index(id).map(|i| &self.calls[i]) else {
+            return;
+        };
+        let Some(current) = &call.active else {
             return;
         };
         let (name, incarnation) = (current.target.clone(), current.incarnation);
+        let (service, sent_at) = (call.service.clone(), current.sent_at);
+        self.target_responded(now, &service, sent_at, effects);
         if let (Some(load), Some(target)) =
             (load, self.targets.find_incarnation(&name, incarnation))
         {
@@ -106,6 +115,7 @@
         };
         self.release(now, id, &current);
         self.record_target_outcome(now, i, &current, &outcome, effects);
+        self.calls[i].arrivals += u32::from(outcome != DispatchOutcome::NotSent);
         match outcome {
             DispatchOutcome::Complete { status } => self.end_complete(now, i, status, effects),
             DispatchOutcome::Delivered => {
@@ -115,22 +125,21 @@
             DispatchOutcome::Prefilled(handle) => {
                 self.end_prefill(now, i, handle, &current, effects)
             }
-            DispatchOutcome::NotSent
-            | DispatchOutcome::Rejected { .. }
-            | DispatchOutcome::Stalled => {
+            DispatchOutcome::NotSent => {
+                self.calls[i].unsent += 1;
+                self.calls[i].excluded.push(current.target.clone());
+                let service = self.calls[i].service.clone();
+                self.connect_failed(now, &service, &current.target, effects);
+                self.retry_or_refuse(now, i, effects);
+            }
+            DispatchOutcome::Rejected { .. } | DispatchOutcome::Stalled => {
                 self.calls[i].excluded.push(current.target.clone());
                 self.retry_or_refuse(now, i, effects);
             }
             DispatchOutcome::Broken { delivered, .. } => {
                 self.end_broken(now, i, &current, delivered, effects);
             }
-            DispatchOutcome::TimedOut { delivered } => {
-                let kind = match delivered {
-                    true => RefusalKind::Truncated,
-                    false => RefusalKind::TimedOut,
-                };
-                self.refuse(i, self.refusal(kind, 0), effects);
-            }
+            DispatchOutcome::TimedOut { delivered } => self.refuse_late(i, delivered, effects),
         }
     }
 
@@ -403,13 +412,25 @@
             call.runs += 1;
             call.outcome_unknown = true;
         }
+        self.retry_broken(now, i, delivered, effects);
+    }
+
+    /// Retries a call whose response broke off after `delivered`, or refuses it.
+    pub(crate) fn retry_broken(
+        &mut self,
+        now: Millis,
+        i: usize,
+        delivered: Option<u64>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let call = &mut self.calls[i];
         if delivered.is_some() {
             call.resume_after = delivered;
             call.client_deadline = now.plus(call.client_timeout_ms);
         }
         let can_retry = !call.outcome_unknown
             || (call.retry_policy.is_retryable() && call.runs < call.max_attempts);
-        if can_retry && self.retry(now, i, effects) {
+        if can_retry && self.retry_anywhere(now, i, effects) {
             return;
         }
         let kind = match delivered {
--- a/crates/rw-gate/src/call_request.rs
+++ b/crates/rw-gate/src/call_request.rs
@@ -1,5 +1,7 @@
 //! Requests as callers send them.
 
+use crate::DelegatedCall;
+
 /// A segment of a prompt. Prompts with the same beginning have the same leading segments.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -42,4 +44,6 @@
     pub resumes: Option<String>,
     /// Set if the call is a generation.
     pub prompt: Option<Prompt>,
+    /// Set if another node passed the call to this one.
+    pub delegated: Option<DelegatedCall>,
 }
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -44,6 +44,14 @@
     pub(crate) runs: u32,
     /// Number of dispatches so far.
     pub(crate) dispatches: u32,
+    /// Number of dispatches that may have reached a target.
+    pub(crate) arrivals: u32,
+    /// Number of dispatches for which no connection could be opened.
+    pub(crate) unsent: u32,
+    /// Node that the call has been passed to, until that ends.
+    pub(crate) delegate: Option<String>,
+    /// Nodes that the call has been passed to so far.
+    pub(crate) delegates: Vec<String>,
     /// Targets that are not tried again.
     pub(crate) excluded: Vec<String>,
     /// Whether a run may have happened whose outcome is unknown.
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -11,6 +11,10 @@
 /// it. It is longer than two intervals between repetitions, so that one lost digest does no harm.
 pub(crate) const REPORT_TTL_MS: u64 = 3_500;
 
+/// Maximum number of nodes that a digest is sent to. In a larger fleet, a node receives digests from
+/// as many others.
+pub const DIGEST_FANOUT: usize = 16;
+
 /// Serialized form of a [`WorkReport`], its fields in order.
 type ReportFields = (String, Vec<PrefillJob>, u32, u64, Option<RoleChange>);
 
@@ -176,6 +180,9 @@
     /// not reach it.
     #[serde(rename = "reach_ms")]
     pub connected_ms: u64,
+    /// Services of which the node reaches no target, sorted.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unreachable: Vec<String>,
     /// Reports that have changed or are due to be repeated; the others stay valid.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<WorkReport>,
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects that the reducer requests from the shell.
 
-use crate::{KvHandle, VersionRecord};
+use crate::{Delegation, KvHandle, ProbeTarget, VersionRecord};
 use rw_types::{Millis, RequestId, Role};
 
 /// What a target is asked to do.
@@ -69,6 +69,11 @@
     /// The call resumes a stream, and it isn't known at which version of the targets' software that
     /// began.
     UnknownOrigin,
+    /// This node reaches no target of the service, and neither does any other node that could be
+    /// asked.
+    Unreachable,
+    /// This node runs as many calls of other nodes as it has room for.
+    NoCapacity,
     /// This node shuts down before the call could end.
     ShuttingDown,
     /// The call may have run, but its response was lost.
@@ -80,6 +85,28 @@
 }
 
 impl RefusalKind {
+    const ALL: [Self; 13] = [
+        Self::NotReady,
+        Self::NoRoute,
+        Self::NoTarget,
+        Self::TooLate,
+        Self::Overloaded,
+        Self::Poison,
+        Self::UnknownOrigin,
+        Self::Unreachable,
+        Self::NoCapacity,
+        Self::ShuttingDown,
+        Self::ResponseLost,
+        Self::TimedOut,
+        Self::Truncated,
+    ];
+
+    /// The reason with this name; `None` if there is none.
+    #[must_use]
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == name)
+    }
+
     /// Name in logs and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
@@ -91,6 +118,8 @@
             Self::Overloaded => "overloaded",
             Self::Poison => "poison",
             Self::UnknownOrigin => "unknown-origin",
+            Self::Unreachable => "unreachable",
+            Self::NoCapacity => "no-capacity",
             Self::ShuttingDown => "leaving",
             Self::ResponseLost => "answer-lost",
             Self::TimedOut => "timed-out",
@@ -108,6 +137,8 @@
             | Self::Overloaded
             | Self::Poison
             | Self::UnknownOrigin
+            | Self::Unreachable
+            | Self::NoCapacity
             | Self::ShuttingDown => Some(503),
             Self::NoRoute => Some(404),
             Self::ResponseLost => Some(502),
@@ -139,6 +170,15 @@
         /// Target and parameters.
         dispatch: Dispatch,
     },
+    /// Pass a call to another node.
+    Delegate {
+        /// Identifier of the call.
+        id: RequestId,
+        /// Node and parameters.
+        delegation: Delegation,
+    },
+    /// Open a connection to a target, to learn whether it can be reached.
+    ProbeTarget(ProbeTarget),
     /// Deliver the complete response of a target, buffered by the shell, to the caller.
     Deliver {
         /// Identifier of the call.
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -1,8 +1,8 @@
 //! Input events of the reducer.
 
 use crate::{
-    CallRequest, Digest, GateSettings, OrderOutcome, Routing, TargetIncarnation, TargetNotice,
-    TargetSpec, VersionRecord,
+    CallRequest, DelegationOutcome, Digest, FleetNode, GateSettings, OrderOutcome, Routing,
+    SoftwareId, TargetIncarnation, TargetNotice, TargetSpec, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
@@ -96,6 +96,28 @@
         /// How it ended.
         outcome: DispatchOutcome,
     },
+    /// A delegation ended.
+    DelegationEnded {
+        /// Identifier of the call.
+        id: RequestId,
+        /// How it ended.
+        outcome: DelegationOutcome,
+    },
+    /// An event of a stream from a delegate is about to be delivered to the caller, the first one of
+    /// this delegation.
+    DelegatedStreamBegun {
+        /// Identifier of the call.
+        id: RequestId,
+        /// Version of the software of the target that made it.
+        software: SoftwareId,
+    },
+    /// A connection to a target was opened or could not be opened, outside of any dispatch.
+    TargetProbed {
+        /// The target.
+        target: TargetIncarnation,
+        /// Whether it was opened.
+        is_reached: bool,
+    },
     /// The caller disconnected.
     CallerDisconnected {
         /// Identifier of the call.
@@ -151,8 +173,8 @@
         /// `ip:port` of the target.
         addr: String,
     },
-    /// Names of all VMs in the fleet, including this one.
-    NodesListed(Vec<String>),
+    /// All nodes of the fleet, including this one.
+    NodesListed(Vec<FleetNode>),
     /// A digest from another node arrived.
     DigestReceived(Digest),
 }
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -1,10 +1,11 @@
 //! State of the reducer and its entry point.
 
 use crate::{
-    Digest, DispatchMode, Effect, Event, GateSettings, LeavingSource, LimitReport,
-    LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, Routing,
-    TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
+    Digest, DispatchMode, Effect, Event, FleetNode, GateSettings, LeavingSource, LimitReport,
+    LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, ResponseSource,
+    Routing, TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
     call_state::CallState,
+    delegation::{Delegates, Reachability},
     engine_estimates::EngineEstimates,
     origin_flow::origin_ttl_ms,
     placer::Placer,
@@ -54,6 +55,10 @@
     /// Time at which the store became reachable again after the latest outage, if any.
     reconnected_at: Option<Millis>,
     pub(crate) roles: Roles,
+    /// Which services this node reaches.
+    pub(crate) reachability: Reachability,
+    /// The other nodes, which calls can be passed to.
+    pub(crate) delegates: Delegates,
     /// Time at which this process exits, once it is shutting down.
     pub(crate) shutdown_at: Option<Millis>,
 }
@@ -80,6 +85,8 @@
             rng: fastrand::Rng::with_seed(settings.seed),
             reconnected_at: None,
             roles: Roles::default(),
+            reachability: Reachability::default(),
+            delegates: Delegates::default(),
             shutdown_at: None,
             settings,
         }
@@ -92,12 +99,23 @@
             Event::CallArrived { id, request } => {
                 self.handle_arrival(now, id, request, &mut effects)
             }
-            Event::ResponseStarted { id, load } => self.response_started(now, id, load),
+            Event::ResponseStarted { id, load } => {
+                self.response_started(now, id, load, &mut effects)
+            }
             Event::FirstEvent { id } => self.first_event(now, id),
             Event::StreamBegun { id } => self.stream_begun(now, id),
             Event::DispatchEnded { id, outcome } => {
                 self.end_dispatch(now, id, outcome, &mut effects)
             }
+            Event::DelegationEnded { id, outcome } => {
+                self.end_delegation(now, id, outcome, &mut effects)
+            }
+            Event::DelegatedStreamBegun { id, software } => {
+                self.delegated_stream_begun(now, id, software)
+            }
+            Event::TargetProbed { target, is_reached } => {
+                self.target_probed(now, &target, is_reached, &mut effects)
+            }
             Event::CallerDisconnected { id } => self.cancel_call(now, id, &mut effects),
             Event::Routing(routing) => self.apply_routing(routing),
             Event::TargetUpdated(spec) => self.update_target(now, spec),
@@ -122,6 +140,7 @@
             Event::Tick => {
                 self.check_software(now, &mut effects);
                 self.check_roles(now, &mut effects);
+                self.check_reachability(now, &mut effects);
             }
             Event::LeaseResult(token) => self.lease_result(now, token),
             Event::OrderEnded { target, outcome } => self.order_ended(now, &target, outcome),
@@ -159,12 +178,29 @@
         Some((dispatch.target.as_str(), &dispatch.mode))
     }
 
+    /// The target of the open dispatch of a call.
+    #[must_use]
+    pub fn response_source(&self, id: RequestId) -> Option<ResponseSource> {
+        let dispatch = self.active_dispatch(id)?;
+        Some(ResponseSource {
+            target: dispatch.target.clone(),
+            incarnation: dispatch.incarnation,
+            software: dispatch.software,
+        })
+    }
+
     /// Whether the node can serve: a configuration is loaded and at least one target is known.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.routing.version > 0 && !self.targets.all().is_empty()
     }
 
+    /// Services of which this node reaches no target, sorted.
+    #[must_use]
+    pub fn unreachable_services(&self) -> Vec<String> {
+        self.reachability.unreachable()
+    }
+
     /// Number of nodes that share the limits of the fleet.
     #[must_use]
     pub fn nodes(&self) -> usize {
@@ -234,13 +270,14 @@
         }
     }
 
-    fn set_nodes(&mut self, now: Millis, nodes: Vec<String>) {
+    fn set_nodes(&mut self, now: Millis, nodes: Vec<FleetNode>) {
         self.nodes = nodes.len().max(1);
         let sharers = Sharers {
             vm: self.settings.vm.clone(),
-            nodes,
+            nodes: nodes.iter().map(|n| n.vm.clone()).collect(),
         };
         self.targets.set_sharers(now, sharers);
+        self.delegates.set_nodes(&self.settings.vm, nodes);
     }
 
     fn apply_routing(&mut self, routing: Arc<Routing>) {
@@ -324,6 +361,7 @@
         self.suspects.prune(now, self.settings.poison_ms);
         self.part_suspects.merge(now, &digest.parts);
         self.merge_origins(now, digest);
+        self.delegates.digest_received(now, digest);
         for target in &digest.leaving {
             self.targets.set_leaving(now, target, LeavingSource::Peer);
         }
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -9,6 +9,7 @@
 mod availability;
 mod call_request;
 mod call_state;
+mod delegation;
 mod digest;
 mod effect;
 mod engine_estimates;
@@ -47,7 +48,12 @@
 
 pub use availability::{Availability, LeavingSource};
 pub use call_request::{CallRequest, Prompt, PromptPart};
-pub use digest::{CacheInsert, Digest, LimitReport, PartReport, RoleChange, WorkReport};
+pub use delegation::{
+    DelegatedCall, Delegation, DelegationOutcome, FleetNode, ProbeTarget, ResponseSource,
+};
+pub use digest::{
+    CacheInsert, DIGEST_FANOUT, Digest, LimitReport, PartReport, RoleChange, WorkReport,
+};
 pub use effect::{Dispatch, DispatchMode, Effect, Refusal, RefusalKind};
 pub use event::{DispatchOutcome, Event, KvHandle, TargetLoad};
 pub use gate::Gate;
--- a/crates/rw-gate/src/local_retry_budget.rs
+++ b/crates/rw-gate/src/local_retry_budget.rs
@@ -28,6 +28,11 @@
         self.window(service).calls.push_back(now);
     }
 
+    /// Takes back the latest call, which another node counts.
+    pub fn withdraw_call(&mut self, service: &str) {
+        self.window(service).calls.pop_back();
+    }
+
     /// Records a retry.
     pub fn record_retry(&mut self, now: Millis, service: &str) {
         self.window(service).retries.push_back(now);
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -16,6 +16,9 @@
     #[must_use]
     pub fn missing_origin(&self, now: Millis, request: &CallRequest) -> Option<StreamId> {
         let stream = resumed_stream(request)?;
+        if request.delegated.is_some() {
+            return None;
+        }
         let route = self.routing.find_route(&request.host, &request.path)?;
         if !route.retry_policy.is_resumable() || self.origins.find(stream).is_some() {
             return None;
@@ -49,6 +52,9 @@
         route: &Route,
         request: &CallRequest,
     ) -> Result<Option<SoftwareId>, RefusalKind> {
+        if let Some(delegated) = &request.delegated {
+            return Ok(delegated.software);
+        }
         let is_resumed = request.last_event.is_some() || request.resumes.is_some();
         if !is_resumed || !route.retry_policy.is_resumable() {
             return Ok(None);
@@ -65,14 +71,17 @@
         let Some(i) = self.call_index(id) else {
             return;
         };
+        if let Some(software) = self.calls[i].active.as_ref().map(|a| a.software) {
+            self.record_origin(now, i, software);
+        }
+    }
+
+    /// Records the version that makes the events of a stream which may be resumed.
+    pub(crate) fn record_origin(&mut self, now: Millis, i: usize, software: SoftwareId) {
         let call = &mut self.calls[i];
-        let Some(active) = call.active.as_ref() else {
-            return;
-        };
         if !call.retry_policy.is_resumable() {
             return;
         }
-        let software = active.software;
         call.software = Some(software);
         let request = &call.request;
         let began = request.resumes.as_ref().unwrap_or(&request.call_id);
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -247,6 +247,7 @@
             vm: self.settings.vm.clone(),
             version: self.routing.version,
             connected_ms: self.connected_ms(now),
+            unreachable: self.reachability.unreachable(),
             ..Digest::default()
         }
     }
--- a/crates/rw-gate/src/retry_flow.rs
+++ b/crates/rw-gate/src/retry_flow.rs
@@ -8,7 +8,7 @@
 impl Gate {
     /// Sends a call that was not run to another target, or refuses it.
     pub(crate) fn retry_or_refuse(&mut self, now: Millis, i: usize, effects: &mut Vec<Effect>) {
-        if self.retry(now, i, effects) {
+        if self.retry_anywhere(now, i, effects) {
             return;
         }
         if let Some(left_ms) = self.poisoned_ms(now, &self.calls[i].request) {
@@ -18,6 +18,32 @@
         self.refuse_without_target(now, i, kind, effects);
     }
 
+    /// Sends a call to another target or, if this node reaches none, to another node; returns true if
+    /// it was sent.
+    pub(crate) fn retry_anywhere(
+        &mut self,
+        now: Millis,
+        i: usize,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        match self.prefers_delegate(i) {
+            true => self.delegate(now, i, effects) || self.retry(now, i, effects),
+            false => {
+                let is_unsent = self.calls[i].unsent > 0;
+                self.retry(now, i, effects) || (is_unsent && self.delegate(now, i, effects))
+            }
+        }
+    }
+
+    /// Ends a call whose deadline has expired.
+    pub(crate) fn refuse_late(&mut self, i: usize, delivered: bool, effects: &mut Vec<Effect>) {
+        let kind = match delivered {
+            true => RefusalKind::Truncated,
+            false => RefusalKind::TimedOut,
+        };
+        self.refuse(i, self.refusal(kind, 0), effects);
+    }
+
     /// Refuses a call that no target can take now.
     pub(crate) fn refuse_without_target(
         &mut self,
@@ -39,7 +65,7 @@
     }
 
     /// How a call fails that can't be sent again: with `not_run` if no target has run it.
-    fn failure_kind(&self, i: usize, not_run: RefusalKind) -> RefusalKind {
+    pub(crate) fn failure_kind(&self, i: usize, not_run: RefusalKind) -> RefusalKind {
         let call = &self.calls[i];
         match (
             call.resume_after == call.request.last_event,
@@ -61,6 +87,9 @@
         if self.poisoned_ms(now, &call.request).is_some() {
             return false;
         }
+        if self.reachability.is_unreachable(&call.service) {
+            return false;
+        }
         let Some(placement) = self.placer(now).choose(call) else {
             return false;
         };
@@ -68,16 +97,9 @@
         if !self.meets_deadline(now, call, start_ms) {
             return false;
         }
-        let service = self.calls[i].service.clone();
-        let s = &self.settings;
-        let (limits, window) = ((s.retry_ratio, s.retry_slack), s.retry_window_ms);
-        if !self
-            .budget
-            .allows(now, &service, limits, self.nodes, window)
-        {
+        if !self.take_retry(now, i) {
             return false;
         }
-        self.budget.record_retry(now, &service);
         if let Some(handle) = self.calls[i].handle.take() {
             effects.push(Effect::ReleaseHandle(handle));
         }
@@ -85,6 +107,20 @@
         true
     }
 
+    /// Takes a retry from the budget of the call's service; false if there is none left.
+    pub(crate) fn take_retry(&mut self, now: Millis, i: usize) -> bool {
+        let service = self.calls[i].service.clone();
+        let s = &self.settings;
+        let (limits, window) = ((s.retry_ratio, s.retry_slack), s.retry_window_ms);
+        let is_allowed = self
+            .budget
+            .allows(now, &service, limits, self.nodes, window);
+        if is_allowed {
+            self.budget.record_retry(now, &service);
+        }
+        is_allowed
+    }
+
     pub(crate) fn refuse_with_estimate(
         &mut self,
         i: usize,
@@ -115,6 +151,7 @@
     /// Removes a call that has its final response.
     pub(crate) fn finish(&mut self, i: usize, effects: &mut Vec<Effect>) {
         let call: CallState = self.calls.remove(i);
+        call.delegate.iter().for_each(|vm| self.delegates.ended(vm));
         // It is not known to have been taken. Releasing one that was does no harm, while an unused
         // one would hold memory until it expires.
         effects.extend(call.handle.map(Effect::ReleaseHandle));
--- a/crates/rw-gate/tests/support/mod.rs
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -8,8 +8,8 @@
 
 use rw_gate::{
     CallLimits, CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, EngineSpec, Event,
-    Gate, GateSettings, Prompt, PromptPart, Refusal, RefusalKind, RetryPolicy, Role, Route,
-    Routing, Service, ServiceWeight, TargetSpec,
+    FleetNode, Gate, GateSettings, Prompt, PromptPart, Refusal, RefusalKind, RetryPolicy, Role,
+    Route, Routing, Service, ServiceWeight, TargetSpec,
 };
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
@@ -118,6 +118,7 @@
         last_event: None,
         resumes: None,
         prompt: None,
+        delegated: None,
     }
 }
 
@@ -172,7 +173,11 @@
 
 /// A fleet of `count` nodes.
 pub fn nodes_listed(count: usize) -> Event {
-    Event::NodesListed((0..count).map(|n| format!("vm-{n:03}")).collect())
+    let node = |n| FleetNode {
+        vm: format!("vm-{n:03}"),
+        centre: "x".to_owned(),
+    };
+    Event::NodesListed((0..count).map(node).collect())
 }
 
 pub fn dispatch(effects: &[Effect]) -> Option<&Dispatch> {
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -11,8 +11,8 @@
     routes::{HOST, ROLE_SWITCH_US, SERVICE, US_PER_MS, WARMUP_US, client_timeout_ms, routing},
 };
 use rw_gate::{
-    CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, Event, Gate, GateSettings,
-    KvHandle, OrderOutcome, Prompt as RequestPrompt, Role, TargetSpec,
+    CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, Event, FleetNode, Gate,
+    GateSettings, KvHandle, OrderOutcome, Prompt as RequestPrompt, Role, TargetSpec,
 };
 use rw_types::{Millis, RequestId};
 use std::{
@@ -161,7 +161,10 @@
                 ..GateSettings::default()
             });
             let now = Millis(0);
-            let nodes = (0..self.deployment.nodes).map(|n| format!("vm-{n}"));
+            let nodes = (0..self.deployment.nodes).map(|n| FleetNode {
+                vm: format!("vm-{n}"),
+                centre: "x".to_owned(),
+            });
             gate.step(now, Event::NodesListed(nodes.collect()));
             gate.step(now, Event::Routing(routing.clone()));
             gate.step(now, Event::TargetsListed(specs.clone()));
@@ -290,6 +293,7 @@
                 max_output: a.events * self.deployment.engine.event_tokens,
                 parts: a.parts.clone(),
             }),
+            delegated: None,
         };
         let id = RequestId(self.calls.len() as u64);
         self.calls.push(Call {
@@ -355,7 +359,9 @@
             Effect::Deliver { .. }
             | Effect::ReleaseHandle(_)
             | Effect::PublishDigest
-            | Effect::RecordVersions(_) => {}
+            | Effect::RecordVersions(_)
+            | Effect::Delegate { .. }
+            | Effect::ProbeTarget(_) => {}
         }
     }
 
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -4,6 +4,7 @@
     Dialect, Framing, Relay, ResponseHead, ResponseMetadata,
     body::BodyReader,
     call::Call,
+    delegation::DelegateNote,
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
@@ -24,12 +25,12 @@
 };
 
 /// Maximum size of a response head.
-const MAX_HEAD_BYTES: usize = 32 << 10;
+pub(crate) const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum response body that is buffered in full. A body with a larger declared length is
 /// streamed.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+pub(crate) const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 /// Extra wait after a call's deadline, so that the target's own final response can still arrive.
-const DEADLINE_GRACE: Duration = Duration::from_millis(40);
+pub(crate) const DEADLINE_GRACE: Duration = Duration::from_millis(40);
 
 impl<D: Dialect> Relay<D> {
     /// Sends `call` to the target of `dispatch`, and forwards a streamed response.
@@ -135,16 +136,26 @@
         let oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
         let is_stream = dispatch.stream && (200..300).contains(&head.status);
         if is_stream || oversized {
-            let streamed = StreamedResponse { conn, head, body };
-            return self
-                .stream_response(call, dispatch, streamed, progress)
-                .await;
+            self.note_source(call, progress);
+            let streamed = StreamedResponse {
+                conn: &mut conn.connection,
+                head: head.clone(),
+                body,
+                is_stream: dispatch.stream,
+                is_resumable: dispatch.resumable,
+                from: &dispatch.target,
+                begun: Event::StreamBegun { id: call.id },
+            };
+            self.stream_response(call, streamed, progress).await?;
+            self.release(conn, &head, true);
+            return Ok(DispatchOutcome::Delivered);
         }
         let full_body = body
             .read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
             .await?;
         let status = head.status;
         self.release(conn, &head, written.get());
+        self.note_source(call, progress);
         progress.buffered = Some(BufferedResponse {
             head,
             body: full_body,
@@ -152,6 +163,14 @@
         Ok(DispatchOutcome::Complete { status })
     }
 
+    /// Marks the response to a call of another node as that of the current target.
+    fn note_source(&self, call: &Call, progress: &mut ResponseProgress) {
+        if call.is_delegated {
+            let source = self.gate.borrow().response_source(call.id);
+            progress.out.set_note(source.map(DelegateNote::Target));
+        }
+    }
+
     /// Reads the head of the response to this call; responses to other calls are read and dropped.
     async fn read_response_head(
         &self,
--- a/crates/rw-relay/src/call.rs
+++ b/crates/rw-relay/src/call.rs
@@ -11,6 +11,8 @@
     pub(crate) body: Vec<u8>,
     /// Identifier that the caller gave the call; empty if it gave none.
     pub(crate) call_id: String,
+    /// Whether another node passed it to this one.
+    pub(crate) is_delegated: bool,
     /// When the request had been read in full.
     pub(crate) arrived: Millis,
 }
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -3,9 +3,12 @@
 use crate::{
     BootClock, Framing, ResponseMetadata,
     call::Call,
-    metrics::{framing_label, mode_label, outcome_label},
+    metrics::{delegation_label, framing_label, mode_label, outcome_label},
+};
+use rw_gate::{
+    CallRequest, Delegation, DelegationOutcome, Dispatch, DispatchMode, DispatchOutcome,
+    PromptPart, Refusal,
 };
-use rw_gate::{CallRequest, Dispatch, DispatchMode, DispatchOutcome, PromptPart, Refusal};
 use rw_types::RequestRate;
 use std::{
     cell::{Cell, RefCell},
@@ -70,6 +73,31 @@
         }
     }
 
+    pub(crate) fn delegated(&self, call: &Call, d: &Delegation) {
+        if self.allow_line() {
+            let c = &d.call;
+            log::info!(call = call.call_id.as_str(), n = call.id.0, to = d.vm.as_str(), service = c.service.as_str(), left_ms = c.left_ms, resume:? = c.resume_after; "delegated");
+        }
+    }
+
+    pub(crate) fn delegation_ended(
+        &self,
+        call: &Call,
+        d: &Delegation,
+        outcome: &DelegationOutcome,
+        status: u16,
+    ) {
+        if self.allow_line() {
+            log::info!(call = call.call_id.as_str(), n = call.id.0, at = d.vm.as_str(), end = delegation_label(outcome), status; "ended");
+        }
+    }
+
+    pub(crate) fn delegation_broken(&self, call: &Call, d: &Delegation, error: &io::Error) {
+        if self.allow_line() {
+            log::info!(call = call.call_id.as_str(), n = call.id.0, at = d.vm.as_str(), error:%; "delegation broke");
+        }
+    }
+
     pub(crate) fn refused(&self, call: &Call, r: &Refusal) {
         if self.allow_line() {
             log::info!(call = call.call_id.as_str(), n = call.id.0, path = call.head.path(), kind = r.kind.as_str(), estimate_ms = r.estimate_ms, retry_ms = r.retry_ms; "refused");
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -1,14 +1,15 @@
 //! Drives a call to its final response.
 
 use crate::{
-    Dialect, Relay, call::Call, exchange_error::CallerDisconnected,
+    Dialect, Relay, call::Call, delegation::DelegateNote, exchange_error::CallerDisconnected,
     response_progress::ResponseProgress, response_writer::ResponseWriter,
 };
-use rw_gate::{Dispatch, Effect, Event, Refusal};
+use rw_gate::{DelegatedCall, Delegation, Dispatch, Effect, Event, Refusal};
 
 /// The gate's next action for a call.
 enum NextStep {
     Dispatch(Box<Dispatch>),
+    Delegate(Box<Delegation>),
     Deliver,
     Refuse(Refusal),
     /// The response has been sent to the caller.
@@ -20,10 +21,17 @@
     pub(crate) async fn forward(
         &self,
         call: &Call,
+        delegated: Option<DelegatedCall>,
         progress: &mut ResponseProgress,
     ) -> Result<(), CallerDisconnected> {
         let id = call.id;
-        let request = self.dialect.call_request(&call.head, &call.body);
+        let mut request = self.dialect.call_request(&call.head, &call.body);
+        if let Some(delegated) = delegated {
+            self.metrics.delegated("accepted");
+            request.deadline_ms = Some(delegated.left_ms);
+            request.last_event = delegated.resume_after;
+            request.delegated = Some(delegated);
+        }
         let resumes = request.resumes.clone().unwrap_or_default();
         self.find_origin(&request).await;
         let mut next = self.next_step(Event::CallArrived { id, request });
@@ -37,6 +45,18 @@
                     self.metrics.ended(&outcome);
                     next = self.next_step(Event::DispatchEnded { id, outcome });
                 }
+                NextStep::Delegate(delegation) => {
+                    self.log.delegated(call, &delegation);
+                    let outcome = self.delegate(call, &delegation, progress).await?;
+                    let status = progress
+                        .buffered
+                        .as_ref()
+                        .map_or(0, |full| full.head.status);
+                    self.log
+                        .delegation_ended(call, &delegation, &outcome, status);
+                    self.metrics.delegation_ended(&outcome);
+                    next = self.next_step(Event::DelegationEnded { id, outcome });
+                }
                 NextStep::Deliver => {
                     let sent = match &progress.buffered {
                         Some(full) => progress.out.write_full(&full.head, &full.body).await,
@@ -47,6 +67,9 @@
                 NextStep::Refuse(refusal) => {
                     self.log.refused(call, &refusal);
                     self.metrics.refused(refusal.kind);
+                    if call.is_delegated && !progress.out.is_started() {
+                        progress.out.set_note(Some(DelegateNote::refused(&refusal)));
+                    }
                     return self.refuse(&refusal, &mut progress.out).await;
                 }
                 NextStep::Complete => return Ok(()),
@@ -74,12 +97,14 @@
         for effect in self.step(event) {
             next = match effect {
                 Effect::Dispatch { dispatch, .. } => NextStep::Dispatch(Box::new(dispatch)),
+                Effect::Delegate { delegation, .. } => NextStep::Delegate(Box::new(delegation)),
                 Effect::Deliver { .. } => NextStep::Deliver,
                 Effect::Refuse { refusal, .. } => NextStep::Refuse(refusal),
                 Effect::ReleaseHandle(_)
                 | Effect::PublishDigest
                 | Effect::AcquireLease
                 | Effect::RecordVersions(_)
+                | Effect::ProbeTarget(_)
                 | Effect::Order { .. } => {
                     continue;
                 }
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -1,10 +1,15 @@
 //! Server for callers' connections.
 
 use crate::{
-    BootClock, Connection, Dialect, HeadError, Relay, RequestHead, body::BodyReader, call::Call,
-    response_progress::ResponseProgress, response_writer::ResponseWriter, timeout::timeout,
+    BootClock, Connection, Dialect, HeadError, Relay, RequestHead,
+    body::BodyReader,
+    call::Call,
+    delegation::{EXTRA_HEADER_BYTES, restore_framing},
+    response_progress::ResponseProgress,
+    response_writer::ResponseWriter,
+    timeout::timeout,
 };
-use rw_gate::{CallLimits, Event};
+use rw_gate::{CallLimits, DelegatedCall, Event};
 use smol::{Async, future};
 use std::{
     io,
@@ -25,6 +30,14 @@
 /// Time by which an idle connection outlives the configured idle timeout, in milliseconds.
 const IDLE_GRACE_MS: u64 = 500;
 
+/// Who sends the requests on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallSource {
+    Caller,
+    /// Another node, which passes on calls of its callers.
+    Peer,
+}
+
 /// What happens to a connection after a request.
 #[derive(Debug, PartialEq, Eq)]
 enum AfterRequest {
@@ -62,21 +75,22 @@
             self.executor
                 .spawn(async move {
                     relay.connections.set(relay.connections.get() + 1);
-                    relay.serve_connection(stream).await;
+                    relay.serve_connection(stream, CallSource::Caller).await;
                     relay.connections.set(relay.connections.get() - 1);
                 })
                 .detach();
         }
     }
 
-    async fn serve_connection(&self, stream: Async<TcpStream>) {
+    /// Serves the requests on a connection until it ends.
+    pub(crate) async fn serve_connection(&self, stream: Async<TcpStream>, from: CallSource) {
         let Ok(mut conn) = Connection::new(stream) else {
             return;
         };
         while self.wait_request(&mut conn).await {
             self.in_flight.set(self.in_flight.get() + 1);
             // Boxed, so that an idle connection doesn't hold the memory of an active one.
-            let after = Box::pin(self.serve_request(&mut conn)).await;
+            let after = Box::pin(self.serve_request(&mut conn, from)).await;
             self.in_flight.set(self.in_flight.get() - 1);
             match after {
                 AfterRequest::Keep => {}
@@ -101,15 +115,25 @@
         }
     }
 
-    async fn serve_request(&self, conn: &mut Connection) -> AfterRequest {
-        let limits = self.limits();
+    async fn serve_request(&self, conn: &mut Connection, from: CallSource) -> AfterRequest {
+        let mut limits = self.limits();
+        if from == CallSource::Peer {
+            limits.header_bytes += EXTRA_HEADER_BYTES;
+        }
         let read_timeout = Duration::from_millis(limits.header_ms);
-        let head = match timeout(read_timeout, self.read_request_head(conn, &limits)).await {
+        let mut head = match timeout(read_timeout, self.read_request_head(conn, &limits)).await {
             Some(Ok(Ok(head))) => head,
             Some(Ok(Err(error))) => return self.reject_head(conn, error).await,
             Some(Err(_)) => return AfterRequest::Abort,
             None => return self.reject(conn, 408, "slow-request").await,
         };
+        let delegated = match from {
+            CallSource::Caller => None,
+            CallSource::Peer => match self.accept_offer(conn, &mut head).await {
+                Some(delegated) => Some(delegated),
+                None => return AfterRequest::Close,
+            },
+        };
         if let crate::Framing::Length(n) = head.framing
             && n > limits.body_bytes as u64
         {
@@ -135,7 +159,10 @@
             Some(Err(_)) => return AfterRequest::Abort,
             None => return self.reject(conn, 408, "slow-request").await,
         };
-        self.handle_call(conn, head, body).await
+        if delegated.is_some() {
+            restore_framing(&mut head, &body);
+        }
+        self.handle_call(conn, head, body, delegated).await
     }
 
     async fn read_request_head(
@@ -152,6 +179,7 @@
         conn: &mut Connection,
         head: RequestHead,
         body: Vec<u8>,
+        delegated: Option<DelegatedCall>,
     ) -> AfterRequest {
         let id = self.next_id();
         let close = !head.keep_alive || self.stopping.get();
@@ -166,13 +194,14 @@
             head,
             body,
             call_id,
+            is_delegated: delegated.is_some(),
         };
         self.metrics.call_received();
         let disconnected = async {
             conn.closed().await;
             false
         };
-        let forwarded = async { self.forward(&call, &mut progress).await.is_ok() };
+        let forwarded = async { self.forward(&call, delegated, &mut progress).await.is_ok() };
         let completed = future::or(forwarded, disconnected).await;
         let out = &progress.out;
         if !completed {
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod connection;
 mod decision_log;
+mod delegation;
 mod dialect;
 mod endpoint_server;
 mod exchange_error;
--- a/crates/rw-relay/src/membership.rs
+++ b/crates/rw-relay/src/membership.rs
@@ -15,9 +15,12 @@
 pub struct Peer {
     /// VM name.
     pub vm: String,
+    /// Data centre; empty if it isn't known.
+    #[serde(default)]
+    pub centre: String,
     /// Address for calls from peers.
     pub calls: SocketAddr,
-    /// UDP address for digests.
+    /// UDP address for digests. At the same address, the node accepts calls of other nodes over TCP.
     pub digests: SocketAddr,
     /// Maximum number of bytes per second that it sends and receives in digests.
     #[serde(default = "default_digest_bytes_per_s")]
@@ -62,6 +65,13 @@
         others.into_iter().step_by(step).cloned().collect()
     }
 
+    /// The node with this VM name.
+    #[must_use]
+    pub fn find(&self, vm: &str) -> Option<&Peer> {
+        let i = self.list.binary_search_by(|p| p.vm.as_str().cmp(vm)).ok()?;
+        Some(&self.list[i])
+    }
+
     /// All known nodes, sorted by VM name.
     #[must_use]
     pub fn all(&self) -> &[Peer] {
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -5,7 +5,7 @@
     Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, RefusalKind};
+use rw_gate::{DelegationOutcome, Dispatch, DispatchMode, DispatchOutcome, RefusalKind};
 use rw_types::Millis;
 use std::time::Duration;
 
@@ -20,6 +20,10 @@
     rejects: IntCounterVec,
     notices: IntCounterVec,
     origin_lookups: IntCounterVec,
+    delegations: IntCounterVec,
+    delegated: IntCounterVec,
+    probes: IntCounterVec,
+    unreachable: IntGauge,
     target_states: IntGaugeVec,
     over_limit: IntCounter,
     skipped_rows: IntCounter,
@@ -140,6 +144,25 @@
                 "questions to other nodes where a stream began, by result",
                 "result",
             )?,
+            delegations: labelled(
+                "rw_delegations_total",
+                "calls passed to other nodes that ended, by outcome",
+                "end",
+            )?,
+            delegated: labelled(
+                "rw_delegated_calls_total",
+                "calls that other nodes passed to this one, by whether it took them",
+                "result",
+            )?,
+            probes: labelled(
+                "rw_target_probes_total",
+                "connections opened to learn whether a target can be reached, by result",
+                "result",
+            )?,
+            unreachable: gauge(
+                "rw_unreachable_services",
+                "services of which this node reaches no target",
+            )?,
             target_states: states,
             timer_delay: histogram(
                 "rw_timer_delay_seconds",
@@ -177,6 +200,28 @@
         self.refusals.with_label_values(&[kind.as_str()]).inc();
     }
 
+    pub(crate) fn delegation_ended(&self, outcome: &DelegationOutcome) {
+        self.delegations
+            .with_label_values(&[delegation_label(outcome)])
+            .inc();
+    }
+
+    pub(crate) fn delegated(&self, result: &str) {
+        self.delegated.with_label_values(&[result]).inc();
+    }
+
+    pub(crate) fn probed(&self, is_open: bool) {
+        let result = match is_open {
+            true => "reached",
+            false => "failed",
+        };
+        self.probes.with_label_values(&[result]).inc();
+    }
+
+    pub(crate) fn set_unreachable(&self, services: usize) {
+        self.unreachable.set(services as i64);
+    }
+
     pub(crate) fn rejected(&self, kind: &str) {
         self.rejects.with_label_values(&[kind]).inc();
     }
@@ -258,6 +303,17 @@
     }
 }
 
+pub(crate) fn delegation_label(outcome: &DelegationOutcome) -> &'static str {
+    match outcome {
+        DelegationOutcome::Complete => "whole",
+        DelegationOutcome::Delivered => "delivered",
+        DelegationOutcome::NotSent => "unsent",
+        DelegationOutcome::Refused(_) => "declined",
+        DelegationOutcome::Broken { .. } => "broken",
+        DelegationOutcome::TimedOut { .. } => "timed-out",
+    }
+}
+
 /// How the end of a response is marked; `none` if no response began.
 pub(crate) fn framing_label(framing: Option<Framing>) -> &'static str {
     match framing {
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -10,7 +10,7 @@
 };
 use async_channel::Receiver;
 use jsonrpsee_types::{Id, Request, Response, ResponsePayload};
-use rw_gate::{Digest, Event, StreamId};
+use rw_gate::{DIGEST_FANOUT, Digest, Event, StreamId};
 use rw_http::{Client, Pooling, post_json};
 use serde::Deserialize;
 use smol::{Async, Timer, future};
@@ -23,8 +23,6 @@
 
 /// Minimum interval between digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
-/// Maximum number of nodes that a digest is sent to.
-const FANOUT: usize = 16;
 /// Minimum rate of digests, so that nodes hear of each other whatever limits they state.
 const MIN_BYTES_PER_S: u32 = 2_000;
 /// Maximum number of streams in one query.
@@ -158,7 +156,7 @@
         let receivers = self
             .peers
             .borrow()
-            .listeners(&self.settings.gate.vm, FANOUT);
+            .listeners(&self.settings.gate.vm, DIGEST_FANOUT);
         let rate = self.digest_rate(&receivers);
         for peer in receivers {
             self.send_text(socket, &text, peer.digests).await;
@@ -181,7 +179,10 @@
             let Some(text) = encode(&digest) else {
                 continue;
             };
-            let peers = self.peers.borrow().sources(&self.settings.gate.vm, FANOUT);
+            let peers = self
+                .peers
+                .borrow()
+                .sources(&self.settings.gate.vm, DIGEST_FANOUT);
             let rate = self.digest_rate(&peers);
             for peer in peers {
                 self.send_text(socket, &text, peer.digests).await;
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Opens a connection, and keeps it for a later call; false if that is not possible.
+    pub(crate) async fn probe(&self, addr: SocketAddr, incarnation: u64) -> bool {
+        let opened = self.acquire(addr, incarnation, u32::MAX).await;
+        let is_open = opened.is_ok();
+        if let Ok(conn) = opened {
+            self.release(conn, None);
+        }
+        is_open
+    }
+
     /// Takes back a connection whose response was read in full; `idle_s` is the idle timeout that
     /// its target announces, in seconds.
     pub(crate) fn release(&self, mut conn: TargetConnection, idle_s: Option<u64>) {
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -5,13 +5,16 @@
     pool::Pool, timeout::timeout,
 };
 use async_channel::Sender;
-use rw_gate::{Effect, Event, Gate, KvHandle, StreamId, VersionRecord};
+use rw_gate::{
+    Effect, Event, FleetNode, Gate, KvHandle, ProbeTarget, StreamId, TargetIncarnation,
+    VersionRecord,
+};
 use rw_types::RequestId;
 use smol::LocalExecutor;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
@@ -50,6 +53,8 @@
     pub(crate) close_idle: Cell<bool>,
     /// Requests whose response is not complete.
     pub(crate) in_flight: Cell<usize>,
+    /// Open connections of other nodes that pass on calls.
+    pub(crate) delegated: Cell<usize>,
     /// Open caller connections.
     pub(crate) connections: Cell<usize>,
     /// Maximum number of open caller connections.
@@ -57,6 +62,8 @@
     /// Time from the stop signal until the process is killed.
     pub(crate) grace: Cell<Duration>,
     next_request: Cell<u64>,
+    /// Itself, for tasks that outlive a call.
+    weak: Weak<Self>,
 }
 
 /// Channels to the tasks that perform the effects that concern no single call.
@@ -77,9 +84,9 @@
         metrics: Metrics,
         executor: Rc<LocalExecutor<'static>>,
         senders: Senders,
-    ) -> Self {
+    ) -> Rc<Self> {
         let clock = BootClock::start();
-        Self {
+        Rc::new_cyclic(|weak| Self {
             gate: RefCell::new(Gate::new(settings.gate.clone())),
             clock,
             dialect,
@@ -96,12 +103,14 @@
             stopping: Cell::new(false),
             close_idle: Cell::new(false),
             in_flight: Cell::new(0),
+            delegated: Cell::new(0),
             connections: Cell::new(0),
             max_connections: Cell::new(settings.connections),
             grace: Cell::new(settings.grace),
             next_request: Cell::new(1),
+            weak: weak.clone(),
             settings,
-        }
+        })
     }
 
     /// Passes an event to the gate, and performs the effects that concern no single call. Returns
@@ -114,6 +123,7 @@
                 // A full channel means that a request is already pending.
                 Effect::AcquireLease => drop(self.request_lease.try_send(())),
                 Effect::RecordVersions(record) => self.record_versions(record.clone()),
+                Effect::ProbeTarget(target) => self.probe(target.clone()),
                 Effect::Order { .. } => self.enqueue_order(effect.clone()),
                 // A full channel means that a digest is already triggered.
                 Effect::PublishDigest => drop(self.wake_digests.try_send(())),
@@ -147,6 +157,7 @@
     pub(crate) fn me(&self) -> Peer {
         Peer {
             vm: self.settings.gate.vm.clone(),
+            centre: self.settings.gate.centre.clone(),
             calls: self.settings.control.unwrap_or(self.settings.digests),
             digests: self.settings.digests,
             digest_bytes_per_s: self.settings.digest_bytes_per_s,
@@ -172,11 +183,38 @@
     pub(crate) fn merge_peers(&self, list: Vec<Peer>) {
         let mut peers = self.peers.borrow_mut();
         list.into_iter().for_each(|p| peers.upsert(p));
-        let nodes = peers.all().iter().map(|p| p.vm.clone()).collect();
+        let nodes = peers.all().iter().map(|p| FleetNode {
+            vm: p.vm.clone(),
+            centre: p.centre.clone(),
+        });
+        let nodes = nodes.collect();
         drop(peers);
         self.step(Event::NodesListed(nodes));
     }
 
+    /// Opens a connection to a target, which a later call can use, and reports whether that was
+    /// possible.
+    fn probe(&self, target: ProbeTarget) {
+        let Ok(addr) = target.addr.parse::<SocketAddr>() else {
+            return;
+        };
+        let Some(relay) = self.weak.upgrade() else {
+            return;
+        };
+        let probing = async move {
+            let opened = relay.pool.probe(addr, target.incarnation).await;
+            relay.metrics.probed(opened);
+            relay.step(Event::TargetProbed {
+                target: TargetIncarnation {
+                    name: target.name,
+                    incarnation: target.incarnation,
+                },
+                is_reached: opened,
+            });
+        };
+        self.executor.spawn(probing).detach();
+    }
+
     fn record_versions(&self, record: VersionRecord) {
         if self.version_records.try_send(record).is_err() {
             log::warn!(
--- a/crates/rw-relay/src/response_writer.rs
+++ b/crates/rw-relay/src/response_writer.rs
@@ -1,6 +1,10 @@
 //! Writes responses to callers.
 
-use crate::{Framing, HeaderField, ResponseHead, head::is_hop};
+use crate::{
+    Framing, HeaderField, ResponseHead,
+    delegation::{DELEGATE_HEADER, DelegateNote},
+    head::is_hop,
+};
 use rw_gate::Refusal;
 use smol::{Async, io::AsyncWriteExt as _};
 use std::{fmt::Write as _, io, net::TcpStream, rc::Rc};
@@ -19,6 +23,8 @@
     /// Whether the response was written in full.
     finished: bool,
     chunked: bool,
+    /// What another node, to which the response goes, must know of it.
+    note: Option<DelegateNote>,
 }
 
 impl ResponseWriter {
@@ -30,9 +36,15 @@
             started: false,
             finished: false,
             chunked: false,
+            note: None,
         }
     }
 
+    /// Sets what the other node must know of a response to a delegated call.
+    pub(crate) fn set_note(&mut self, note: Option<DelegateNote>) {
+        self.note = note;
+    }
+
     pub(crate) fn is_started(&self) -> bool {
         self.started
     }
@@ -139,6 +151,9 @@
 
     fn head_lines(&self, status: u16, headers: &[HeaderField]) -> String {
         let mut lines = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+        if let Some(note) = &self.note {
+            push_header(&mut lines, DELEGATE_HEADER, &note.to_value());
+        }
         let forwarded = headers.iter().filter(|f| !is_hop(&f.name));
         forwarded.for_each(|f| push_header(&mut lines, &f.name, &f.value));
         if self.close {
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -59,6 +59,7 @@
     metrics: Async<TcpListener>,
     control: Option<Async<TcpListener>>,
     digests: Async<UdpSocket>,
+    delegated: Async<TcpListener>,
 }
 
 impl BoundRelay {
@@ -77,6 +78,7 @@
             metrics: tcp(settings.metrics)?,
             control: settings.control.map(tcp).transpose()?,
             digests,
+            delegated: tcp(settings.digests)?,
             settings,
         })
     }
@@ -113,7 +115,6 @@
             order_queue,
         };
         let relay = Relay::new(self.settings, dialect, metrics, executor.clone(), senders);
-        let relay = Rc::new(relay);
         let (sender, updates) = async_channel::bounded(UPDATE_QUEUE);
         let spawn = |work| executor.spawn(work).detach();
         spawn_servers(&executor, &relay, self.front, self.ready, self.metrics);
@@ -125,6 +126,8 @@
         executor
             .spawn(relay.clone().gossip(self.digests, digest_wakes, asks))
             .detach();
+        let delegated = relay.clone().accept_delegated(self.delegated);
+        executor.spawn(delegated).detach();
         executor.spawn(relay.clone().query_seeds()).detach();
         executor
             .spawn(registry.watch(relay.me(), sender, requests))
--- a/crates/rw-relay/src/settings.rs
+++ b/crates/rw-relay/src/settings.rs
@@ -14,7 +14,7 @@
     pub ready: SocketAddr,
     /// Listen address for calls from peers; `None` on a VM that has no such address.
     pub control: Option<SocketAddr>,
-    /// UDP listen address for digests from peers.
+    /// Listen address for peers: for digests over UDP, and for calls that they pass on over TCP.
     pub digests: SocketAddr,
     /// Maximum number of bytes per second that this node sends, and receives from others, in digests.
     pub digest_bytes_per_s: u32,
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -1,15 +1,14 @@
 //! Forwards a response body as it arrives.
 
 use crate::{
-    Dialect, EventSplitter, Framing, Relay, ResponseHead,
+    Connection, Dialect, EventSplitter, Framing, Relay, ResponseHead,
     body::BodyReader,
     call::Call,
     exchange_error::{ExchangeError, caller_result},
     io_error::{malformed, truncated},
-    pool::TargetConnection,
     response_progress::ResponseProgress,
 };
-use rw_gate::{Dispatch, DispatchOutcome, Event};
+use rw_gate::Event;
 
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -18,10 +17,18 @@
 
 /// A response whose body is forwarded as it arrives.
 #[derive(Debug)]
-pub(crate) struct StreamedResponse {
-    pub(crate) conn: TargetConnection,
+pub(crate) struct StreamedResponse<'a> {
+    pub(crate) conn: &'a mut Connection,
     pub(crate) head: ResponseHead,
     pub(crate) body: BodyReader,
+    /// Whether events are expected.
+    pub(crate) is_stream: bool,
+    /// Whether the stream may be resumed.
+    pub(crate) is_resumable: bool,
+    /// Target or node that sends it.
+    pub(crate) from: &'a str,
+    /// Event for the gate when the first event of the stream is about to be delivered.
+    pub(crate) begun: Event,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -30,30 +37,33 @@
     pub(crate) async fn stream_response(
         &self,
         call: &Call,
-        dispatch: &Dispatch,
-        streamed: StreamedResponse,
+        streamed: StreamedResponse<'_>,
         progress: &mut ResponseProgress,
-    ) -> Result<DispatchOutcome, ExchangeError> {
+    ) -> Result<(), ExchangeError> {
         let StreamedResponse {
-            mut conn,
+            conn,
             mut head,
             mut body,
+            is_stream,
+            is_resumable,
+            from,
+            begun,
         } = streamed;
-        let mut splitter = match dispatch.resumable {
+        let mut splitter = match is_resumable {
             true => EventSplitter::after(progress.last_event),
             false => EventSplitter::unfiltered(),
         };
-        let has_events = dispatch.stream && is_event_stream(&head);
+        let mut begun = Some(begun);
+        let has_events = is_stream && is_event_stream(&head);
         let framing = head.framing;
         if has_events && framing != Framing::Length(0) {
             // The length that a target declares doesn't hold once another continues its stream.
             head.framing = Framing::Chunked;
         }
         let mut is_first = true;
-        let mut is_begun = false;
-        while let Some(bytes) = body.next(&mut conn.connection).await? {
+        while let Some(bytes) = body.next(conn).await? {
             if is_first {
-                self.first_bytes(call, dispatch);
+                self.first_bytes(call, from);
                 is_first = false;
             }
             let bytes = match has_events {
@@ -64,9 +74,8 @@
                 return Err(malformed().into());
             }
             if !bytes.is_empty() {
-                if has_events && !is_begun {
-                    self.step(Event::StreamBegun { id: call.id });
-                    is_begun = true;
+                if let Some(event) = begun.take_if(|_| has_events) {
+                    self.step(event);
                 }
                 write_body(progress, &head, &bytes).await?;
                 progress.last_event = splitter.last_id();
@@ -76,15 +85,13 @@
             return Err(truncated().into());
         }
         write_body(progress, &head, splitter.incomplete()).await?;
-        caller_result(progress.out.finish().await)?;
-        self.release(conn, &head, true);
-        Ok(DispatchOutcome::Delivered)
+        caller_result(progress.out.finish().await)
     }
 
-    fn first_bytes(&self, call: &Call, dispatch: &Dispatch) {
+    fn first_bytes(&self, call: &Call, from: &str) {
         self.step(Event::FirstEvent { id: call.id });
         self.metrics.first_event(call.arrived, self.clock.now());
-        log::debug!(call = call.call_id.as_str(), at = dispatch.target.as_str(); "first event");
+        log::debug!(call = call.call_id.as_str(), at = from; "first event");
     }
 }
 
--- a/crates/rw-relay/tests/peers.rs
+++ b/crates/rw-relay/tests/peers.rs
@@ -11,6 +11,7 @@
     for n in 0..count {
         peers.upsert(Peer {
             vm: format!("vm-{n:04}"),
+            centre: "x".to_owned(),
             calls: addr,
             digests: addr,
             digest_bytes_per_s: DEFAULT_DIGEST_BYTES_PER_S,
