A connection that breaks is no crash of its target if no other target can be reached

Callers of cut nodes were refused as harmful: of idempotent calls 0 of 12 served over links that reset, and the digests of a cut node told all others so.

Ruled out: that the requests crash anything (the same ones are served by other nodes).

Change: before a crash is recorded, up to two other targets of the service are connected to; if none that isn't known to be down can be reached, the connection counts as broken. A target without others is judged as before.

--- a/crates/rw-gate/src/delegation/delegation_flow.rs
+++ b/crates/rw-gate/src/delegation/delegation_flow.rs
@@ -240,6 +240,23 @@
         }
     }
 
+    /// Other targets of the service of `target` that aren't known to be down, at most `max`: if none of
+    /// them can be connected to either, `target` need not have crashed.
+    #[must_use]
+    pub fn witnesses(&self, now: Millis, target: &str, max: usize) -> Vec<ProbeTarget> {
+        let Some(service) = self.targets.find(target).map(|t| &t.spec.service) else {
+            return Vec::new();
+        };
+        let all = self.targets.all();
+        let start = all.partition_point(|t| t.spec.name.as_str() <= target);
+        let following = all[start..].iter().chain(&all[..start]);
+        let others = following.filter(|t| {
+            let is_other = t.spec.service == *service && t.spec.name != target;
+            is_other && !t.health.is_down() && t.is_staying(now)
+        });
+        others.take(max).map(probe_target).collect()
+    }
+
     /// Services with a dispatch that has had no response for a while, and without a sign of any of
     /// their targets since it was sent.
     fn silent_services(&self, now: Millis) -> Vec<String> {
--- a/crates/rw-gate/src/health.rs
+++ b/crates/rw-gate/src/health.rs
@@ -22,6 +22,8 @@
     failure_rate: f64,
     updated_at: Millis,
     slowdown: f64,
+    /// Whether it is known to be down, until a call succeeds.
+    is_down: bool,
 }
 
 impl Default for Health {
@@ -30,6 +32,7 @@
             failure_rate: 0.0,
             updated_at: Millis(0),
             slowdown: 1.0,
+            is_down: false,
         }
     }
 }
@@ -49,6 +52,7 @@
 
     /// Records the outcome of a call.
     pub fn record_outcome(&mut self, now: Millis, failed: bool) {
+        self.is_down &= failed;
         let rate = self.failure_rate(now);
         self.failure_rate =
             rate * (1.0 - OUTCOME_WEIGHT) + if failed { OUTCOME_WEIGHT } else { 0.0 };
@@ -57,10 +61,17 @@
 
     /// Records that the target is known to be down.
     pub fn mark_down(&mut self, now: Millis) {
+        self.is_down = true;
         self.failure_rate = 1.0;
         self.updated_at = now;
     }
 
+    /// Whether the target is known to be down, and no call has succeeded since.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.is_down
+    }
+
     /// Ratio of measured to expected prefill time.
     #[must_use]
     pub fn slowdown(&self) -> f64 {
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -79,7 +79,9 @@
                 self.pool.drop_idle(addr);
                 // A malformed response is no sign that its target has terminated.
                 let is_malformed = error.kind() == io::ErrorKind::InvalidData;
-                let crashed = !is_malformed && self.pool.is_down(addr).await;
+                let crashed = !is_malformed
+                    && self.pool.is_down(addr).await
+                    && self.reaches_others(&dispatch.target).await;
                 let request = self.dialect.call_request(&call.head, &call.body);
                 let parts = request.prompt.map(|p| p.parts).unwrap_or_default();
                 self.log
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -18,6 +18,8 @@
     time::Duration,
 };
 
+/// Maximum number of other targets that are connected to before one counts as crashed.
+const MAX_WITNESSES: usize = 2;
 /// Timeout for releasing a handle; a handle that is not released expires by itself.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -202,19 +204,39 @@
             return;
         };
         let probing = async move {
-            let opened = relay.pool.probe(addr, target.incarnation).await;
-            relay.metrics.probed(opened);
-            relay.step(Event::TargetProbed {
-                target: TargetIncarnation {
-                    name: target.name,
-                    incarnation: target.incarnation,
-                },
-                is_reached: opened,
-            });
+            relay.open_probe(target, addr).await;
         };
         self.executor.spawn(probing).detach();
     }
 
+    async fn open_probe(&self, target: ProbeTarget, addr: SocketAddr) -> bool {
+        let is_reached = self.pool.probe(addr, target.incarnation).await;
+        self.metrics.probed(is_reached);
+        let target = TargetIncarnation {
+            name: target.name,
+            incarnation: target.incarnation,
+        };
+        self.step(Event::TargetProbed { target, is_reached });
+        is_reached
+    }
+
+    /// Whether this node reaches another target of the service of `target`, to which it can't connect.
+    /// If it reaches none, its own links may be the cause.
+    pub(crate) async fn reaches_others(&self, target: &str) -> bool {
+        let now = self.clock.now();
+        let witnesses = self.gate.borrow().witnesses(now, target, MAX_WITNESSES);
+        let is_only = witnesses.is_empty();
+        for witness in witnesses {
+            let Ok(addr) = witness.addr.parse() else {
+                continue;
+            };
+            if self.open_probe(witness, addr).await {
+                return true;
+            }
+        }
+        is_only
+    }
+
     fn record_versions(&self, record: VersionRecord) {
         if self.version_records.try_send(record).is_err() {
             log::warn!(
