A call that no target got is sent again without drawing on the retry budget

A dispatch for which no connection opened is no arrival at any target, and the budget counts arrivals.

--- a/crates/rw-gate/src/retry_flow.rs
+++ b/crates/rw-gate/src/retry_flow.rs
@@ -97,7 +97,8 @@
         if !self.meets_deadline(now, call, start_ms) {
             return false;
         }
-        if !self.take_retry(now, i) {
+        // What no target got is no retry for any of them.
+        if self.calls[i].arrivals > 0 && !self.take_retry(now, i) {
             return false;
         }
         if let Some(handle) = self.calls[i].handle.take() {
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -134,6 +134,27 @@
     }
 }
 
+#[test]
+fn a_call_that_no_target_got_is_sent_again_whatever_the_budget_has_left() {
+    for (outcome, are_all_sent) in [(DispatchOutcome::NotSent, true), (REJECTED, false)] {
+        let mut world = World::with(GateSettings {
+            retry_slack: 0.0,
+            ..GateSettings::default()
+        });
+        world.step(nodes_listed(1));
+        let mut again = 0;
+        for _ in 0..20 {
+            world.now += 10;
+            let (id, _) = world.arrive(request("/safe/1"));
+            let effects = world.end(id, outcome.clone());
+            again += usize::from(dispatch(&effects).is_some());
+            world.step(Event::ResponseStarted { id, load: None });
+            world.end(id, DispatchOutcome::Complete { status: 200 });
+        }
+        assert_eq!(again == 20, are_all_sent, "{outcome:?}: {again}");
+    }
+}
+
 #[test]
 fn retries_stay_within_the_nodes_share_of_the_budget() {
     struct Case {
