What a target says in its answer to the release of a handle is noticed

A pause asked for there was not heard, since the response was read up to its first byte: 5 requests reached the target in its pause in the test, 0 now. Of the ways out, first choice, retry, prefill and decode all look at the pause and hear it with any response; reports and orders hear it too.

--- a/crates/rw-relay/src/notices.rs
+++ b/crates/rw-relay/src/notices.rs
@@ -25,6 +25,26 @@
         self.notice(target, &self.dialect.response_metadata(head));
     }
 
+    /// Passes on what the target at `addr` says about itself in the head of a response to a request that
+    /// belongs to no call.
+    pub(crate) fn notice_at(&self, addr: SocketAddr, head: &ResponseHead) {
+        let text = addr.to_string();
+        let gate = self.gate.borrow();
+        let at_addr = gate.targets().all().iter().find(|t| t.spec.addr == text);
+        let found = at_addr.map(|t| (t.spec.name.clone(), t.spec.incarnation));
+        drop(gate);
+        if let Some((name, incarnation)) = found {
+            let target = Addressee {
+                name: &name,
+                incarnation,
+                addr,
+                // It names no identifier that would tell it from another response.
+                asked_at: None,
+            };
+            self.notice_in_head(target, head);
+        }
+    }
+
     /// Passes on what `target` says about itself with a response.
     pub(crate) fn notice(&self, target: Addressee<'_>, metadata: &ResponseMetadata) {
         let pause_ms = match metadata.pause {
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -1,8 +1,9 @@
 //! State of a node, and execution of the gate's effects.
 
 use crate::{
-    BootClock, Dialect, Metrics, Peer, Peers, RelaySettings, Snapshot, decision_log::DecisionLog,
-    pool::Pool, timeout::timeout,
+    BootClock, Connection, Dialect, Metrics, Peer, Peers, RelaySettings, ResponseHead, Snapshot,
+    attempt::MAX_HEAD_BYTES, decision_log::DecisionLog, io_error::malformed, pool::Pool,
+    timeout::timeout,
 };
 use async_channel::Sender;
 use rw_gate::{
@@ -13,6 +14,7 @@
 use smol::LocalExecutor;
 use std::{
     cell::{Cell, RefCell},
+    io,
     net::SocketAddr,
     rc::{Rc, Weak},
     time::Duration,
@@ -263,16 +265,27 @@
         let (method, path) = self.dialect.release_request(&handle);
         let request =
             format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n\r\n");
+        let Some(relay) = self.weak.upgrade() else {
+            return;
+        };
         let release = async move {
-            let response = timeout(RELEASE_TIMEOUT, async {
-                let mut conn = crate::Connection::open(addr).await?;
-                conn.write_all(request.as_bytes()).await?;
-                conn.read_some(1).await
-            });
-            if !matches!(response.await, Some(Ok(_))) {
-                log::debug!(addr:%; "handle could not be released; it expires by itself");
+            let response = timeout(RELEASE_TIMEOUT, exchange_release(addr, &request)).await;
+            match response {
+                Some(Ok(head)) => relay.notice_at(addr, &head),
+                Some(Err(_)) | None => {
+                    log::debug!(addr:%; "handle could not be released; it expires by itself");
+                }
             }
         };
         self.executor.spawn(release).detach();
     }
 }
+
+/// Sends the request that releases a handle, and returns the head of the response.
+async fn exchange_release(addr: SocketAddr, request: &str) -> io::Result<ResponseHead> {
+    let mut conn = Connection::open(addr).await?;
+    conn.write_all(request.as_bytes()).await?;
+    let bytes = conn.read_head(MAX_HEAD_BYTES).await?;
+    let bytes = bytes.map_err(|_| malformed())?;
+    ResponseHead::parse(&bytes, "DELETE").map_err(|_| malformed())
+}
