A caller whose stream is of unknown origin for good is not asked back

Now it names a time only while this node has not read which versions there are. The test failed before.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -71,7 +71,7 @@
             return Err(self.refusal(RefusalKind::NoTarget, self.settings.retry_ms));
         };
         let software = self.required_version(now, route, &request);
-        let software = software.map_err(|kind| self.refusal(kind, OTHER_NODE_RETRY_MS))?;
+        let software = software.map_err(|kind| self.refusal(kind, self.origin_retry_ms()))?;
         let wait_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
         let client_timeout_ms = match route.retry_policy.is_stream() {
             true => route.client_timeout_ms.min(wait_ms),
@@ -146,6 +146,15 @@
         ms <= call.client_deadline.since(now) as f64 * DEADLINE_FRACTION
     }
 
+    /// Retry time of a call that takes up a stream of unknown origin; zero if it stays unknown, because
+    /// this node knows all versions and the other nodes have been asked.
+    fn origin_retry_ms(&self) -> u64 {
+        match self.software.has_records() {
+            true => 0,
+            false => OTHER_NODE_RETRY_MS,
+        }
+    }
+
     /// Retry time of a call that no target can take: the end of the first wait, if all targets of the
     /// service that stay are paused or have had this node's part of their rate limits.
     pub(crate) fn no_target_retry_ms(&mut self, now: Millis, service: &str) -> u64 {
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -91,6 +91,11 @@
         self.has_records = true;
     }
 
+    /// Whether the registry's records have been read since this node reached the registry.
+    pub(crate) fn has_records(&self) -> bool {
+        self.has_records
+    }
+
     /// What the registry is to keep about a service: the versions seen within `ttl_ms`; `None` before
     /// its records have been read.
     pub(crate) fn record(&self, now: Millis, service: &str, ttl_ms: u64) -> Option<VersionRecord> {
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -535,6 +535,37 @@
 }
 
 /// The usual routes, of which `/brief/` has another timeout.
+#[test]
+fn a_caller_is_asked_back_only_if_its_stream_can_go_on_later() {
+    struct Case {
+        name: &'static str,
+        records: Option<Event>,
+        is_asked_back: bool,
+    }
+    let cases = [
+        Case {
+            name: "this node doesn't know the versions yet",
+            records: None,
+            is_asked_back: true,
+        },
+        Case {
+            name: "no node knows at which of two versions it began",
+            records: Some(record(&["v0", "v1"])),
+            is_asked_back: false,
+        },
+    ];
+    for case in cases {
+        let mut world = world("a", &[("0", "v1")]);
+        if let Some(event) = case.records {
+            world.step(event);
+        }
+        let (_, effects) = world.arrive(resumed(Some("c")));
+        let refusal = refusal(&effects).expect("a refusal");
+        assert_eq!(refusal.kind, RefusalKind::UnknownOrigin, "{}", case.name);
+        assert_eq!(refusal.retry_ms > 0, case.is_asked_back, "{}", case.name);
+    }
+}
+
 fn routing_with_timeout(timeout_ms: u64) -> Event {
     let mut routing = routing(2);
     let brief = routing.routes.iter_mut().find(|r| r.prefix == "/brief/");
