A call is withheld from a target that has asked for a pause since it was chosen

Between the choice of a target and the first byte lie a connection that may take 0.4 s to open and, on a slow node, any time, while only half a second is allowed after the target's answer. The relay now asks the reducer directly before the bytes go out; a call that is withheld goes elsewhere, without drawing on the retry budget, as no target got it. The same holds for a target that has said that it is leaving. The test is of the reducer's decision alone.

--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -115,7 +115,11 @@
         };
         self.release(now, id, &current);
         self.record_target_outcome(now, i, &current, &outcome, effects);
-        self.calls[i].arrivals += u32::from(outcome != DispatchOutcome::NotSent);
+        let is_sent = !matches!(
+            outcome,
+            DispatchOutcome::NotSent | DispatchOutcome::Withheld
+        );
+        self.calls[i].arrivals += u32::from(is_sent);
         match outcome {
             DispatchOutcome::Complete { status } => self.end_complete(now, i, status, effects),
             DispatchOutcome::Delivered => {
@@ -132,7 +136,9 @@
                 self.connect_failed(now, &service, &current.target, effects);
                 self.retry_or_refuse(now, i, effects);
             }
-            DispatchOutcome::Rejected { .. } | DispatchOutcome::Stalled => {
+            DispatchOutcome::Withheld
+            | DispatchOutcome::Rejected { .. }
+            | DispatchOutcome::Stalled => {
                 self.calls[i].excluded.push(current.target.clone());
                 self.retry_or_refuse(now, i, effects);
             }
@@ -325,7 +331,7 @@
                 self.part_suspects.record_completion(now, parts);
             }
             DispatchOutcome::Prefilled(_) => target.health.record_outcome(now, false),
-            DispatchOutcome::Rejected { .. } => {}
+            DispatchOutcome::Withheld | DispatchOutcome::Rejected { .. } => {}
             DispatchOutcome::NotSent | DispatchOutcome::Broken { crashed: false, .. } => {
                 target.health.record_outcome(now, true)
             }
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -41,6 +41,9 @@
     Prefilled(KvHandle),
     /// No byte was sent to the target.
     NotSent,
+    /// The target has asked for a pause or said that it is leaving since the call was assigned to it, so
+    /// that no byte was sent.
+    Withheld,
     /// The target reported that it did not run the call.
     Rejected {
         /// HTTP status.
--- a/crates/rw-gate/src/notice_flow.rs
+++ b/crates/rw-gate/src/notice_flow.rs
@@ -28,6 +28,21 @@
         }
     }
 
+    /// Whether a call that was assigned to a target may still be sent to it. A node that is slow, or a
+    /// connection that takes long to open, may leave time for a notice in between.
+    #[must_use]
+    pub fn may_send(&self, now: Millis, target: &str, incarnation: u64) -> bool {
+        let found = self.targets.find(target);
+        let current = found.filter(|t| t.spec.incarnation == incarnation);
+        !current.is_some_and(|t| {
+            let state = t.availability(now);
+            matches!(
+                state,
+                Availability::Leaving(_) | Availability::Paused { .. }
+            )
+        })
+    }
+
     /// A request that belongs to no call was sent to the target at `addr`.
     pub(crate) fn record_request(&mut self, now: Millis, addr: &str) {
         let targets = self.targets.all().iter();
--- a/crates/rw-gate/tests/delegation.rs
+++ b/crates/rw-gate/tests/delegation.rs
@@ -170,7 +170,7 @@
     let [target] = probes(&probed)[..] else {
         panic!("one probe while the service is unreachable");
     };
-    let effects = world.probed(&target.to_owned(), true);
+    let effects = world.probed(target, true);
     assert!(effects.contains(&Effect::PublishDigest));
     assert!(world.gate.unreachable_services().is_empty());
     let (_, effects) = world.arrive(request("/once/2"));
--- a/crates/rw-gate/tests/notices.rs
+++ b/crates/rw-gate/tests/notices.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    Availability, Digest, Effect, Event, GateSettings, LeavingSource, RateNotice, RefusalKind,
-    Role, TargetIncarnation, TargetNotice,
+    Availability, Digest, DispatchOutcome, Effect, Event, GateSettings, LeavingSource, RateNotice,
+    RefusalKind, Role, TargetIncarnation, TargetNotice,
 };
 use rw_types::Millis;
 use support::*;
@@ -203,6 +203,57 @@
     assert!(ends.len() > 10, "{ends:?}");
 }
 
+#[test]
+fn a_call_is_withheld_from_a_target_that_wants_none_by_the_time_it_would_be_sent() {
+    struct Case {
+        name: &'static str,
+        event: Option<Event>,
+        may_send: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing happened",
+            event: None,
+            may_send: true,
+        },
+        Case {
+            name: "it asked for a pause",
+            event: Some(pause("p1", 2_000)),
+            may_send: false,
+        },
+        Case {
+            name: "it said that it is leaving",
+            event: Some(notice("p1", 1, LEAVING)),
+            may_send: false,
+        },
+        Case {
+            name: "another target asked for a pause",
+            event: Some(pause("p2", 2_000)),
+            may_send: true,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (id, effects) = loop {
+            let (id, effects) = world.arrive(request("/once/1"));
+            if sent_to(&effects) == "p1" {
+                break (id, effects);
+            }
+            world.now += 1;
+        };
+        if let Some(event) = case.event {
+            world.step(event);
+        }
+        let sent = dispatch(&effects).expect("a dispatch");
+        let may_send = world
+            .gate
+            .may_send(Millis(world.now), &sent.target, sent.incarnation);
+        assert_eq!(may_send, case.may_send, "{}", case.name);
+        let effects = world.end(id, DispatchOutcome::Withheld);
+        assert!(!["", "p1"].contains(&sent_to(&effects)), "{}", case.name);
+    }
+}
+
 #[test]
 fn leaving_is_published_twice_and_a_pause_never() {
     let mut world = World::new();
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -56,6 +56,9 @@
             Some(Err(ConnectError::AtLimit)) => return Ok(DispatchOutcome::Rejected { status: 0 }),
             Some(Err(ConnectError::Failed)) | None => return Ok(DispatchOutcome::NotSent),
         };
+        if !self.may_send(dispatch) {
+            return Ok(DispatchOutcome::Withheld);
+        }
         progress.last_event = dispatch.resume_after;
         progress.framing = None;
         let exchange = self.exchange(call, dispatch, conn, progress);
@@ -165,6 +168,11 @@
         Ok(DispatchOutcome::Complete { status })
     }
 
+    fn may_send(&self, dispatch: &Dispatch) -> bool {
+        let gate = self.gate.borrow();
+        gate.may_send(self.clock.now(), &dispatch.target, dispatch.incarnation)
+    }
+
     /// Marks the response to a call of another node as that of the current target.
     fn note_source(&self, call: &Call, progress: &mut ResponseProgress) {
         if call.is_delegated {
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -295,6 +295,7 @@
         DispatchOutcome::Delivered => "delivered",
         DispatchOutcome::Prefilled(_) => "prefilled",
         DispatchOutcome::NotSent => "unsent",
+        DispatchOutcome::Withheld => "withheld",
         DispatchOutcome::Rejected { .. } => "declined",
         DispatchOutcome::Broken { crashed: true, .. } => "crashed",
         DispatchOutcome::Broken { .. } => "broken",
