--- a/crates/rw-cli/src/commands/load.rs
+++ b/crates/rw-cli/src/commands/load.rs
@@ -9,9 +9,9 @@
 use rw_core::Split;
 use rw_gate::RequestRate;
 use rw_load::{
-    Comparison, Deployment, EngineFault, EngineFaultKind, Experiment, Fault, Profile, RelayOptions,
-    ScheduledFault, Variant, compare, decision_cost_table, html_report, run_relay, run_sockets,
-    run_table, run_virtual,
+    Comparison, Deployment, EngineFault, EngineFaultKind, Experiment, Fault, NodeCut, Profile,
+    RelayOptions, ScheduledFault, Variant, compare, decision_cost_table, html_report, run_relay,
+    run_sockets, run_table, run_virtual,
 };
 use std::path::Path;
 
@@ -45,7 +45,7 @@
             Arg::new("fault")
                 .long("fault")
                 .action(ArgAction::Append)
-                .help("Injects a fault: SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; with --relay: SECONDS:pause=N/SECONDS or :leave=N/SECONDS or :limit=N@RATE/SECONDS; may be repeated"),
+                .help("Injects a fault: SECONDS:withdraw=N, :kill=N, :lag=MS, :table=down or :table=up; with --relay: SECONDS:pause=N/SECONDS or :leave=N/SECONDS or :limit=N@RATE/SECONDS for N engines, or :cut=N/SECONDS for N nodes that lose their links to all engines; may be repeated"),
         )
         .arg(flag_arg("compare", "Compares the baselines and 'ours', also with one feature disabled at a time"))
         .arg(flag_arg(
@@ -106,15 +106,21 @@
         },
     };
     let faults = matches.get_many::<String>("fault").unwrap_or_default();
-    let faults: Result<Vec<EngineFault>, CliError> =
-        faults.map(|text| parse_engine_fault(text)).collect();
+    let (mut engine_faults, mut cuts) = (Vec::new(), Vec::new());
+    for fault in faults {
+        match parse_relay_fault(fault)? {
+            RelayFault::Engine(fault) => engine_faults.push(fault),
+            RelayFault::Cut(cut) => cuts.push(cut),
+        }
+    }
     let decode: Option<usize> = match matches.contains_id("decode") {
         true => Some(parse(matches, "decode", "a whole number")?),
         false => None,
     };
     let options = RelayOptions {
         decode,
-        faults: faults?,
+        faults: engine_faults,
+        cuts,
         ignores_notices: matches.get_flag("ignore-notices"),
     };
     let load: f64 = parse(matches, "load", "a number")?;
@@ -295,11 +301,17 @@
     })
 }
 
-fn parse_engine_fault(text: &str) -> Result<EngineFault, CliError> {
+/// A fault of a relay simulation.
+enum RelayFault {
+    Engine(EngineFault),
+    Cut(NodeCut),
+}
+
+fn parse_relay_fault(text: &str) -> Result<RelayFault, CliError> {
     let invalid = || CliError::InvalidSetting {
         name: "--fault".to_owned(),
         value: text.to_owned(),
-        expected: "SECONDS:pause=N/SECONDS, SECONDS:leave=N/SECONDS or SECONDS:limit=N@RATE/SECONDS, with --relay",
+        expected: "SECONDS:pause=N/SECONDS, SECONDS:leave=N/SECONDS, SECONDS:limit=N@RATE/SECONDS or SECONDS:cut=N/SECONDS, with --relay",
     };
     let (at, rest) = text.split_once(':').ok_or_else(invalid)?;
     let (kind, rest) = rest.split_once('=').ok_or_else(invalid)?;
@@ -308,18 +320,34 @@
         Some((engines, rate)) => (engines, Some(RequestRate::parse(rate).ok_or_else(invalid)?)),
         None => (engines, None),
     };
+    let seconds = |text: &str| {
+        let parsed = text
+            .parse()
+            .ok()
+            .filter(|s: &f64| s.is_finite() && *s >= 0.0);
+        parsed.ok_or_else(invalid)
+    };
+    let (at_s, for_s) = (seconds(at)?, seconds(duration)?);
+    let count = engines.parse().map_err(|_| invalid())?;
     let kind = match (kind, rate) {
+        ("cut", None) => {
+            return Ok(RelayFault::Cut(NodeCut {
+                nodes: count,
+                at_s,
+                for_s,
+            }));
+        }
         ("pause", None) => EngineFaultKind::Pause,
         ("leave", None) => EngineFaultKind::Leave,
         ("limit", Some(rate)) => EngineFaultKind::Limit(rate),
         _ => return Err(invalid()),
     };
-    Ok(EngineFault {
+    Ok(RelayFault::Engine(EngineFault {
         kind,
-        engines: engines.parse().map_err(|_| invalid())?,
-        at_s: at.parse().map_err(|_| invalid())?,
-        for_s: duration.parse().map_err(|_| invalid())?,
-    })
+        engines: count,
+        at_s,
+        for_s,
+    }))
 }
 
 fn write_file(file: &str, bytes: &[u8]) -> Result<(), CliError> {
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -3,16 +3,15 @@
 use super::{
     arrivals::{self, Arrival},
     deployment::Deployment,
-    engine::{Engine, Prompt, StepResult},
-    engine_state::EngineState,
+    engine::{Engine, Prompt},
     kind_result::{RelayKindResult, RelayResult},
     limit_usage::LimitUsage,
     options::{EngineFaultKind, RelayOptions},
     routes::{HOST, ROLE_SWITCH_US, SERVICE, US_PER_MS, WARMUP_US, client_timeout_ms, routing},
 };
 use rw_gate::{
-    CallRequest, Dispatch, DispatchMode, DispatchOutcome, Effect, Event, FleetNode, Gate,
-    GateSettings, KvHandle, OrderOutcome, Prompt as RequestPrompt, Role, TargetSpec,
+    CallRequest, DispatchOutcome, Effect, Event, FleetNode, Gate, GateSettings, OrderOutcome,
+    Prompt as RequestPrompt, Role, TargetSpec,
 };
 use rw_types::{Millis, RequestId};
 use std::{
@@ -24,9 +23,9 @@
 /// Time after the last arrival for running calls to end.
 const DRAIN_US: u64 = 20_000 * US_PER_MS;
 /// One-way latency between a node and an engine or another node.
-const HOP_US: u64 = 400;
+pub(super) const HOP_US: u64 = 400;
 /// One-way latency between a caller and a node.
-const CALLER_HOP_US: u64 = 1_000;
+pub(super) const CALLER_HOP_US: u64 = 1_000;
 /// Minimum interval between digests of a node.
 const DIGEST_INTERVAL_US: u64 = 50 * US_PER_MS;
 /// Number of nodes that a digest is sent to.
@@ -38,7 +37,7 @@
 const MODEL: &str = "m";
 
 /// An event scheduled at a point in virtual time.
-enum SimEvent {
+pub(super) enum SimEvent {
     Arrive { arrival: usize, retry: bool },
     NodeEvent { node: usize, event: Box<Event> },
     Submit { engine: usize, prompt: Prompt },
@@ -48,35 +47,46 @@
     EngineGone(usize),
     ExchangeDigest(usize),
     Tick(usize),
+    CutBegins(usize),
 }
 
 /// One attempt of a caller; a retry is a call of its own.
 pub(super) struct Call {
-    arrival: usize,
-    node: usize,
+    pub(super) arrival: usize,
+    /// Node that the caller reached.
+    pub(super) node: usize,
+    /// Node that this one has passed the call to.
+    pub(super) delegate: Option<usize>,
     retry: bool,
     /// Time of its arrival or of its latest event, in microseconds.
-    last_event_us: u64,
+    pub(super) last_event_us: u64,
     pub(super) started: bool,
     /// Whether an event exceeded the latency objective or the maximum pause.
-    late: bool,
+    pub(super) late: bool,
     pub(super) ended: bool,
     /// Engine of its latest dispatch.
     pub(super) engine: Option<usize>,
 }
 
+impl Call {
+    /// Node that sends the call to engines.
+    pub(super) fn runs_at(&self) -> usize {
+        self.delegate.unwrap_or(self.node)
+    }
+}
+
 pub(super) struct Simulation<'a> {
-    deployment: &'a Deployment,
-    arrivals: Vec<Arrival>,
+    pub(super) deployment: &'a Deployment,
+    pub(super) arrivals: Vec<Arrival>,
     pub(super) now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, SimEvent>,
     next_key: u64,
-    nodes: Vec<Gate>,
+    pub(super) nodes: Vec<Gate>,
     pub(super) options: &'a RelayOptions,
     pub(super) engines: Vec<Engine>,
     pub(super) calls: Vec<Call>,
-    result: RelayResult,
+    pub(super) result: RelayResult,
     /// Requests to engines that have named a limit.
     pub(super) limit_usage: LimitUsage,
 }
@@ -179,6 +189,9 @@
                 self.schedule(fault.end_us(), SimEvent::EngineGone(engine));
             }
         }
+        for i in 0..self.options.cuts.len() {
+            self.schedule(self.options.cuts[i].start_us(), SimEvent::CutBegins(i));
+        }
         for i in 0..self.arrivals.len() {
             let at = WARMUP_US + self.arrivals[i].at_us;
             self.schedule(
@@ -206,7 +219,7 @@
         }
     }
 
-    fn schedule(&mut self, at: u64, event: SimEvent) {
+    pub(super) fn schedule(&mut self, at: u64, event: SimEvent) {
         self.next_key += 1;
         self.events.insert(self.next_key, event);
         self.queue.push(Reverse((at, self.next_key)));
@@ -222,6 +235,7 @@
             SimEvent::CheckTimeout(call) => self.check_timeout(call),
             SimEvent::EngineGone(engine) => self.stop_engine(engine),
             SimEvent::ExchangeDigest(node) => self.exchange_digest(node),
+            SimEvent::CutBegins(cut) => self.begin_cut(cut),
             SimEvent::Tick(node) => {
                 self.schedule(self.now + TICK_INTERVAL_US, SimEvent::Tick(node));
                 self.step_node(node, Event::Tick);
@@ -240,7 +254,7 @@
         }
     }
 
-    fn send_event(&mut self, node: usize, event: Event) {
+    pub(super) fn send_event(&mut self, node: usize, event: Event) {
         let event = Box::new(event);
         self.schedule(self.now + HOP_US, SimEvent::NodeEvent { node, event });
     }
@@ -271,34 +285,20 @@
 
     fn arrive(&mut self, arrival: usize, retry: bool) {
         let a = &self.arrivals[arrival];
-        let kind = &self.deployment.kinds[a.kind];
         if !retry {
             self.result.kinds[a.kind].sent += 1;
             self.result.kinds[a.kind].longest_sent += u64::from(a.is_longest);
+            self.count_in_cut(arrival, |group| group.sent += 1);
         }
+        let a = &self.arrivals[arrival];
         // A retry goes to another node.
         let node = (a.node + usize::from(retry)) % self.nodes.len();
-        let elapsed_ms = self.now.saturating_sub(WARMUP_US + a.at_us) / US_PER_MS;
-        let request = CallRequest {
-            call_id: format!("{arrival}-{retry}"),
-            host: HOST.to_owned(),
-            path: format!("/{}/1", kind.name),
-            fingerprint: arrival as u64 + 1,
-            deadline_ms: Some(kind.deadline_ms.saturating_sub(elapsed_ms)),
-            last_event: None,
-            resumes: None,
-            prompt: Some(RequestPrompt {
-                model: MODEL.to_owned(),
-                tokens: a.tokens(),
-                max_output: a.events * self.deployment.engine.event_tokens,
-                parts: a.parts.clone(),
-            }),
-            delegated: None,
-        };
+        let request = self.request(arrival, retry);
         let id = RequestId(self.calls.len() as u64);
         self.calls.push(Call {
             arrival,
             node,
+            delegate: None,
             retry,
             last_event_us: self.now,
             started: false,
@@ -314,6 +314,29 @@
         );
     }
 
+    /// The request of an arrival as it is sent now.
+    pub(super) fn request(&self, arrival: usize, retry: bool) -> CallRequest {
+        let a = &self.arrivals[arrival];
+        let kind = &self.deployment.kinds[a.kind];
+        let elapsed_ms = self.now.saturating_sub(WARMUP_US + a.at_us) / US_PER_MS;
+        CallRequest {
+            call_id: format!("{arrival}-{retry}"),
+            host: HOST.to_owned(),
+            path: format!("/{}/1", kind.name),
+            fingerprint: arrival as u64 + 1,
+            deadline_ms: Some(kind.deadline_ms.saturating_sub(elapsed_ms)),
+            last_event: None,
+            resumes: None,
+            prompt: Some(RequestPrompt {
+                model: MODEL.to_owned(),
+                tokens: a.tokens(),
+                max_output: a.events * self.deployment.engine.event_tokens,
+                parts: a.parts.clone(),
+            }),
+            delegated: None,
+        }
+    }
+
     /// Disconnects the caller if its timeout has passed, else schedules a check at the new timeout.
     fn check_timeout(&mut self, call: usize) {
         let c = &self.calls[call];
@@ -331,17 +354,25 @@
         if let Some(engine) = c.engine {
             self.engines[engine].cancel(call);
         }
-        let node = c.node;
+        let nodes = [Some(c.node), c.delegate];
         self.calls[call].ended = true;
         self.result.kinds[self.arrivals[self.calls[call].arrival].kind].failed += 1;
         let id = RequestId(call as u64);
-        self.step_node(node, Event::CallerDisconnected { id });
+        for node in nodes.into_iter().flatten() {
+            self.step_node(node, Event::CallerDisconnected { id });
+        }
     }
 
     fn perform(&mut self, node: usize, effect: Effect) {
         match effect {
+            Effect::Dispatch { id, .. } if self.is_cut(node) => self.connect_in_vain(node, id),
             Effect::Dispatch { id, dispatch } => self.dispatch(id.0 as usize, &dispatch),
+            Effect::Refuse { id, refusal } if self.calls[id.0 as usize].delegate == Some(node) => {
+                self.refuse_delegated(id.0 as usize, refusal);
+            }
             Effect::Refuse { id, refusal } => self.refuse(id.0 as usize, refusal.retry_ms),
+            Effect::Delegate { id, delegation } => self.delegate(id.0 as usize, &delegation),
+            Effect::ProbeTarget(target) => self.probe(node, target),
             Effect::AcquireLease => self.send_event(node, Event::LeaseResult(Some(self.now))),
             Effect::Order { target, .. } if self.options.decode.is_some() => {
                 let outcome = OrderOutcome::Refused;
@@ -359,13 +390,11 @@
             Effect::Deliver { .. }
             | Effect::ReleaseHandle(_)
             | Effect::PublishDigest
-            | Effect::RecordVersions(_)
-            | Effect::Delegate { .. }
-            | Effect::ProbeTarget(_) => {}
+            | Effect::RecordVersions(_) => {}
         }
     }
 
-    fn index(&self, target: &str) -> usize {
+    pub(super) fn index(&self, target: &str) -> usize {
         let number = target.trim_start_matches('e').parse().unwrap_or(0);
         usize::min(number, self.engines.len() - 1)
     }
@@ -395,120 +424,10 @@
         }
     }
 
-    fn dispatch(&mut self, call: usize, dispatch: &Dispatch) {
-        let engine = self.index(&dispatch.target);
-        self.calls[call].engine = Some(engine);
-        let a = &self.arrivals[self.calls[call].arrival];
-        let parts = a.parts.clone();
-        let tokens = u64::from(a.tokens());
-        let output = a.events * self.deployment.engine.event_tokens;
-        let local = self.engines[engine].cache.cached_tokens(&parts);
-        let mut at = self.now + HOP_US;
-        let context = match (&dispatch.mode, &dispatch.fetch_from) {
-            (DispatchMode::Decode(_), _) => {
-                at = self.engines[engine].transfer(at, tokens);
-                tokens - 1
-            }
-            (_, Some(from)) => {
-                let from = from.trim_end_matches(":1").parse().unwrap_or(engine);
-                let remote = self.engines[from].cache.cached_tokens(&parts);
-                if remote > local {
-                    at = self.engines[engine].transfer(at, remote - local);
-                }
-                remote.max(local)
-            }
-            (_, None) => local,
-        };
-        let context = context.min(tokens - 1);
-        let prompt = Prompt {
-            call,
-            priority: dispatch.priority,
-            parts,
-            remaining: tokens - context,
-            context,
-            output: (dispatch.mode != DispatchMode::Prefill).then_some(output),
-            started: false,
-            imported: matches!(dispatch.mode, DispatchMode::Decode(_)),
-        };
-        self.schedule(at, SimEvent::Submit { engine, prompt });
-    }
-
-    fn submit(&mut self, engine: usize, prompt: Prompt) {
-        let call = prompt.call;
-        if self.calls[call].ended {
-            return;
-        }
-        self.count_request(engine);
-        match self.engine_state(engine) {
-            EngineState::Gone => self.end_dispatch(call, DispatchOutcome::NotSent),
-            EngineState::Pausing { left_ms } => {
-                self.notice(engine, call, Some(left_ms));
-                self.end_dispatch(call, DispatchOutcome::Rejected { status: 503 });
-            }
-            EngineState::Open | EngineState::Leaving => {
-                self.engines[engine].submit(prompt);
-                self.start_step(engine);
-            }
-        }
-    }
-
     pub(super) fn end_dispatch(&mut self, call: usize, outcome: DispatchOutcome) {
         self.send_event_after(0, call, |id| Event::DispatchEnded { id, outcome });
     }
 
-    fn start_step(&mut self, engine: usize) {
-        if let Some(us) = self.engines[engine].start_step() {
-            self.schedule(self.now + us.max(1), SimEvent::EndStep(engine));
-        }
-    }
-
-    fn end_step(&mut self, engine: usize) {
-        let now = self.millis();
-        for result in self.engines[engine].end_step(now) {
-            self.handle_result(engine, result);
-        }
-        self.start_step(engine);
-    }
-
-    fn handle_result(&mut self, engine: usize, result: StepResult) {
-        if let StepResult::Prefilled(call) | StepResult::First { call, .. } = result {
-            self.notice(engine, call, None);
-        }
-        match result {
-            StepResult::Prefilled(call) => {
-                let handle = KvHandle {
-                    addr: format!("{engine}:1"),
-                    name: call.to_string(),
-                };
-                self.send_event_after(self.first_token_us(), call, |id| Event::DispatchEnded {
-                    id,
-                    outcome: DispatchOutcome::Prefilled(handle),
-                });
-            }
-            StepResult::First { call, imported } => {
-                let after = if imported { 0 } else { self.first_token_us() };
-                let load = Some(self.engines[engine].load());
-                self.send_event_after(after, call, |id| Event::ResponseStarted { id, load });
-                self.event_received(call, after);
-                self.send_event_after(after, call, |id| Event::FirstEvent { id });
-            }
-            StepResult::Event(call) => self.event_received(call, 0),
-            StepResult::Last(call) => {
-                self.event_received(call, 0);
-                self.record_completed(call);
-                self.send_event_after(0, call, |id| Event::DispatchEnded {
-                    id,
-                    outcome: DispatchOutcome::Delivered,
-                });
-            }
-        }
-    }
-
-    /// Time between the end of a prompt's prefill and its first token, in microseconds.
-    fn first_token_us(&self) -> u64 {
-        (self.deployment.engine.first_token_ms * US_PER_MS as f64) as u64
-    }
-
     pub(super) fn send_event_after(
         &mut self,
         us: u64,
@@ -516,47 +435,10 @@
         event: impl FnOnce(RequestId) -> Event,
     ) {
         let event = Box::new(event(RequestId(call as u64)));
-        let node = self.calls[call].node;
+        let node = self.calls[call].runs_at();
         self.schedule(self.now + us + HOP_US, SimEvent::NodeEvent { node, event });
     }
 
-    /// Records that the engine sends an event to the caller, `after` microseconds from now.
-    fn event_received(&mut self, call: usize, after: u64) {
-        let arrived = WARMUP_US + self.arrivals[self.calls[call].arrival].at_us;
-        let kind = &self.deployment.kinds[self.arrivals[self.calls[call].arrival].kind];
-        let hops_us = HOP_US + CALLER_HOP_US;
-        let c = &mut self.calls[call];
-        if c.started {
-            // The first event is delayed, so the next may be generated before the first one is
-            // sent.
-            let at = self.now.max(c.last_event_us);
-            c.late |= at - c.last_event_us > kind.max_gap_ms * US_PER_MS;
-            c.last_event_us = at;
-        } else {
-            let latency_us = self.now + after + hops_us - arrived;
-            c.started = true;
-            c.late = latency_us > kind.objective_ms * US_PER_MS;
-            c.last_event_us = self.now + after;
-            let kind = self.arrivals[c.arrival].kind;
-            self.result.kinds[kind]
-                .first_event_ms
-                .push(latency_us / US_PER_MS);
-        }
-    }
-
-    fn record_completed(&mut self, call: usize) {
-        let c = &mut self.calls[call];
-        c.ended = true;
-        let arrival = &self.arrivals[c.arrival];
-        let result = &mut self.result.kinds[arrival.kind];
-        result.longest_served += u64::from(arrival.is_longest);
-        if c.late {
-            result.late += 1;
-        } else {
-            result.on_time += 1;
-        }
-    }
-
     fn finish(mut self) -> RelayResult {
         for kind in &mut self.result.kinds {
             kind.first_event_ms.sort_unstable();
--- a/crates/rw-load/src/relay/kind_result.rs
+++ b/crates/rw-load/src/relay/kind_result.rs
@@ -53,6 +53,39 @@
     }
 }
 
+/// Calls that arrived at a group of nodes during a cut, after the time in which nodes must notice it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CutGroup {
+    /// Calls sent; a caller's retry is not counted again.
+    pub sent: u64,
+    /// Complete responses on time.
+    pub on_time: u64,
+    /// Complete responses that were late.
+    pub late: u64,
+}
+
+impl CutGroup {
+    /// Counts a complete response.
+    pub(super) fn record(&mut self, is_late: bool) {
+        match is_late {
+            true => self.late += 1,
+            false => self.on_time += 1,
+        }
+    }
+
+    /// Fraction of the calls with a complete response.
+    #[must_use]
+    pub fn served_ratio(&self) -> f64 {
+        (self.on_time + self.late) as f64 / self.sent.max(1) as f64
+    }
+
+    /// Fraction of the calls with a complete response on time.
+    #[must_use]
+    pub fn on_time_ratio(&self) -> f64 {
+        self.on_time as f64 / self.sent.max(1) as f64
+    }
+}
+
 /// Results of one relay run.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RelayResult {
@@ -67,6 +100,10 @@
     /// Most requests in any 4 s to an engine that named a rate limit, as a fraction of what the limit
     /// allows; `None` if none did.
     pub limit_ratio: Option<f64>,
+    /// Calls at nodes that were cut from all engines.
+    pub cut_nodes: CutGroup,
+    /// Calls at the other nodes meanwhile.
+    pub other_nodes: CutGroup,
 }
 
 impl RelayResult {
@@ -106,6 +143,15 @@
             "prompt tokens: {} filled, {} kept; engines that decode: {}",
             self.prefilled_tokens, self.cached_tokens, self.decode_engines
         )?;
+        if self.cut_nodes.sent > 0 {
+            for (name, group) in [("cut", &self.cut_nodes), ("other", &self.other_nodes)] {
+                let (served, on_time) = (group.served_ratio(), group.on_time_ratio());
+                write!(
+                    f,
+                    "; at {name} nodes {served:.3} served, {on_time:.3} on time"
+                )?;
+            }
+        }
         match self.limit_ratio {
             Some(ratio) => write!(f, "; worst 4 s against a rate limit: {ratio:.2}"),
             None => Ok(()),
--- a/crates/rw-load/src/relay/options.rs
+++ b/crates/rw-load/src/relay/options.rs
@@ -44,6 +44,29 @@
     }
 }
 
+/// The first nodes of the deployment lose their links to all engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NodeCut {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Start in seconds from the first call.
+    pub at_s: f64,
+    /// Duration in seconds.
+    pub for_s: f64,
+}
+
+impl NodeCut {
+    /// Start in microseconds of the simulation.
+    pub(super) fn start_us(&self) -> u64 {
+        WARMUP_US + (self.at_s * 1e6) as u64
+    }
+
+    /// End in microseconds of the simulation.
+    pub(super) fn end_us(&self) -> u64 {
+        self.start_us() + (self.for_s * 1e6) as u64
+    }
+}
+
 /// What a simulation does beside the load.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RelayOptions {
@@ -52,6 +75,8 @@
     pub decode: Option<usize>,
     /// Faults of engines.
     pub faults: Vec<EngineFault>,
+    /// Cuts of nodes from all engines.
+    pub cuts: Vec<NodeCut>,
     /// Whether nodes ignore what engines say about themselves.
     pub ignores_notices: bool,
 }
--- a/crates/rw-load/tests/relay.rs
+++ b/crates/rw-load/tests/relay.rs
@@ -2,7 +2,8 @@
 
 use rw_gate::RequestRate;
 use rw_load::{
-    Deployment, EngineFault, EngineFaultKind, RelayOptions, RelayResult, SheetError, run_relay,
+    Deployment, EngineFault, EngineFaultKind, NodeCut, RelayOptions, RelayResult, SheetError,
+    run_relay,
 };
 
 /// Maximum by which the served fraction of a kind may be below that of a less urgent kind.
@@ -209,3 +210,55 @@
     assert!(ignored > 1.0, "{honoured} with, {ignored} without");
     assert!(honoured > 0.0);
 }
+
+#[test]
+fn callers_of_nodes_that_are_cut_from_all_engines_are_served_like_the_others() {
+    struct Case {
+        name: &'static str,
+        nodes: usize,
+        cut: usize,
+    }
+    let cases = [
+        Case {
+            name: "a sixth",
+            nodes: 6,
+            cut: 1,
+        },
+        Case {
+            name: "half",
+            nodes: 6,
+            cut: 3,
+        },
+        Case {
+            name: "all but one",
+            nodes: 6,
+            cut: 5,
+        },
+        Case {
+            name: "half of a large fleet",
+            nodes: 71,
+            cut: 35,
+        },
+    ];
+    for case in cases {
+        let deployment = Deployment {
+            nodes: case.nodes,
+            ..Deployment::khabar_saar()
+        };
+        let cut = NodeCut {
+            nodes: case.cut,
+            at_s: 4.0,
+            for_s: 10.0,
+        };
+        let options = RelayOptions {
+            cuts: vec![cut],
+            ..RelayOptions::default()
+        };
+        let result = run_relay(&deployment, 0.6, 16.0, 1, &options);
+        let (cut, other) = (result.cut_nodes, result.other_nodes);
+        assert!(cut.sent > 20 && other.sent > 20, "{}: {result}", case.name);
+        // The rule: served two thirds as often, at least.
+        let is_served = cut.served_ratio() * 3.0 >= other.served_ratio() * 2.0;
+        assert!(is_served, "{}: {result}", case.name);
+    }
+}
