A probe of a target opens a new connection

A probe took an idle connection to the target if there was one, so that links over which nothing new could be opened counted as reached, and a crash was believed with a witness that could not be connected to. Found by reading; the test of cut links failed with it (7 probes reached a target over links that had been reset).

--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -93,9 +93,18 @@
         incarnation: u64,
         limit: u32,
     ) -> Result<TargetConnection, ConnectError> {
-        if let Some(conn) = self.take_idle(addr, incarnation) {
-            return Ok(conn);
+        match self.take_idle(addr, incarnation) {
+            Some(conn) => Ok(conn),
+            None => self.open(addr, incarnation, limit).await,
         }
+    }
+
+    async fn open(
+        &self,
+        addr: SocketAddr,
+        incarnation: u64,
+        limit: u32,
+    ) -> Result<TargetConnection, ConnectError> {
         let count = self.open_count(addr);
         if count.get() >= limit {
             return Err(ConnectError::AtLimit);
@@ -115,9 +124,9 @@
         }
     }
 
-    /// Opens a connection, and keeps it for a later call; false if that is not possible.
+    /// Opens a new connection, and keeps it for a later call; false if that is not possible.
     pub(crate) async fn probe(&self, addr: SocketAddr, incarnation: u64) -> bool {
-        let opened = self.acquire(addr, incarnation, u32::MAX).await;
+        let opened = self.open(addr, incarnation, u32::MAX).await;
         let is_open = opened.is_ok();
         if let Ok(conn) = opened {
             self.release(conn, None);
