A delegate with an older configuration than the passing node refuses the call

It would have handled the call as an older version allows, at worst one that cannot reach the store, long after the caller's node had a newer one in force. The call carries the version; the refusal sends it to another node.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -52,7 +52,9 @@
         request: CallRequest,
     ) -> Result<CallState, Refusal> {
         let routing = self.routing.clone();
-        if routing.version == 0 {
+        // A node that passes a call on may know a newer configuration.
+        let needed = request.delegated.as_ref().map_or(1, |d| d.version.max(1));
+        if routing.version < needed {
             return Err(self.refusal(RefusalKind::NotReady, self.settings.retry_ms));
         }
         let Some(route) = routing.find_route(&request.host, &request.path) else {
--- a/crates/rw-gate/src/delegation/delegation_flow.rs
+++ b/crates/rw-gate/src/delegation/delegation_flow.rs
@@ -50,6 +50,7 @@
             call: DelegatedCall {
                 service: call.service.clone(),
                 left_ms: call.left_ms(now),
+                version: self.routing.version,
                 is_counted,
                 runs: call.runs,
                 software: call.software,
--- a/crates/rw-gate/src/delegation/messages.rs
+++ b/crates/rw-gate/src/delegation/messages.rs
@@ -19,6 +19,9 @@
     pub service: String,
     /// Milliseconds until the deadline of the call.
     pub left_ms: u64,
+    /// Version of the configuration that the call was admitted under.
+    #[serde(default)]
+    pub version: u64,
     /// Whether it counts as a call in another node's part of the retry budget.
     #[serde(default)]
     pub is_counted: bool,
--- a/crates/rw-gate/tests/delegation.rs
+++ b/crates/rw-gate/tests/delegation.rs
@@ -240,6 +240,7 @@
     DelegatedCall {
         service: service.to_owned(),
         left_ms: 2_000,
+        version: 1,
         is_counted: false,
         runs: 0,
         software: None,
@@ -381,6 +382,23 @@
     }
 }
 
+#[test]
+fn a_delegate_with_an_older_configuration_refuses_the_call() {
+    for (version, is_run) in [(0, true), (1, true), (2, false)] {
+        let mut world = World::with_nodes(2);
+        let (_, effects) = world.arrive(CallRequest {
+            delegated: Some(DelegatedCall {
+                version,
+                ..delegated_call(PLAIN)
+            }),
+            ..request("/once/1")
+        });
+        assert_eq!(dispatch(&effects).is_some(), is_run, "version {version}");
+        let expected = (!is_run).then_some(RefusalKind::NotReady);
+        assert_eq!(refused(&effects), expected, "version {version}");
+    }
+}
+
 #[test]
 fn a_call_that_hangs_on_its_way_to_targets_ends_at_another_node() {
     let mut world = World::with_nodes(3);
