--- a/crates/rw-relay/src/delegation/receive.rs
+++ b/crates/rw-relay/src/delegation/receive.rs
@@ -16,8 +16,9 @@
 
 /// Size by which the head of a delegated call may exceed the limit for callers.
 pub(crate) const EXTRA_HEADER_BYTES: usize = 1_024;
-/// Fraction of the connections for callers that calls of other nodes may use as well.
-const DELEGATED_FRACTION: usize = 2;
+/// Number of caller connections for each delegated call that may be open, so that most of a node's room
+/// stays with its own callers.
+const CONNECTIONS_PER_DELEGATED: usize = 2;
 /// Retry time in a refusal of a node that has no room, in milliseconds.
 const CAPACITY_RETRY_MS: u64 = 500;
 /// Pause after a failed accept, which is usually due to a lack of file descriptors.
@@ -80,7 +81,7 @@
 
     /// Why this node can't take a call of another one now, if it can't.
     fn delegated_refusal(&self) -> Option<Refusal> {
-        let room = self.max_connections.get() / DELEGATED_FRACTION;
+        let room = self.max_connections.get() / CONNECTIONS_PER_DELEGATED;
         let (kind, retry_ms) = if self.stopping.get() {
             (RefusalKind::ShuttingDown, 0)
         } else if !self.is_ready() {
