--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -20,6 +20,11 @@
 
 /// Writes `op/config` as the operator does, with routes, times and limits of ogulauki-picks.
 pub fn configure(store: &Store, version: u64, slots: u32) -> bool {
+    configure_with(store, version, slots, "")
+}
+
+/// The same with further fields.
+pub fn configure_with(store: &Store, version: u64, slots: u32, fields: &str) -> bool {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, rest: &str| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"service\":\"{service}\",{rest}}}"
@@ -36,7 +41,7 @@
         "{{\"name\":\"{LLM}\",\"health-check-path\":\"/health\",\"max-connections\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":{slots},\"kv-cache-tokens\":462764,\"kv-token-bytes\":18432,\"link-mbps\":370000.0,\"moves\":true,\"backups\":true,\"stride\":8,\"most\":12,\"handle-ttl-s\":5.0,\"stage-switch-s\":3.0,\"pin-ms\":4000.0,\"hold-ms\":2000.0,\"models\":[{{\"name\":\"m\"}}]}}}},{{\"name\":\"{PLAIN}\",\"health-check-path\":\"/health\",\"max-connections\":110,\"protocol\":\"h1\",\"tls\":false}}"
     );
     let body = format!(
-        "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{services}],\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}}}"
+        "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{services}],\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}{fields}}}"
     );
     store.put("op", "config", &body)
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod link;
+mod missed_config;
 mod node;
 mod record;
 mod resumed_stream;
@@ -74,6 +75,7 @@
     let broken = match case.as_str() {
         "drill" => drill::run(&run),
         "early-answer" => early_answer::run(&run),
+        "missed-config" => missed_config::run(&run),
         "resumed-stream" => resumed_stream::run(&run),
         "spliced-answer" => spliced_answer::run(&run),
         _ => run.cannot("no such case"),
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -52,13 +52,18 @@
     /// Starts a node with the settings of the template for a small deployment. Its log goes to the
     /// temporary folder `dir`.
     pub fn start(name: &str, store: &Store, dir: &Path) -> Self {
+        Self::start_with(name, store, dir, "")
+    }
+
+    /// The same with further lines in the settings.
+    pub fn start_with(name: &str, store: &Store, dir: &Path, lines: &str) -> Self {
         let [front, ready, control, digests, metrics] = [(); 5].map(|()| free_addr());
         let settings = format!(
             "vm = \"{name}\"\ncentre = \"vidzeme-a\"\nfront = \"{front}\"\nready = \"{ready}\"\n\
              control = \"{control}\"\ndigests = \"{digests}\"\nmetrics = \"{metrics}\"\n\
              seeds = [\"{control}\"]\nstore = \"{}\"\ndescriptors = 4100\nlink-mbps = 1000.0\n\
              grace-s = 8\ndrain-ms = 2000\nretry-ratio = 0.2\nretry-slack = 58\nretry-window-s = 10\n\
-             duties.address = \"\"\nduties.rate-per-s = \"\"\nduties.names = \"\"\n\
+             {lines}duties.address = \"\"\nduties.rate-per-s = \"\"\nduties.names = \"\"\n\
              duties.duties-per-s = \"\"\nduties.require-fencing = \"false\"\n\
              duties.report-window-s = \"\"\nduties.usage-late-s = \"\"\n",
             store.addr
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -48,7 +48,33 @@
     copies: Vec<(Instant, Tables)>,
     era: u64,
     away: bool,
+    /// Set if the store is away without a sign: connections stay open, and nothing is answered.
+    silent: bool,
+    /// Number of times that the store went away without a sign. What was pending then is never
+    /// answered, and its connection delivers nothing further.
+    losses: u64,
     open: Vec<TcpStream>,
+    /// Table, wait in milliseconds and time of each feed call.
+    feeds: Vec<(String, u64, Instant)>,
+}
+
+/// What becomes of a call.
+enum Answer {
+    Reply(u16, String),
+    /// The connection ends.
+    Close,
+    /// No answer, and the connection delivers nothing further.
+    Never,
+}
+
+impl State {
+    /// What becomes of a call while the store is away.
+    fn no_answer(&self) -> Answer {
+        match self.silent {
+            true => Answer::Never,
+            false => Answer::Close,
+        }
+    }
 }
 
 #[derive(Clone)]
@@ -75,7 +101,7 @@
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
                 let mut state = store.state.0.lock().expect("the store");
-                if state.away {
+                if state.away && !state.silent {
                     continue;
                 }
                 state.open.push(stream.try_clone().expect("a handle"));
@@ -124,6 +150,32 @@
         record!("store: away at version {}", state.tables.version);
     }
 
+    /// The store goes away without a sign.
+    pub fn fall_silent(&self) {
+        let mut state = self.state.0.lock().expect("the store");
+        state.away = true;
+        state.silent = true;
+        state.losses += 1;
+        self.state.1.notify_all();
+        record!("store: silent at version {}", state.tables.version);
+    }
+
+    /// Waits until the system has just begun a feed call for `table` that may wait for `wait_ms` or
+    /// more; false if none comes within `limit`.
+    pub fn wait_feed(&self, table: &str, wait_ms: u64, limit: Duration) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            let state = self.state.0.lock().expect("the store");
+            let mut feeds = state.feeds.iter();
+            if feeds.any(|(t, wait, at)| t == table && *wait >= wait_ms && *at >= start) {
+                return true;
+            }
+            drop(state);
+            thread::sleep(Duration::from_millis(2));
+        }
+        false
+    }
+
     /// The store comes back, from a copy that is `age` old if that is given.
     pub fn come_back(&self, age: Option<Duration>) {
         let mut state = self.state.0.lock().expect("the store");
@@ -148,8 +200,14 @@
             let Ok(body) = conn.read_body(&head) else {
                 return;
             };
-            let Some((status, text)) = self.answer(&head, &body) else {
-                return;
+            let (status, text) = match self.answer(&head, &body) {
+                Answer::Reply(status, text) => (status, text),
+                Answer::Close => return,
+                Answer::Never => {
+                    // Until the other side gives up.
+                    while conn.read_some(1 << 10).is_ok() {}
+                    return;
+                }
             };
             let era = self.state.0.lock().expect("the store").era;
             let response = format!(
@@ -162,20 +220,19 @@
         }
     }
 
-    /// Status and body; `None` if the store is away.
-    fn answer(&self, head: &Head, body: &[u8]) -> Option<(u16, String)> {
+    fn answer(&self, head: &Head, body: &[u8]) -> Answer {
         match (head.method(), head.path()) {
             ("POST", "/redwingweir/rows-tx") => self.transact(&String::from_utf8_lossy(body)),
             ("GET", "/redwingweir/rows-get") => self.read(head),
             ("GET", "/redwingweir/rows-feed") => self.feed(head),
-            _ => Some((404, "{}".to_owned())),
+            _ => Answer::Reply(404, "{}".to_owned()),
         }
     }
 
-    fn transact(&self, body: &str) -> Option<(u16, String)> {
+    fn transact(&self, body: &str) -> Answer {
         thread::sleep(TRANSACTION);
         let Some(body) = Json::parse(body) else {
-            return Some((400, "{}".to_owned()));
+            return Answer::Reply(400, "{}".to_owned());
         };
         let key = |row: &Json| {
             (
@@ -185,14 +242,14 @@
         };
         let mut state = self.state.0.lock().expect("the store");
         if state.away {
-            return None;
+            return state.no_answer();
         }
         let holds = body.get("expected-revision").list().iter().all(|row| {
             let version = state.tables.rows.get(&key(row)).map_or(0, |r| r.1);
             row.get("row-version").number() == Some(version)
         });
         if !holds {
-            return Some((412, format!("{{\"rows\":[],{}}}", self.tail(&state.tables))));
+            return Answer::Reply(412, format!("{{\"rows\":[],{}}}", self.tail(&state.tables)));
         }
         let puts = body.get("puts").list().iter();
         let puts = puts.map(|r| (key(r), Some(r.get("value").text().to_owned())));
@@ -208,28 +265,23 @@
         let copy = (Instant::now(), state.tables.clone());
         state.copies.push(copy);
         self.state.1.notify_all();
-        Some((200, format!("{{{}}}", self.tail(&state.tables))))
+        Answer::Reply(200, format!("{{{}}}", self.tail(&state.tables)))
     }
 
-    fn read(&self, head: &Head) -> Option<(u16, String)> {
+    fn read(&self, head: &Head) -> Answer {
         let table = head.query("table").unwrap_or_default();
         let state = self.state.0.lock().expect("the store");
         if state.away {
-            return None;
+            return state.no_answer();
         }
         let rows = state.tables.rows.iter().filter(|((t, _), _)| t == table);
         let rows = rows.map(|((t, k), (value, version))| row_json(t, k, Some(value), *version));
         let rows = rows.collect::<Vec<_>>().join(",");
-        Some((
-            200,
-            format!(
-                "{{\"rows\":[{rows}],\"has-more\":false,{}}}",
-                self.tail(&state.tables)
-            ),
-        ))
+        let tail = self.tail(&state.tables);
+        Answer::Reply(200, format!("{{\"rows\":[{rows}],\"has-more\":false,{tail}}}"))
     }
 
-    fn feed(&self, head: &Head) -> Option<(u16, String)> {
+    fn feed(&self, head: &Head) -> Answer {
         let table = head.query("table").unwrap_or_default();
         let after: u64 = head
             .query("after")
@@ -241,13 +293,17 @@
             .unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state.0.lock().expect("the store");
-        let era = state.era;
+        state.feeds.push((table.to_owned(), wait, Instant::now()));
+        let (era, losses) = (state.era, state.losses);
         loop {
+            if state.losses != losses {
+                return Answer::Never;
+            }
             if state.away || state.era != era {
-                return None;
+                return state.no_answer();
             }
             if after > state.tables.version {
-                return Some((410, "{}".to_owned()));
+                return Answer::Reply(410, "{}".to_owned());
             }
             let log = state.tables.log.iter();
             let news = log.filter(|(version, (t, _), _)| *version > after && t == table);
@@ -257,10 +313,8 @@
             let left = until.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
                 let rows = rows.join(",");
-                return Some((
-                    200,
-                    format!("{{\"rows\":[{rows}],{}}}", self.tail(&state.tables)),
-                ));
+                let tail = self.tail(&state.tables);
+                return Answer::Reply(200, format!("{{\"rows\":[{rows}],{tail}}}"));
             }
             state = self.state.1.wait_timeout(state, left).expect("the store").0;
         }
