Review: cases in their order, with a node that hangs on bytes without end

Case 1 is new: one answer of one runner, whose trailer lines never end, keeps a node from all other work.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,8 +3,10 @@
 //! `standin CASE DIR` plays a case and writes `DIR/record.txt`. It exits with 1 if the rule was broken,
 //! 0 if it held, and 2 if the case couldn't run.
 
+mod body_burst;
 mod drill;
 mod early_answer;
+mod endless_body;
 mod fleet;
 mod http;
 mod json;
@@ -73,8 +75,10 @@
         end(2);
     });
     let broken = match case.as_str() {
+        "body-burst" => body_burst::run(&run),
         "drill" => drill::run(&run),
         "early-answer" => early_answer::run(&run),
+        "endless-body" => endless_body::run(&run),
         "missed-config" => missed_config::run(&run),
         "resumed-stream" => resumed_stream::run(&run),
         "spliced-answer" => spliced_answer::run(&run),
--- a/review/standins/missed_config.rs
+++ b/review/standins/missed_config.rs
@@ -34,7 +34,11 @@
 const LOST_KEY: &str = "k-9e21c77b";
 
 fn tenants(with_key: bool) -> String {
-    let lost = if with_key { format!("\"{LOST_KEY}\"") } else { String::new() };
+    let lost = if with_key {
+        format!("\"{LOST_KEY}\"")
+    } else {
+        String::new()
+    };
     format!(
         ",\"tenants\":[{{\"name\":\"fida11\",\"api-keys\":[\"{KEPT_KEY}\"]}},{{\"name\":\"hule930\",\"api-keys\":[{lost}]}}]"
     )
@@ -71,11 +75,20 @@
                 return true;
             }
             let id = head.call_id().to_owned();
-            record!("runner {}: runs {id} for tenant {:?}", r.id, head.header("redwingweir-tenant"));
+            record!(
+                "runner {}: runs {id} for tenant {:?}",
+                r.id,
+                head.header("redwingweir-tenant")
+            );
             late_runs.fetch_add(u32::from(id.starts_with("late")), Ordering::Relaxed);
             conn.write(&answer(200, &id, "stock")).is_ok()
         };
-        let runner = Runner::start(&format!("i-{i:02}"), fleet::plain_entry(), None, Arc::new(handler));
+        let runner = Runner::start(
+            &format!("i-{i:02}"),
+            fleet::plain_entry(),
+            None,
+            Arc::new(handler),
+        );
         runner.register(&store);
         thread::sleep(Duration::from_millis(1_200 / RUNNERS));
     }
@@ -96,12 +109,18 @@
         store.fall_silent();
         thread::sleep(AWAY);
         store.come_back(Some(COPY_AGE));
-        record!("versions {} to {before} are given out again", store.version() + 1);
+        record!(
+            "versions {} to {before} are given out again",
+            store.version() + 1
+        );
     }
     thread::sleep(REVOKED_AFTER);
     fleet::configure_with(&store, 8, 64, &tenants(false));
     let acknowledged = Instant::now();
-    record!("operator: configuration 8, without key {LOST_KEY}, acknowledged at version {}", store.version());
+    record!(
+        "operator: configuration 8, without key {LOST_KEY}, acknowledged at version {}",
+        store.version()
+    );
     thread::sleep(REVOKE + Duration::from_millis(200));
     let until = acknowledged + REVOKE + WATCH;
     let mut n = 0;
@@ -112,6 +131,8 @@
         thread::sleep(PAUSE);
     }
     let runs = late_runs.load(Ordering::Relaxed);
-    record!("CONFIG: {runs} of {n} requests ran that were sent later than {REVOKE:?} after their key was taken away");
+    record!(
+        "CONFIG: {runs} of {n} requests ran that were sent later than {REVOKE:?} after their key was taken away"
+    );
     runs > 0
 }
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -103,6 +103,11 @@
         false
     }
 
+    /// Whether the readiness check is answered with 200 within a second.
+    pub fn answers_ready(&self) -> bool {
+        self.is_ready()
+    }
+
     fn is_ready(&self) -> bool {
         let Ok(mut conn) = Conn::open(self.ready) else {
             return false;
@@ -112,6 +117,10 @@
         conn.write(request).is_ok() && conn.read_head().is_ok_and(|h| h.status() == 200)
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, number: i32) {
         record!("node {}: gets signal {number}", self.name);
         signal(self.child.id(), number);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -278,7 +278,10 @@
         let rows = rows.map(|((t, k), (value, version))| row_json(t, k, Some(value), *version));
         let rows = rows.collect::<Vec<_>>().join(",");
         let tail = self.tail(&state.tables);
-        Answer::Reply(200, format!("{{\"rows\":[{rows}],\"has-more\":false,{tail}}}"))
+        Answer::Reply(
+            200,
+            format!("{{\"rows\":[{rows}],\"has-more\":false,{tail}}}"),
+        )
     }
 
     fn feed(&self, head: &Head) -> Answer {
