--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -25,6 +25,16 @@
 
 /// The same with further fields.
 pub fn configure_with(store: &Store, version: u64, slots: u32, fields: &str) -> bool {
+    write_config(store, version, slots, 1_000, fields)
+}
+
+/// The same with another time-out of plain requests.
+pub fn configure_timeout(store: &Store, version: u64, timeout_ms: u64) -> bool {
+    write_config(store, version, 64, timeout_ms, "")
+}
+
+fn write_config(store: &Store, version: u64, slots: u32, timeout_ms: u64, fields: &str) -> bool {
+    let stream_ms = 5_000 + timeout_ms;
     let route = |name: &str, prefix: &str, kind: &str, service: &str, rest: &str| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"service\":\"{service}\",{rest}}}"
@@ -32,9 +42,9 @@
     };
     let routes = [
         route("r-2b9wu3f", RESUMABLE, "streaming", LLM, "\"timeout-ms\":4000,\"target-latency-ms\":600,\"priority\":1,\"max-attempts\":2,\"session-affinity\":true,\"resumable\":true,\"target-gap-ms\":300"),
-        route("r-i9n73hh", STREAM, "streaming", LLM, "\"timeout-ms\":6000,\"target-latency-ms\":800,\"priority\":2,\"max-attempts\":1,\"session-affinity\":true,\"resumable\":false,\"target-gap-ms\":300"),
-        route("r-7ke20sd", ONCE, "non_idempotent", PLAIN, "\"timeout-ms\":1000,\"target-latency-ms\":150,\"priority\":2,\"max-attempts\":1,\"session-affinity\":false"),
-        route("r-0qm31xc", SAFE, "idempotent", PLAIN, "\"timeout-ms\":1000,\"target-latency-ms\":150,\"priority\":2,\"max-attempts\":2,\"session-affinity\":false"),
+        route("r-i9n73hh", STREAM, "streaming", LLM, &format!("\"timeout-ms\":{stream_ms},\"target-latency-ms\":800,\"priority\":2,\"max-attempts\":1,\"session-affinity\":true,\"resumable\":false,\"target-gap-ms\":300")),
+        route("r-7ke20sd", ONCE, "non_idempotent", PLAIN, &format!("\"timeout-ms\":{timeout_ms},\"target-latency-ms\":150,\"priority\":2,\"max-attempts\":1,\"session-affinity\":false")),
+        route("r-0qm31xc", SAFE, "idempotent", PLAIN, &format!("\"timeout-ms\":{timeout_ms},\"target-latency-ms\":150,\"priority\":2,\"max-attempts\":2,\"session-affinity\":false")),
     ]
     .join(",");
     let services = format!(
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 //! 0 if it held, and 2 if the case couldn't run.
 
 mod body_burst;
+mod cut_at_stop;
 mod drill;
 mod early_answer;
 mod endless_body;
@@ -76,6 +77,7 @@
     });
     let broken = match case.as_str() {
         "body-burst" => body_burst::run(&run),
+        "cut-at-stop" => cut_at_stop::run(&run),
         "drill" => drill::run(&run),
         "early-answer" => early_answer::run(&run),
         "endless-body" => endless_body::run(&run),
