--- a/review/standins/drill.rs
+++ b/review/standins/drill.rs
@@ -170,7 +170,15 @@
     record!("runner {}: draining", first[0].id);
     let has_second = wait_orders(&orders, 2);
     let orders = orders.lock().expect("the orders").clone();
-    orders.iter().for_each(|o| record!("accepted: {o:?}"));
+    orders.iter().for_each(|o| {
+        record!(
+            "accepted by {}: stage {}, holder {}, fencing token {}",
+            o.runner,
+            o.stage,
+            o.holder,
+            o.token
+        )
+    });
     if !has_second {
         record!("no second order within {PATIENCE:?}");
     }
