--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -112,6 +112,7 @@
         let Ok(mut conn) = Conn::open(self.ready) else {
             return false;
         };
+        let _ = conn.stream.set_read_timeout(Some(Duration::from_secs(1)));
         let request =
             b"GET /redwingweir/readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         conn.write(request).is_ok() && conn.read_head().is_ok_and(|h| h.status() == 200)
