Relay: a response head with a second status line is malformed

Cause: a runner sent bytes behind a response, when its connection carried the next call. They ended inside a line of a head, so that the next response continued that line: 'X-Half: HTTP/1.1 500 Internal Server Error', or the same in the reason of the status line. The status was that of the stray bytes, and the identifier and the signature those of the call. The same happened the other way round, when a response broke off in its head and a late copy of an earlier one followed.

The end of a head that is missing can't hide the status line that follows, so a head in which another status line begins is never one response. The call ends as one whose response can't be read, and the connection is closed.

--- a/crates/rw-relay/src/head.rs
+++ b/crates/rw-relay/src/head.rs
@@ -118,6 +118,9 @@
     ///
     /// [`HeadError::Malformed`] or [`HeadError::Framing`].
     pub fn parse(bytes: &[u8], method: &str) -> Result<Self, HeadError> {
+        if has_second_status_line(bytes) {
+            return Err(HeadError::Malformed);
+        }
         let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut parsed);
         let status = response.parse(bytes).map_err(|_| HeadError::Malformed)?;
@@ -167,6 +170,21 @@
     HOP_BY_HOP.binary_search(&name).is_ok()
 }
 
+/// Whether a status line begins inside the head of a response. The end of one response, without its
+/// last bytes, then passes for the beginning of the next.
+fn has_second_status_line(bytes: &[u8]) -> bool {
+    const LINE_BYTES: usize = b"HTTP/1.1 200".len();
+    let rest = bytes.get(1..).unwrap_or_default();
+    rest.windows(LINE_BYTES + 1).any(|line| {
+        let (start, code) = (&line[..7], &line[9..LINE_BYTES]);
+        start == b"HTTP/1."
+            && line[7].is_ascii_digit()
+            && line[8] == b' '
+            && code.iter().all(u8::is_ascii_digit)
+            && matches!(line[LINE_BYTES], b' ' | b'\r')
+    })
+}
+
 /// Checks that every line of a request head ends in CR LF, and that no header is folded over
 /// several lines.
 fn check_lines(bytes: &[u8]) -> Result<(), HeadError> {
--- a/crates/rw-relay/tests/head.rs
+++ b/crates/rw-relay/tests/head.rs
@@ -71,6 +71,36 @@
     }
 }
 
+#[test]
+fn a_response_head_with_a_second_status_line_is_rejected() {
+    struct Case {
+        name: &'static str,
+        head: &'static str,
+        is_valid: bool,
+    }
+    let cases = [
+        Case {
+            name: "in the reason",
+            head: "HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error\r\nA: b\r\n\r\n",
+            is_valid: false,
+        },
+        Case {
+            name: "in a value",
+            head: "HTTP/1.1 200 OK\r\nA: HTTP/1.0 500\r\nContent-Length: 1\r\n\r\n",
+            is_valid: false,
+        },
+        Case {
+            name: "a version without a status",
+            head: "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy, HTTP/1.0 200x\r\n\r\n",
+            is_valid: true,
+        },
+    ];
+    for case in cases {
+        let parsed = ResponseHead::parse(case.head.as_bytes(), "GET");
+        assert_eq!(parsed.is_ok(), case.is_valid, "{}", case.name);
+    }
+}
+
 #[test]
 fn response_without_length_ends_with_its_connection() {
     struct Case {
