Relay: only a stream of events is continued by another run

Cause: a dispatch that broke after its response had begun told the gate the last event that the caller had, and 0 if there was none. The gate couldn't tell a stream that may go on after event 0 from bytes that have no such place, and sent the call again.

A dispatch now ends as cut off if its response began and no event with an identifier was delivered. The gate ends such a call as truncated, and the connection is closed in the middle of the response. The same holds for a call that another node serves.

--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -173,6 +173,7 @@
             DispatchOutcome::Broken { delivered, .. } => {
                 self.end_broken(now, i, &current, delivered, effects);
             }
+            DispatchOutcome::CutOff { .. } => self.refuse_late(i, true, effects),
             DispatchOutcome::TimedOut { delivered } => self.refuse_late(i, delivered, effects),
         }
     }
@@ -372,13 +373,14 @@
             }
             DispatchOutcome::Prefilled(_) => target.health.record_outcome(now, false),
             DispatchOutcome::Withheld | DispatchOutcome::Rejected { .. } => {}
-            DispatchOutcome::NotSent | DispatchOutcome::Broken { crashed: false, .. } => {
-                target.health.record_outcome(now, true)
-            }
+            DispatchOutcome::NotSent
+            | DispatchOutcome::Broken { crashed: false, .. }
+            | DispatchOutcome::CutOff { crashed: false } => target.health.record_outcome(now, true),
             DispatchOutcome::TimedOut { .. } | DispatchOutcome::Stalled => {
                 target.health.record_outcome(now, true)
             }
-            DispatchOutcome::Broken { crashed: true, .. } => {
+            DispatchOutcome::Broken { crashed: true, .. }
+            | DispatchOutcome::CutOff { crashed: true } => {
                 target.health.mark_down(now);
                 self.suspects
                     .record_crash(now, fingerprint, &current.target);
--- a/crates/rw-gate/src/delegation/delegation_flow.rs
+++ b/crates/rw-gate/src/delegation/delegation_flow.rs
@@ -114,6 +114,10 @@
                 self.calls[i].outcome_unknown = true;
                 self.retry_broken(now, i, delivered, effects);
             }
+            DelegationOutcome::CutOff => {
+                self.delegates.failed(now, &vm);
+                self.refuse_late(i, true, effects);
+            }
             DelegationOutcome::TimedOut { delivered } => self.refuse_late(i, delivered, effects),
         }
     }
--- a/crates/rw-gate/src/delegation/messages.rs
+++ b/crates/rw-gate/src/delegation/messages.rs
@@ -91,6 +91,9 @@
         /// Last event that was delivered to the caller, if the response has started.
         delivered: Option<u64>,
     },
+    /// The connection failed after a part of the response was delivered that no other target can
+    /// continue.
+    CutOff,
     /// The deadline of the call expired.
     TimedOut {
         /// Whether part of the response was delivered to the caller.
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -59,6 +59,12 @@
         /// Last event that was delivered to the caller, if the response has started.
         delivered: Option<u64>,
     },
+    /// The connection failed after a part of the response was delivered that no other target can
+    /// continue, because it isn't a stream of events with identifiers.
+    CutOff {
+        /// Whether the target is known to have crashed during the call.
+        crashed: bool,
+    },
     /// A prefill did not finish within its stall timeout; nothing was run.
     Stalled,
     /// The deadline of the call expired.
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -68,6 +68,23 @@
             is_dispatched: false,
             refused: Some(RefusalKind::TimedOut),
         },
+        OutcomeCase {
+            name: "idempotent, cut off after a part that no other target can continue",
+            path: "/safe/1",
+            outcomes: &[DispatchOutcome::CutOff { crashed: false }],
+            is_dispatched: false,
+            refused: Some(RefusalKind::Truncated),
+        },
+        OutcomeCase {
+            name: "idempotent, answered with an error, then cut off",
+            path: "/safe/1",
+            outcomes: &[
+                DispatchOutcome::Complete { status: 500 },
+                DispatchOutcome::CutOff { crashed: true },
+            ],
+            is_dispatched: false,
+            refused: Some(RefusalKind::Truncated),
+        },
     ];
     for case in cases {
         let mut world = World::new();
--- a/crates/rw-gate/tests/delegation.rs
+++ b/crates/rw-gate/tests/delegation.rs
@@ -290,6 +290,11 @@
             outcome: refusal_of(RefusalKind::TooLate),
             next: Next::Refused(RefusalKind::TooLate),
         },
+        Case {
+            path: "/safe/1",
+            outcome: DelegationOutcome::CutOff,
+            next: Next::Refused(RefusalKind::Truncated),
+        },
         // It may have run.
         Case {
             path: "/once/1",
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -5,6 +5,7 @@
     body::BodyReader,
     call::Call,
     delegation::DelegateNote,
+    delivered_before::DeliveredBefore,
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
@@ -59,8 +60,7 @@
         if !self.may_send(dispatch) {
             return Ok(DispatchOutcome::Withheld);
         }
-        progress.last_event = dispatch.resume_after;
-        progress.framing = None;
+        let delivered = DeliveredBefore::new(progress, dispatch.resume_after);
         let exchange = self.exchange(call, dispatch, conn, progress);
         let stall = dispatch.stall_timeout_ms.map(Duration::from_millis);
         let stall = stall
@@ -89,9 +89,10 @@
                 let parts = request.prompt.map(|p| p.parts).unwrap_or_default();
                 self.log
                     .dispatch_broken(call, dispatch, &parts, &error, crashed);
-                let begun = progress.out.is_started();
-                let delivered = begun.then(|| progress.last_event.unwrap_or(0));
-                Ok(DispatchOutcome::Broken { crashed, delivered })
+                Ok(match delivered.part(progress) {
+                    Some(delivered) => DispatchOutcome::Broken { crashed, delivered },
+                    None => DispatchOutcome::CutOff { crashed },
+                })
             }
         }
     }
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -6,6 +6,7 @@
     attempt::{DEADLINE_GRACE, MAX_BUFFERED_BYTES, MAX_HEAD_BYTES},
     body::BodyReader,
     call::Call,
+    delivered_before::DeliveredBefore,
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
@@ -60,8 +61,7 @@
         if let HeadResponse::Refused(refused) = response {
             return Ok(refused);
         }
-        progress.last_event = delegation.call.resume_after;
-        progress.framing = None;
+        let delivered = DeliveredBefore::new(progress, delegation.call.resume_after);
         let exchange = self.delegated_exchange(call, delegation, &mut conn, progress);
         let Some(ended) = timeout_at(deadline, exchange).await else {
             let delivered = progress.out.is_started();
@@ -72,9 +72,10 @@
             Err(ExchangeError::Caller) => Err(CallerDisconnected),
             Err(ExchangeError::Target(error)) => {
                 self.log.delegation_broken(call, delegation, &error);
-                let is_begun = progress.out.is_started();
-                let delivered = is_begun.then(|| progress.last_event.unwrap_or(0));
-                Ok(DelegationOutcome::Broken { delivered })
+                Ok(match delivered.part(progress) {
+                    Some(delivered) => DelegationOutcome::Broken { delivered },
+                    None => DelegationOutcome::CutOff,
+                })
             }
         }
     }
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod decision_log;
 mod delegation;
+mod delivered_before;
 mod dialect;
 mod duties;
 mod duty_api;
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -416,8 +416,10 @@
         DispatchOutcome::NotSent => "unsent",
         DispatchOutcome::Withheld => "withheld",
         DispatchOutcome::Rejected { .. } => "declined",
-        DispatchOutcome::Broken { crashed: true, .. } => "crashed",
+        DispatchOutcome::Broken { crashed: true, .. }
+        | DispatchOutcome::CutOff { crashed: true } => "crashed",
         DispatchOutcome::Broken { .. } => "broken",
+        DispatchOutcome::CutOff { .. } => "cut-off",
         DispatchOutcome::Stalled => "stalled",
         DispatchOutcome::TimedOut { .. } => "timed-out",
     }
@@ -430,6 +432,7 @@
         DelegationOutcome::NotSent => "unsent",
         DelegationOutcome::Refused(_) => "declined",
         DelegationOutcome::Broken { .. } => "broken",
+        DelegationOutcome::CutOff => "cut-off",
         DelegationOutcome::TimedOut { .. } => "timed-out",
     }
 }
