Gate: while stopping, admit only calls whose time-out ends before the exit

Callers saw a kept connection closed without a response: 6.0 s after SIGTERM a node admitted a plain call whose route has 3,000 ms, and the process exited 1.6 s later, within the grace, while its target was still working.

Cause: the gate took a constant, 1,500 ms, for the time that a plain call needs, whatever its route and its caller allow.

Change: the call's own time-out decides (the smaller one of the route's and the caller's, and 100 ms for the response). What can't end is refused at once with "shutting-down" on its open connection. Calls with short time-outs are now admitted for longer than before.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -10,8 +10,8 @@
 const DEADLINE_FRACTION: f64 = 0.9;
 /// Safety factor on the wait ahead of a call, in addition to the measured overrun.
 const WAIT_SAFETY_FACTOR: f64 = 2.0;
-/// Time in which a plain call is expected to end, in milliseconds.
-const PLAIN_CALL_MS: u64 = 1_500;
+/// Time that a response may still take after the deadline of its call, in milliseconds.
+const RESPONSE_MARGIN_MS: u64 = 100;
 /// Retry time in a refusal for a reason that concerns this node alone, in milliseconds. It is short,
 /// because another node can serve the call.
 const OTHER_NODE_RETRY_MS: u64 = 50;
@@ -64,7 +64,9 @@
         let account = account.map(|a| a.map(|a| (a.name.clone(), a.priority)));
         let account = account.map_err(|kind| self.key_refusal(kind))?;
         let (account, priority) = account.map_or((None, None), |(n, p)| (Some(n), p));
-        if self.stops_before(now, route) {
+        let wait_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
+        let timeout_ms = wait_ms.min(route.timeout_ms);
+        if self.stops_before(now, route, timeout_ms) {
             return Err(self.refusal(RefusalKind::ShuttingDown, OTHER_NODE_RETRY_MS));
         }
         if let Some(left_ms) = self.poisoned_ms(now, &request) {
@@ -78,7 +80,6 @@
         };
         let software = self.required_version(now, route, &request);
         let software = software.map_err(|kind| self.refusal(kind, self.origin_retry_ms()))?;
-        let wait_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
         let client_timeout_ms = match route.retry_policy.is_stream() {
             true => route.client_timeout_ms.min(wait_ms),
             false => wait_ms,
@@ -93,7 +94,7 @@
             hides_credential: routing.has_accounts,
             is_counted: false,
             max_attempts: route.max_attempts.max(1),
-            deadline: now.plus(wait_ms.min(route.timeout_ms)),
+            deadline: now.plus(timeout_ms),
             client_timeout_ms,
             client_deadline: now.plus(client_timeout_ms),
             runs: request.delegated.as_ref().map_or(0, |d| d.runs),
@@ -124,10 +125,12 @@
         whole.max(self.part_suspects.refused_ms(now, parts, ttl_ms))
     }
 
-    /// Whether this process exits before a call on `route` would end.
-    fn stops_before(&self, now: Millis, route: &Route) -> bool {
+    /// Whether this process may exit before a call on `route` ends, which has `timeout_ms`
+    /// milliseconds. Another node has the time for a stream.
+    fn stops_before(&self, now: Millis, route: &Route, timeout_ms: u64) -> bool {
+        let needed_ms = timeout_ms.saturating_add(RESPONSE_MARGIN_MS);
         let left_ms = self.shutdown_at.map(|end| end.since(now));
-        left_ms.is_some_and(|left_ms| route.retry_policy.is_stream() || left_ms < PLAIN_CALL_MS)
+        left_ms.is_some_and(|left_ms| route.retry_policy.is_stream() || left_ms < needed_ms)
     }
 
     fn pick_service(&mut self, route: &Route) -> Option<String> {
