Relay: a response that names two calls belongs to none

Callers were told 503 for calls that ran, and such calls could run at a second runner (REFUSED, TWICE), when a runner wrote an earlier refusal once more with two identifiers, the first that of the running call. Three tests failed, as "BeforeAnswer, 503 Busy, NextAndOwn, /once/1: ran, and got 503".

Cause: of several identifier headers the first was compared and the others were ignored. What a response names is now a type of its own: no call, one, or several that differ. The last kind ends its call as unknown (502 for one that must not run twice) and closes the connection, because nothing tells whose refusal it is. A response that another node passes on is held to the same.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Performs one dispatch of a call to a target.
 
 use crate::{
-    Dialect, Framing, Relay, ResponseHead, ResponseMetadata,
+    Dialect, Framing, NamedCall, Relay, ResponseHead, ResponseMetadata,
     body::BodyReader,
     call::Call,
     delegation::DelegateNote,
@@ -198,11 +198,14 @@
                 continue;
             }
             let metadata = self.dialect.response_metadata(&head);
-            let is_own = match &metadata.call_id {
-                Some(call_id) => *call_id == call.call_id,
+            let is_own = match &metadata.named_call {
+                NamedCall::One(call_id) => *call_id == call.call_id,
                 // Without a call identifier, only the first response on a connection is known to
                 // belong to its request.
-                None => !conn.reused,
+                NamedCall::Missing => !conn.reused,
+                // It may be a copy that was written while this call runs, so its promise that the
+                // call has not run can't be believed.
+                NamedCall::Conflicting => return Err(malformed()),
             };
             let target = Addressee {
                 name: &dispatch.target,
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -135,7 +135,7 @@
 
     pub(crate) fn unmatched_response(&self, call: &Call, metadata: &ResponseMetadata) {
         if self.allow_line() {
-            log::info!(call = call.call_id.as_str(), n = call.id.0, other:? = metadata.call_id; "response to another call dropped");
+            log::info!(call = call.call_id.as_str(), n = call.id.0, other:? = metadata.named_call; "response to another call dropped");
         }
     }
 
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -2,7 +2,7 @@
 
 use super::{DELEGATE_HEADER, DELEGATION_HEADER, DelegateNote, take_json, to_value};
 use crate::{
-    Connection, Dialect, Framing, Relay, ResponseHead, ResponseMetadata,
+    Connection, Dialect, Framing, NamedCall, Relay, ResponseHead, ResponseMetadata,
     attempt::{DEADLINE_GRACE, MAX_BUFFERED_BYTES, MAX_HEAD_BYTES},
     body::BodyReader,
     call::Call,
@@ -133,12 +133,12 @@
             None => return Err(malformed().into()),
         };
         let metadata = self.dialect.response_metadata(&head);
-        if metadata
-            .call_id
-            .as_deref()
-            .is_some_and(|id| id != call.call_id)
-            || !metadata.signed
-        {
+        let is_own = match &metadata.named_call {
+            NamedCall::Missing => true,
+            NamedCall::One(id) => *id == call.call_id,
+            NamedCall::Conflicting => false,
+        };
+        if !is_own || !metadata.signed {
             return Err(malformed().into());
         }
         self.notice_of_source(&source, metadata);
--- a/crates/rw-relay/src/dialect.rs
+++ b/crates/rw-relay/src/dialect.rs
@@ -1,6 +1,6 @@
 //! Translation to and from a platform's headers, paths and bodies.
 
-use crate::{RequestHead, ResponseHead};
+use crate::{NamedCall, RequestHead, ResponseHead};
 use rw_gate::{CallRequest, Dispatch, KvHandle, OrderOutcome, Role, TargetLoad};
 use rw_http::RetryAfter;
 use rw_types::RequestRate;
@@ -8,8 +8,8 @@
 /// Metadata in the head of a target's response.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct ResponseMetadata {
-    /// Identifier of the call that it responds to, if the head has one.
-    pub call_id: Option<String>,
+    /// Call that it responds to.
+    pub named_call: NamedCall,
     /// Whether the target reports that it did not run the call.
     pub rejected: bool,
     /// Whether the response carries the target's signature; one without it is not forwarded.
--- a/crates/rw-relay/src/head.rs
+++ b/crates/rw-relay/src/head.rs
@@ -148,6 +148,12 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         header(&self.headers, name)
     }
+
+    /// Values of all headers with this name, given in lower case.
+    pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let found = self.headers.iter().filter(move |f| f.name == name);
+        found.map(|f| f.value.as_str())
+    }
 }
 
 /// Whether a header is hop-by-hop: it concerns a single connection and is never forwarded.
