Relay: an identifier comes once on a connection to a target

When a call's identifier had been on the same connection before, a copy of the earlier response was taken for that to the running call. Callers that use an identifier twice, or none, were told 503 for a call that a runner ran, and it ran at a second one ("a caller that uses an identifier twice: runs", 2 instead of 1); a retry after a 500 ended with the copy of that 500 ((500, "") instead of (200, "ran c1")); a second call went on from the handle of the first (["h1", "h1"]). Three tests failed.

Cause: the relay compares identifiers, which tell nothing when both calls have the same one. An empty identifier in a response even matched a call without any. A call without an identifier gets a connection that carried none, where the place of the response tells whose it is, and an empty identifier counts as none.

A retry at the same target on a connection of its own costs a new connection where no other is idle.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -4,6 +4,7 @@
     Dialect, Framing, NamedCall, Relay, ResponseHead, ResponseMetadata,
     body::BodyReader,
     call::Call,
+    carried_calls::CallKey,
     delegation::DelegateNote,
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
@@ -45,12 +46,10 @@
             log::warn!(target = dispatch.target.as_str(), addr = dispatch.addr.as_str(); "target address is not ip:port; correct the target's entry");
             return Ok(DispatchOutcome::NotSent);
         };
-        let conn = timeout_at(
-            deadline,
-            self.pool
-                .acquire(addr, dispatch.incarnation, dispatch.max_connections),
-        )
-        .await;
+        let key = (addr, dispatch.incarnation);
+        let call_key = CallKey::of(&call.call_id);
+        let acquire = self.pool.acquire(key, call_key, dispatch.max_connections);
+        let conn = timeout_at(deadline, acquire).await;
         let conn = match conn {
             Some(Ok(conn)) => conn,
             Some(Err(ConnectError::AtLimit)) => return Ok(DispatchOutcome::Rejected { status: 0 }),
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod byte_budget;
 mod call;
+mod carried_calls;
 mod clock;
 mod connection;
 mod decision_log;
--- a/crates/rw-relay/src/named_call.rs
+++ b/crates/rw-relay/src/named_call.rs
@@ -3,7 +3,7 @@
 /// Identifier of the call that a response names.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub enum NamedCall {
-    /// None.
+    /// None, or an empty identifier.
     #[default]
     Missing,
     /// Exactly one.
@@ -20,6 +20,7 @@
             return Self::Missing;
         };
         match ids.all(|id| id == first) {
+            true if first.is_empty() => Self::Missing,
             true => Self::One(first.to_owned()),
             false => Self::Conflicting,
         }
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -1,6 +1,10 @@
 //! Connection pool for targets.
 
-use crate::{BootClock, Connection, timeout::timeout};
+use crate::{
+    BootClock, Connection,
+    carried_calls::{CallKey, CarriedCalls},
+    timeout::timeout,
+};
 use rw_types::Millis;
 use smol::Timer;
 use std::{
@@ -29,7 +33,8 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     pub(crate) connection: Connection,
-    /// Whether it has carried an earlier call.
+    carried: CarriedCalls,
+    /// Whether it has been idle in the pool.
     pub(crate) reused: bool,
     pub(crate) addr: SocketAddr,
     incarnation: u64,
@@ -86,17 +91,20 @@
         self.opened.get()
     }
 
-    /// Returns an idle connection, or opens one if fewer than `limit` are open.
+    /// Returns an idle connection on which the response to the call can be told from others, or opens
+    /// one if fewer than `limit` are open.
     pub(crate) async fn acquire(
         &self,
-        addr: SocketAddr,
-        incarnation: u64,
+        (addr, incarnation): (SocketAddr, u64),
+        call: CallKey,
         limit: u32,
     ) -> Result<TargetConnection, ConnectError> {
-        match self.take_idle(addr, incarnation) {
-            Some(conn) => Ok(conn),
-            None => self.open(addr, incarnation, limit).await,
-        }
+        let mut conn = match self.take_idle(addr, incarnation, call) {
+            Some(conn) => conn,
+            None => self.open(addr, incarnation, limit).await?,
+        };
+        conn.carried.add(call);
+        Ok(conn)
     }
 
     async fn open(
@@ -115,6 +123,7 @@
         match timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
             Some(Ok(connection)) => Ok(TargetConnection {
                 connection,
+                carried: CarriedCalls::default(),
                 reused: false,
                 addr,
                 incarnation,
@@ -181,10 +190,16 @@
         false
     }
 
-    fn take_idle(&self, addr: SocketAddr, incarnation: u64) -> Option<TargetConnection> {
+    fn take_idle(
+        &self,
+        addr: SocketAddr,
+        incarnation: u64,
+        call: CallKey,
+    ) -> Option<TargetConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(i) = idle.iter().rposition(|i| i.conn.addr == addr) {
+        let fits = |i: &IdleConnection| i.conn.addr == addr && i.conn.carried.can_tell(call);
+        while let Some(i) = idle.iter().rposition(fits) {
             let found = idle.remove(i);
             let usable = found.conn.incarnation == incarnation && now < found.expires;
             if usable && found.conn.connection.is_idle() {
