Relay: a connection that only a probe has opened counts as new

A target's refusal without an identifier was dropped when it came on a connection that a probe had opened and the pool had kept. Its call waited for a response until its deadline (504), or got 502 where the target closed the connection, instead of going to another target.

Cause: the pool marked each connection that it takes back as reused, which stood for "has carried a call". The calls that a connection has carried are known now, so that the mark goes. Nothing can be believed by mistake: the pool gives out no connection with unread bytes, and the first response to the first call can be no copy.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -202,7 +202,7 @@
                 NamedCall::One(call_id) => *call_id == call.call_id,
                 // Without a call identifier, only the first response on a connection is known to
                 // belong to its request.
-                NamedCall::Missing => is_first && !conn.reused,
+                NamedCall::Missing => is_first && conn.is_first_call(),
                 // It may be a copy that was written while this call runs, so its promise that the
                 // call has not run can't be believed.
                 NamedCall::Conflicting => return Err(malformed()),
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -34,13 +34,18 @@
 pub(crate) struct TargetConnection {
     pub(crate) connection: Connection,
     carried: CarriedCalls,
-    /// Whether it has been idle in the pool.
-    pub(crate) reused: bool,
     pub(crate) addr: SocketAddr,
     incarnation: u64,
     _count: OpenCount,
 }
 
+impl TargetConnection {
+    /// Whether it carries its first call.
+    pub(crate) fn is_first_call(&self) -> bool {
+        self.carried.len() == 1
+    }
+}
+
 #[derive(Debug)]
 struct OpenCount(Rc<Cell<u32>>);
 
@@ -124,7 +129,6 @@
             Some(Ok(connection)) => Ok(TargetConnection {
                 connection,
                 carried: CarriedCalls::default(),
-                reused: false,
                 addr,
                 incarnation,
                 _count: count_guard,
@@ -145,14 +149,13 @@
 
     /// Takes back a connection whose response was read in full; `idle_s` is the idle timeout that
     /// its target announces, in seconds.
-    pub(crate) fn release(&self, mut conn: TargetConnection, idle_s: Option<u64>) {
+    pub(crate) fn release(&self, conn: TargetConnection, idle_s: Option<u64>) {
         let idle = idle_s.map_or(IDLE_TIMEOUT_MS, |s| {
             (s * 1_000).saturating_sub(IDLE_MARGIN_MS)
         });
         if idle == 0 || !conn.connection.is_idle() {
             return;
         }
-        conn.reused = true;
         let expires = self.clock.now().plus(idle);
         self.idle
             .borrow_mut()
