Relay: a connection that delivered another call's response carries no more

After a response to another call on a connection, the place of a response on it tells nothing any more, and a target that writes one copy may write more. The relay dropped the response, awaited its own and put the connection back into the pool. The test failed with "call 0: the connection stays open".

The current call still gets its own response, which its identifier shows, as before; then the connection is closed. Where a target sends such responses, each costs a new connection.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -188,7 +188,6 @@
         conn: &mut TargetConnection,
     ) -> io::Result<(ResponseHead, ResponseMetadata)> {
         let sent_at = self.clock.now();
-        let mut is_first = true;
         loop {
             let bytes = conn.connection.read_head(MAX_HEAD_BYTES).await?;
             let bytes = bytes.map_err(|_| malformed())?;
@@ -202,7 +201,7 @@
                 NamedCall::One(call_id) => *call_id == call.call_id,
                 // Without a call identifier, only the first response on a connection is known to
                 // belong to its request.
-                NamedCall::Missing => is_first && conn.is_first_call(),
+                NamedCall::Missing => !conn.is_suspect && conn.is_first_call(),
                 // It may be a copy that was written while this call runs, so its promise that the
                 // call has not run can't be believed.
                 NamedCall::Conflicting => return Err(malformed()),
@@ -217,7 +216,7 @@
             if is_own {
                 return Ok((head, metadata));
             }
-            is_first = false;
+            conn.is_suspect = true;
             self.log.unmatched_response(call, &metadata);
             let mut body = BodyReader::new(head.framing);
             body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     pub(crate) connection: Connection,
+    /// Whether it has delivered a response to another call than the one that it carried.
+    pub(crate) is_suspect: bool,
     carried: CarriedCalls,
     pub(crate) addr: SocketAddr,
     incarnation: u64,
@@ -128,6 +130,7 @@
         match timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
             Some(Ok(connection)) => Ok(TargetConnection {
                 connection,
+                is_suspect: false,
                 carried: CarriedCalls::default(),
                 addr,
                 incarnation,
@@ -153,7 +156,7 @@
         let idle = idle_s.map_or(IDLE_TIMEOUT_MS, |s| {
             (s * 1_000).saturating_sub(IDLE_MARGIN_MS)
         });
-        if idle == 0 || !conn.connection.is_idle() {
+        if idle == 0 || conn.is_suspect || !conn.connection.is_idle() {
             return;
         }
         let expires = self.clock.now().plus(idle);
