Relay: a response to another call names no pause and no rate limit

The test of pauses failed with "a pause that is over: call 0", 503 instead of 200.

Cause: what a target says about itself was believed in each head on its connection, also of responses that the relay drops because they belong to another call. Such a response tells nothing about the present. Only that the target is leaving is still believed: it stays so for as long as its process lives, and the connection ends with that process.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -212,10 +212,11 @@
                 addr: conn.addr,
                 asked_at: is_own.then_some(sent_at),
             };
-            self.notice(target, &metadata);
             if is_own {
+                self.notice(target, &metadata);
                 return Ok((head, metadata));
             }
+            self.notice_of_other_response(target, &metadata);
             conn.is_suspect = true;
             self.log.unmatched_response(call, &metadata);
             let mut body = BodyReader::new(head.framing);
--- a/crates/rw-relay/src/notices.rs
+++ b/crates/rw-relay/src/notices.rs
@@ -45,6 +45,20 @@
         }
     }
 
+    /// Passes on that `target` is leaving, if it says so with a response to another call. It may be a copy
+    /// of an earlier response, whose pause or rate limit may be over; leaving is final.
+    pub(crate) fn notice_of_other_response(
+        &self,
+        target: Addressee<'_>,
+        metadata: &ResponseMetadata,
+    ) {
+        let lasting = ResponseMetadata {
+            is_leaving: metadata.is_leaving,
+            ..ResponseMetadata::default()
+        };
+        self.notice(target, &lasting);
+    }
+
     /// Passes on what `target` says about itself with a response.
     pub(crate) fn notice(&self, target: Addressee<'_>, metadata: &ResponseMetadata) {
         let pause_ms = match metadata.pause {
