Gate: a target's 408, 429 or 503 is no promise without its word

Callers of routes that must not run twice got the 408, 429 or 503 of a target that had not said that it did not run the call. To the caller these statuses promise that it has not run and never will (REFUSED). The test failed with "/once/1, 408 Late", 408 instead of 502.

Cause: a complete response was delivered whatever its status, where no retry was possible. The call now ends as one whose outcome is unknown, 502 of this node's own without the target's signature. Routes that may be repeated get the target's response as before.

--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -3,7 +3,7 @@
 use crate::{
     CacheInsert, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle, RefusalKind,
     SentPrefill, SoftwareId, TargetLoad, account_usage::Decision, call_state::ActiveDispatch,
-    placement::Placement, prefix_cache::prefix_hashes,
+    placement::Placement, prefix_cache::prefix_hashes, refusal_status::is_refusal_status,
 };
 use rw_types::{Millis, RequestId};
 
@@ -402,6 +402,13 @@
         let call = &mut self.calls[i];
         call.runs += 1;
         call.handle = None;
+        if is_refusal_status(status) && !call.retry_policy.is_retryable() {
+            // The target doesn't say that it has not run the call.
+            call.outcome_unknown = true;
+            let retry_ms = self.retry_ms(0.0);
+            let refusal = self.refusal(RefusalKind::ResponseLost, retry_ms);
+            return self.refuse(i, refusal, effects);
+        }
         let id = call.id;
         // The call may succeed when it is retried; unlike after a broken connection, the same
         // target may be chosen again. If the call can't be retried, this response is delivered.
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -42,6 +42,7 @@
 mod prefix_cache;
 mod publication;
 mod rate_limits;
+mod refusal_status;
 mod retry_flow;
 mod roles;
 mod routing;
@@ -93,6 +94,7 @@
 pub use prefill_queue::{PrefillJob, PrefillQueue, SentPrefill};
 pub use prefill_size::PrefillSize;
 pub use prefix_cache::PrefixCache;
+pub use refusal_status::is_refusal_status;
 pub use roles::OrderOutcome;
 pub use routing::{
     Account, CallLimits, EngineSpec, RetryPolicy, Route, Routing, Scaling, Service, ServiceWeight,
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -15,7 +15,7 @@
     streaming::StreamedResponse,
     timeout::timeout_at,
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
+use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event, is_refusal_status};
 use smol::{future, io::AsyncWriteExt as _};
 use std::{
     cell::Cell,
@@ -137,7 +137,9 @@
         if !metadata.signed {
             return Err(malformed().into());
         }
-        let oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
+        // The gate decides whether the caller gets a status that promises that the call has not run.
+        let oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES)
+            && !is_refusal_status(head.status);
         let is_stream = dispatch.stream && (200..300).contains(&head.status);
         if is_stream || oversized {
             self.note_source(call, progress);
