--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -1,9 +1,10 @@
 //! Performs one dispatch of a call to a target.
 
 use crate::{
-    Dialect, Framing, Relay, ResponseHead, ResponseMetadata,
+    Dialect, Framing, NamedCall, Relay, ResponseHead, ResponseMetadata,
     body::BodyReader,
     call::Call,
+    carried_calls::CallKey,
     delegation::DelegateNote,
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
@@ -14,7 +15,7 @@
     streaming::StreamedResponse,
     timeout::timeout_at,
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
+use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event, is_refusal_status};
 use smol::{future, io::AsyncWriteExt as _};
 use std::{
     cell::Cell,
@@ -45,12 +46,10 @@
             log::warn!(target = dispatch.target.as_str(), addr = dispatch.addr.as_str(); "target address is not ip:port; correct the target's entry");
             return Ok(DispatchOutcome::NotSent);
         };
-        let conn = timeout_at(
-            deadline,
-            self.pool
-                .acquire(addr, dispatch.incarnation, dispatch.max_connections),
-        )
-        .await;
+        let key = (addr, dispatch.incarnation);
+        let call_key = CallKey::of(&call.call_id);
+        let acquire = self.pool.acquire(key, call_key, dispatch.max_connections);
+        let conn = timeout_at(deadline, acquire).await;
         let conn = match conn {
             Some(Ok(conn)) => conn,
             Some(Err(ConnectError::AtLimit)) => return Ok(DispatchOutcome::Rejected { status: 0 }),
@@ -138,7 +137,9 @@
         if !metadata.signed {
             return Err(malformed().into());
         }
-        let oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
+        // The gate decides whether the caller gets a status that promises that the call has not run.
+        let oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES)
+            && !is_refusal_status(head.status);
         let is_stream = dispatch.stream && (200..300).contains(&head.status);
         if is_stream || oversized {
             self.note_source(call, progress);
@@ -198,11 +199,14 @@
                 continue;
             }
             let metadata = self.dialect.response_metadata(&head);
-            let is_own = match &metadata.call_id {
-                Some(call_id) => *call_id == call.call_id,
+            let is_own = match &metadata.named_call {
+                NamedCall::One(call_id) => *call_id == call.call_id,
                 // Without a call identifier, only the first response on a connection is known to
                 // belong to its request.
-                None => !conn.reused,
+                NamedCall::Missing => !conn.is_suspect && conn.is_first_call(),
+                // It may be a copy that was written while this call runs, so its promise that the
+                // call has not run can't be believed.
+                NamedCall::Conflicting => return Err(malformed()),
             };
             let target = Addressee {
                 name: &dispatch.target,
@@ -210,10 +214,12 @@
                 addr: conn.addr,
                 asked_at: is_own.then_some(sent_at),
             };
-            self.notice(target, &metadata);
             if is_own {
+                self.notice(target, &metadata);
                 return Ok((head, metadata));
             }
+            self.notice_of_other_response(target, &metadata);
+            conn.is_suspect = true;
             self.log.unmatched_response(call, &metadata);
             let mut body = BodyReader::new(head.framing);
             body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -1,6 +1,10 @@
 //! Connection pool for targets.
 
-use crate::{BootClock, Connection, timeout::timeout};
+use crate::{
+    BootClock, Connection,
+    carried_calls::{CallKey, CarriedCalls},
+    timeout::timeout,
+};
 use rw_types::Millis;
 use smol::Timer;
 use std::{
@@ -29,13 +33,21 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     pub(crate) connection: Connection,
-    /// Whether it has carried an earlier call.
-    pub(crate) reused: bool,
+    /// Whether it has delivered a response to another call than the one that it carried.
+    pub(crate) is_suspect: bool,
+    carried: CarriedCalls,
     pub(crate) addr: SocketAddr,
     incarnation: u64,
     _count: OpenCount,
 }
 
+impl TargetConnection {
+    /// Whether it carries its first call.
+    pub(crate) fn is_first_call(&self) -> bool {
+        self.carried.len() == 1
+    }
+}
+
 #[derive(Debug)]
 struct OpenCount(Rc<Cell<u32>>);
 
@@ -86,17 +98,20 @@
         self.opened.get()
     }
 
-    /// Returns an idle connection, or opens one if fewer than `limit` are open.
+    /// Returns an idle connection on which the response to the call can be told from others, or opens
+    /// one if fewer than `limit` are open.
     pub(crate) async fn acquire(
         &self,
-        addr: SocketAddr,
-        incarnation: u64,
+        (addr, incarnation): (SocketAddr, u64),
+        call: CallKey,
         limit: u32,
     ) -> Result<TargetConnection, ConnectError> {
-        match self.take_idle(addr, incarnation) {
-            Some(conn) => Ok(conn),
-            None => self.open(addr, incarnation, limit).await,
-        }
+        let mut conn = match self.take_idle(addr, incarnation, call) {
+            Some(conn) => conn,
+            None => self.open(addr, incarnation, limit).await?,
+        };
+        conn.carried.add(call);
+        Ok(conn)
     }
 
     async fn open(
@@ -115,7 +130,8 @@
         match timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
             Some(Ok(connection)) => Ok(TargetConnection {
                 connection,
-                reused: false,
+                is_suspect: false,
+                carried: CarriedCalls::default(),
                 addr,
                 incarnation,
                 _count: count_guard,
@@ -136,14 +152,13 @@
 
     /// Takes back a connection whose response was read in full; `idle_s` is the idle timeout that
     /// its target announces, in seconds.
-    pub(crate) fn release(&self, mut conn: TargetConnection, idle_s: Option<u64>) {
+    pub(crate) fn release(&self, conn: TargetConnection, idle_s: Option<u64>) {
         let idle = idle_s.map_or(IDLE_TIMEOUT_MS, |s| {
             (s * 1_000).saturating_sub(IDLE_MARGIN_MS)
         });
-        if idle == 0 || !conn.connection.is_idle() {
+        if idle == 0 || conn.is_suspect || !conn.connection.is_idle() {
             return;
         }
-        conn.reused = true;
         let expires = self.clock.now().plus(idle);
         self.idle
             .borrow_mut()
@@ -181,10 +196,16 @@
         false
     }
 
-    fn take_idle(&self, addr: SocketAddr, incarnation: u64) -> Option<TargetConnection> {
+    fn take_idle(
+        &self,
+        addr: SocketAddr,
+        incarnation: u64,
+        call: CallKey,
+    ) -> Option<TargetConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(i) = idle.iter().rposition(|i| i.conn.addr == addr) {
+        let fits = |i: &IdleConnection| i.conn.addr == addr && i.conn.carried.can_tell(call);
+        while let Some(i) = idle.iter().rposition(fits) {
             let found = idle.remove(i);
             let usable = found.conn.incarnation == incarnation && now < found.expires;
             if usable && found.conn.connection.is_idle() {
