Count how the response to each call ends, and log those that are not complete

A caller got bytes that are no answer in the protocol. The log says how a dispatch ended, but not what was written to the caller: a second head in a response that has begun, bytes of an earlier response on the same connection, and a late copy of a target's answer that is taken for the next one all look alike, as a call with a status.

The writer of responses counts heads and bytes of the body against the length that the first head declared. rw_responses_total tells complete, cut and overwritten responses apart; a response that isn't complete gets a line with these counts and with the call before it on its connection, so that a second head (heads 2), surplus bytes (body over the declared length) and an earlier call on the connection can be told from one another. A complete response gets no line: the cost is one counter a call.

--- a/crates/rw-relay/src/call.rs
+++ b/crates/rw-relay/src/call.rs
@@ -13,6 +13,8 @@
     pub(crate) call_id: String,
     /// Whether another node passed it to this one.
     pub(crate) is_delegated: bool,
+    /// The call before it on its connection.
+    pub(crate) previous: Option<RequestId>,
     /// When the request had been read in full.
     pub(crate) arrived: Millis,
 }
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -1,7 +1,7 @@
 //! Log lines for decisions about calls, limited in rate.
 
 use crate::{
-    BootClock, Framing, ResponseMetadata,
+    BootClock, Framing, ResponseEnd, ResponseMetadata, Written,
     call::Call,
     metrics::{delegation_label, framing_label, mode_label, outcome_label},
 };
@@ -104,6 +104,16 @@
         }
     }
 
+    /// A response ended other than complete.
+    pub(crate) fn response_ended(&self, call: &Call, end: ResponseEnd, w: &Written) {
+        let previous = call.previous.map_or(0, |id| id.0);
+        if end == ResponseEnd::Overwritten {
+            log::warn!(call = call.call_id.as_str(), n = call.id.0, previous, heads = w.heads, declared:? = w.declared, body = w.body; "bytes that belong to no response were written to a caller; this is a bug");
+        } else if end != ResponseEnd::Complete && self.allow_line() {
+            log::info!(call = call.call_id.as_str(), n = call.id.0, previous, end = end.as_str(), declared:? = w.declared, body = w.body; "response not complete");
+        }
+    }
+
     /// The caller disconnected while `dispatch` was open, if there was one.
     pub(crate) fn caller_disconnected(
         &self,
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -1,7 +1,7 @@
 //! Server for callers' connections.
 
 use crate::{
-    BootClock, Connection, Dialect, HeadError, Relay, RequestHead,
+    BootClock, Connection, Dialect, HeadError, Relay, RequestHead, ResponseEnd,
     body::BodyReader,
     call::Call,
     delegation::{EXTRA_HEADER_BYTES, restore_framing},
@@ -10,6 +10,7 @@
     timeout::timeout,
 };
 use rw_gate::{CallLimits, DelegatedCall, Event};
+use rw_types::RequestId;
 use smol::{Async, future};
 use std::{
     io,
@@ -87,10 +88,11 @@
         let Ok(mut conn) = Connection::new(stream) else {
             return;
         };
+        let mut previous = None;
         while self.wait_request(&mut conn).await {
             self.in_flight.set(self.in_flight.get() + 1);
             // Boxed, so that an idle connection doesn't hold the memory of an active one.
-            let after = Box::pin(self.serve_request(&mut conn, from)).await;
+            let after = Box::pin(self.serve_request(&mut conn, from, &mut previous)).await;
             self.in_flight.set(self.in_flight.get() - 1);
             match after {
                 AfterRequest::Keep => {}
@@ -115,7 +117,12 @@
         }
     }
 
-    async fn serve_request(&self, conn: &mut Connection, from: CallSource) -> AfterRequest {
+    async fn serve_request(
+        &self,
+        conn: &mut Connection,
+        from: CallSource,
+        previous: &mut Option<RequestId>,
+    ) -> AfterRequest {
         let mut limits = self.limits();
         if from == CallSource::Peer {
             limits.header_bytes += EXTRA_HEADER_BYTES;
@@ -162,7 +169,8 @@
         if delegated.is_some() {
             restore_framing(&mut head, &body);
         }
-        self.handle_call(conn, head, body, delegated).await
+        self.handle_call(conn, (head, body), delegated, previous)
+            .await
     }
 
     async fn read_request_head(
@@ -177,9 +185,9 @@
     async fn handle_call(
         &self,
         conn: &mut Connection,
-        head: RequestHead,
-        body: Vec<u8>,
+        (head, body): (RequestHead, Vec<u8>),
         delegated: Option<DelegatedCall>,
+        previous: &mut Option<RequestId>,
     ) -> AfterRequest {
         let id = self.next_id();
         let close = !head.keep_alive || self.stopping.get();
@@ -195,6 +203,7 @@
             body,
             call_id,
             is_delegated: delegated.is_some(),
+            previous: previous.replace(id),
         };
         self.metrics.call_received();
         let disconnected = async {
@@ -212,6 +221,9 @@
             drop(gate);
             self.step(Event::CallerDisconnected { id });
         }
+        let end = ResponseEnd::of(out.written(), out.is_finished());
+        self.metrics.response_ended(end);
+        self.log.response_ended(&call, end, out.written());
         self.metrics.call_finished(self.clock.now().since(started));
         match (completed && out.is_finished(), keep && !out.close) {
             (false, _) => AfterRequest::Abort,
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics.
 
-use crate::Framing;
+use crate::{Framing, ResponseEnd};
 use prometheus::{
     Encoder as _, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -38,6 +38,7 @@
     dropped_lines: IntGauge,
     first_event: Histogram,
     response_time: Histogram,
+    responses: IntCounterVec,
     digests: IntCounterVec,
     digest_bytes: IntCounterVec,
     timer_delay: Histogram,
@@ -156,6 +157,11 @@
                 "rw_answer_seconds",
                 "time from arrival to the end of the response",
             )?,
+            responses: labelled(
+                "rw_responses_total",
+                "responses to callers, by how they ended",
+                "end",
+            )?,
             digests: labelled(
                 "rw_digests_total",
                 "digests exchanged with other nodes, by direction",
@@ -289,6 +295,10 @@
         self.rejects.with_label_values(&[kind]).inc();
     }
 
+    pub(crate) fn response_ended(&self, end: ResponseEnd) {
+        self.responses.with_label_values(&[end.as_str()]).inc();
+    }
+
     pub(crate) fn call_finished(&self, ms: u64) {
         self.response_time.observe(ms as f64 / 1e3);
     }
--- a/crates/rw-relay/src/response_writer.rs
+++ b/crates/rw-relay/src/response_writer.rs
@@ -1,7 +1,7 @@
 //! Writes responses to callers.
 
 use crate::{
-    Framing, HeaderField, ResponseHead,
+    Framing, HeaderField, ResponseHead, Written,
     delegation::{DELEGATE_HEADER, DelegateNote},
     head::is_hop,
 };
@@ -23,6 +23,7 @@
     /// Whether the response was written in full.
     finished: bool,
     chunked: bool,
+    written: Written,
     /// What another node, to which the response goes, must know of it.
     note: Option<DelegateNote>,
 }
@@ -36,6 +37,7 @@
             started: false,
             finished: false,
             chunked: false,
+            written: Written::default(),
             note: None,
         }
     }
@@ -53,6 +55,10 @@
         self.finished
     }
 
+    pub(crate) fn written(&self) -> &Written {
+        &self.written
+    }
+
     /// Writes a target's full response.
     pub(crate) async fn write_full(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
         let mut bytes = self.head_lines(head.status, &head.headers);
@@ -66,6 +72,8 @@
         bytes.push_str("\r\n");
         let mut bytes = bytes.into_bytes();
         bytes.extend_from_slice(body);
+        self.written.add_head(Some(body.len() as u64));
+        self.written.add_body(body.len());
         self.write(&bytes).await?;
         self.finished = true;
         Ok(())
@@ -83,6 +91,11 @@
         }
         bytes.push_str("\r\n");
         let mut bytes = bytes.into_bytes();
+        self.written.add_head(match head.framing {
+            Framing::Length(n) => Some(n),
+            Framing::Chunked | Framing::Close => None,
+        });
+        self.written.add_body(first.len());
         self.push_chunk(&mut bytes, first);
         self.write(&bytes).await
     }
@@ -90,6 +103,7 @@
     /// Writes more bytes of a streamed body.
     pub(crate) async fn write_chunk(&mut self, chunk: &[u8]) -> io::Result<()> {
         let mut bytes = Vec::with_capacity(chunk.len() + 16);
+        self.written.add_body(chunk.len());
         self.push_chunk(&mut bytes, chunk);
         self.write(&bytes).await
     }
@@ -129,7 +143,9 @@
         let body = format!("{{\"error\":{{\"kind\":\"{kind}\",\"retry_after_ms\":{retry_ms}}}}}");
         push_length(&mut bytes, body.len());
         bytes.push_str("\r\n");
+        self.written.add_head(None);
         if !self.head_only {
+            self.written.add_body(body.len());
             bytes.push_str(&body);
         }
         self.write(bytes.as_bytes()).await?;
