Cut off a response that has begun instead of delivering another into it

Callers of resumable streams got a second status line and head where the size of a chunk was due. The gate delivered the complete response of a target, or of another node, without asking whether a part of the response had been written: refusals checked it, by comparing the event to resume after with the caller's own, and the other ends of a call did not.

What the caller has got is now a value of the call (Delivered), and a call ends through one function, which alone emits Effect::Deliver: where anything was delivered, the call ends as truncated. Complete responses, failures that were kept during a retry, responses of other nodes and refusals without a target all go through it. Which calls are retried doesn't change.

--- a/crates/rw-gate/src/account_flow.rs
+++ b/crates/rw-gate/src/account_flow.rs
@@ -83,7 +83,7 @@
     /// Whether a call loses its place to those of other accounts, because its account is above its share
     /// and the response would start only after `start_ms` milliseconds. A stream that has begun goes on.
     fn exceeds_share(&self, now: Millis, call: &CallState, start_ms: f64) -> bool {
-        let has_begun = call.resume_after.is_some() || call.software.is_some();
+        let has_begun = call.resume_after().is_some() || call.software.is_some();
         let account = call.account.as_deref().filter(|_| !has_begun);
         let Some(account) = account else {
             return false;
--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of calls, and retry times of refused ones.
 
 use crate::{
-    CallRequest, Effect, Gate, Refusal, RefusalKind, Route, call_state::CallState,
+    CallRequest, Delivered, Effect, Gate, Refusal, RefusalKind, Route, call_state::CallState,
     placement::Placement, scheduling::Placing,
 };
 use rw_types::{Millis, RequestId};
@@ -108,7 +108,7 @@
             prefilled: false,
             active: None,
             handle: None,
-            resume_after: request.last_event,
+            delivered: Delivered::Nothing,
             software,
             placing: Placing::default(),
             request,
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -1,9 +1,9 @@
 //! Dispatches of a call and their outcomes.
 
 use crate::{
-    CacheInsert, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle, RefusalKind,
-    SentPrefill, SoftwareId, TargetLoad, account_usage::Decision, call_state::ActiveDispatch,
-    placement::Placement, prefix_cache::prefix_hashes,
+    CacheInsert, Delivered, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle,
+    RefusalKind, SentPrefill, SoftwareId, TargetLoad, account_usage::Decision,
+    call_state::ActiveDispatch, placement::Placement, prefix_cache::prefix_hashes,
 };
 use rw_types::{Millis, RequestId};
 
@@ -305,7 +305,7 @@
             priority: call.priority,
             account: call.account.clone(),
             hides_credential: call.hides_credential || self.routing.has_accounts,
-            resume_after: call.resume_after,
+            resume_after: call.resume_after(),
             generation: call.request.prompt.is_some(),
             stream: call.retry_policy.is_stream(),
             resumable: call.retry_policy.is_stream() && call.retry_policy.is_retryable(),
@@ -402,7 +402,6 @@
         let call = &mut self.calls[i];
         call.runs += 1;
         call.handle = None;
-        let id = call.id;
         // The call may succeed when it is retried; unlike after a broken connection, the same
         // target may be chosen again. If the call can't be retried, this response is delivered.
         let failed =
@@ -411,8 +410,7 @@
         if failed && self.retry(now, i, effects) {
             return;
         }
-        effects.push(Effect::Deliver { id });
-        self.finish(i, effects);
+        self.deliver(i, effects);
     }
 
     fn end_prefill(
@@ -471,7 +469,7 @@
         now: Millis,
         i: usize,
         current: &ActiveDispatch,
-        delivered: Option<u64>,
+        delivered: Delivered,
         effects: &mut Vec<Effect>,
     ) {
         let call = &mut self.calls[i];
@@ -484,17 +482,17 @@
         self.retry_broken(now, i, delivered, effects);
     }
 
-    /// Retries a call whose response broke off after `delivered`, or refuses it.
+    /// Retries a call whose response broke off when the caller had got `delivered`, or refuses it.
     pub(crate) fn retry_broken(
         &mut self,
         now: Millis,
         i: usize,
-        delivered: Option<u64>,
+        delivered: Delivered,
         effects: &mut Vec<Effect>,
     ) {
         let call = &mut self.calls[i];
-        if delivered.is_some() {
-            call.resume_after = delivered;
+        call.delivered = delivered;
+        if delivered != Delivered::Nothing {
             call.client_deadline = now.plus(call.client_timeout_ms);
         }
         let can_retry = !call.outcome_unknown
@@ -502,11 +500,7 @@
         if can_retry && self.retry_anywhere(now, i, effects) {
             return;
         }
-        let kind = match delivered {
-            Some(_) => RefusalKind::Truncated,
-            None if self.calls[i].outcome_unknown => RefusalKind::ResponseLost,
-            None => RefusalKind::NoTarget,
-        };
+        let kind = self.failure_kind(i, RefusalKind::NoTarget);
         let retry = self.retry_ms(0.0);
         self.refuse(i, self.refusal(kind, retry), effects);
     }
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -1,8 +1,8 @@
 //! State of an open call.
 
 use crate::{
-    CallRequest, DispatchMode, KvHandle, PrefillSize, RetryPolicy, SoftwareId, TargetSpec,
-    scheduling::Placing,
+    CallRequest, Delivered, DispatchMode, KvHandle, PrefillSize, RetryPolicy, SoftwareId,
+    TargetSpec, scheduling::Placing,
 };
 use rw_types::{Millis, RequestId};
 
@@ -81,8 +81,8 @@
     /// Handle of the prefilled prompt that was passed to a decode engine, until the engine is known
     /// to have taken it.
     pub(crate) handle: Option<KvHandle>,
-    /// Event after which the stream is resumed.
-    pub(crate) resume_after: Option<u64>,
+    /// What the caller has got of the response.
+    pub(crate) delivered: Delivered,
     /// Version of the targets' software at which the stream began; `None` before its first event.
     pub(crate) software: Option<SoftwareId>,
     /// Placement by a scheduler.
@@ -96,6 +96,15 @@
         required.is_none_or(|software| software == SoftwareId::of_target(spec))
     }
 
+    /// Event after which a run goes on with the stream, for this node or for the caller, who may have
+    /// got the events before it with an earlier call.
+    pub(crate) fn resume_after(&self) -> Option<u64> {
+        match self.delivered {
+            Delivered::Events(id) => Some(id),
+            Delivered::Nothing | Delivered::Part => self.request.last_event,
+        }
+    }
+
     pub(crate) fn left_ms(&self, now: Millis) -> u64 {
         self.deadline.since(now)
     }
--- a/crates/rw-gate/src/delegation/delegation_flow.rs
+++ b/crates/rw-gate/src/delegation/delegation_flow.rs
@@ -54,7 +54,7 @@
                 is_counted,
                 runs: call.runs,
                 software: call.software,
-                resume_after: call.resume_after,
+                resume_after: call.resume_after(),
             },
             stream: call.retry_policy.is_stream(),
             resumable: call.retry_policy.is_resumable(),
@@ -95,10 +95,7 @@
         };
         self.delegates.ended(&vm);
         match outcome {
-            DelegationOutcome::Complete => {
-                effects.push(Effect::Deliver { id });
-                self.finish(i, effects);
-            }
+            DelegationOutcome::Complete => self.deliver(i, effects),
             DelegationOutcome::Delivered => self.finish(i, effects),
             DelegationOutcome::NotSent => {
                 self.delegates.failed(now, &vm);
--- a/crates/rw-gate/src/delegation/messages.rs
+++ b/crates/rw-gate/src/delegation/messages.rs
@@ -1,6 +1,6 @@
 //! What the reducer and its shell say to each other about delegated calls.
 
-use crate::{Refusal, SoftwareId};
+use crate::{Delivered, Refusal, SoftwareId};
 use serde::{Deserialize, Serialize};
 
 /// A node of the fleet.
@@ -88,12 +88,12 @@
     Refused(Refusal),
     /// The connection failed after the delegate may have got the request.
     Broken {
-        /// Last event that was delivered to the caller, if the response has started.
-        delivered: Option<u64>,
+        /// What the caller has got by now.
+        delivered: Delivered,
     },
     /// The deadline of the call expired.
     TimedOut {
-        /// Whether part of the response was delivered to the caller.
-        delivered: bool,
+        /// What the caller has got by now.
+        delivered: Delivered,
     },
 }
--- a/crates/rw-gate/src/demand_flow.rs
+++ b/crates/rw-gate/src/demand_flow.rs
@@ -1,7 +1,7 @@
 //! Measuring demand at this node, and reporting it to the leader.
 
 use crate::{
-    DIGEST_FANOUT, DemandReport, Digest, DispatchMode, DispatchOutcome, FleetNode, Gate,
+    DIGEST_FANOUT, Delivered, DemandReport, Digest, DispatchMode, DispatchOutcome, FleetNode, Gate,
     PrefillSize, RefusalKind, call_state::ActiveDispatch, placement::Placement,
 };
 use rw_types::{Millis, Role};
@@ -148,13 +148,16 @@
 
     /// Records a call that is refused for want of room.
     pub(crate) fn record_shortage(&mut self, i: usize, kind: RefusalKind) {
-        let is_short = matches!(
-            kind,
-            RefusalKind::NoTarget
-                | RefusalKind::TooLate
-                | RefusalKind::Overloaded
-                | RefusalKind::TimedOut
-        );
+        // A call whose response has begun found a target.
+        let is_refused = self.calls[i].delivered == Delivered::Nothing;
+        let is_short = is_refused
+            && matches!(
+                kind,
+                RefusalKind::NoTarget
+                    | RefusalKind::TooLate
+                    | RefusalKind::Overloaded
+                    | RefusalKind::TimedOut
+            );
         if is_short && self.has_scaling() {
             self.demand.record_refused(&self.calls[i].service);
         }
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -1,9 +1,9 @@
 //! Input events of the reducer.
 
 use crate::{
-    CallRequest, DelegationOutcome, Digest, FleetNode, GateSettings, OrderOutcome, PlacementReply,
-    Routing, SchedulerMessage, SchedulerNode, SoftwareId, StoredUsage, TargetIncarnation,
-    TargetNotice, TargetSpec, UsageCollection, VersionRecord,
+    CallRequest, DelegationOutcome, Delivered, Digest, FleetNode, GateSettings, OrderOutcome,
+    PlacementReply, Routing, SchedulerMessage, SchedulerNode, SoftwareId, StoredUsage,
+    TargetIncarnation, TargetNotice, TargetSpec, UsageCollection, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
@@ -56,15 +56,15 @@
     Broken {
         /// Whether the target is known to have crashed during the call.
         crashed: bool,
-        /// Last event that was delivered to the caller, if the response has started.
-        delivered: Option<u64>,
+        /// What the caller has got by now.
+        delivered: Delivered,
     },
     /// A prefill did not finish within its stall timeout; nothing was run.
     Stalled,
     /// The deadline of the call expired.
     TimedOut {
-        /// Whether part of the response was delivered to the caller.
-        delivered: bool,
+        /// What the caller has got by now.
+        delivered: Delivered,
     },
 }
 
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -13,6 +13,7 @@
 mod call_request;
 mod call_state;
 mod delegation;
+mod delivered;
 mod demand;
 mod demand_flow;
 mod digest;
@@ -76,6 +77,7 @@
 pub use delegation::{
     DelegatedCall, Delegation, DelegationOutcome, FleetNode, ProbeTarget, ResponseSource,
 };
+pub use delivered::Delivered;
 pub use demand::DemandReport;
 pub use digest::{
     CacheInsert, DIGEST_FANOUT, Digest, LimitReport, PartReport, RoleChange, WorkReport,
--- a/crates/rw-gate/src/placer.rs
+++ b/crates/rw-gate/src/placer.rs
@@ -119,10 +119,7 @@
             estimates: self.gate.estimates(&service.name),
             prefill_engines: self.prefill_engines(service),
             cache_holder: CacheHolder::find(self.now, candidates(), prompt),
-            allow_prefill_only: call.resume_after.is_none()
-                && call.request.last_event.is_none()
-                && !call.prefilled
-                && has_decode,
+            allow_prefill_only: call.resume_after().is_none() && !call.prefilled && has_decode,
         };
         let placements = candidates().filter_map(|t| {
             let state_cost = self.state_cost(t, engine, prompt) + self.settling_cost(call, t);
--- a/crates/rw-gate/src/retry_flow.rs
+++ b/crates/rw-gate/src/retry_flow.rs
@@ -1,10 +1,18 @@
 //! Retries of a call, its refusal, and its end.
 
-use crate::{Effect, Gate, Refusal, RefusalKind, call_state::CallState};
+use crate::{Delivered, Effect, Gate, Refusal, RefusalKind, call_state::CallState};
 use rw_types::Millis;
 
 /// Maximum number of dispatches of one call, including rejected ones.
 const MAX_DISPATCHES: u32 = 4;
+
+/// How a call ends whose response wasn't streamed.
+enum Ending {
+    /// With the complete response that the relay holds.
+    Deliver,
+    Refuse(Refusal),
+}
+
 impl Gate {
     /// Sends a call that was not run to another target, or refuses it.
     pub(crate) fn retry_or_refuse(&mut self, now: Millis, i: usize, effects: &mut Vec<Effect>) {
@@ -36,12 +44,14 @@
     }
 
     /// Ends a call whose deadline has expired.
-    pub(crate) fn refuse_late(&mut self, i: usize, delivered: bool, effects: &mut Vec<Effect>) {
-        let kind = match delivered {
-            true => RefusalKind::Truncated,
-            false => RefusalKind::TimedOut,
-        };
-        self.refuse(i, self.refusal(kind, 0), effects);
+    pub(crate) fn refuse_late(
+        &mut self,
+        i: usize,
+        delivered: Delivered,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.calls[i].delivered = delivered;
+        self.refuse(i, self.refusal(RefusalKind::TimedOut, 0), effects);
     }
 
     /// Refuses a call that no target can take now.
@@ -66,14 +76,9 @@
 
     /// How a call fails that can't be sent again: with `not_run` if no target has run it.
     pub(crate) fn failure_kind(&self, i: usize, not_run: RefusalKind) -> RefusalKind {
-        let call = &self.calls[i];
-        match (
-            call.resume_after == call.request.last_event,
-            call.outcome_unknown,
-        ) {
-            (false, _) => RefusalKind::Truncated,
-            (true, true) => RefusalKind::ResponseLost,
-            (true, false) => not_run,
+        match self.calls[i].outcome_unknown {
+            true => RefusalKind::ResponseLost,
+            false => not_run,
         }
     }
 
@@ -139,14 +144,35 @@
         self.refuse(i, refusal, effects);
     }
 
+    /// Ends a call with the complete response of its last run.
+    pub(crate) fn deliver(&mut self, i: usize, effects: &mut Vec<Effect>) {
+        self.end(i, Ending::Deliver, effects);
+    }
+
+    /// Ends a call without a response of its last run.
     pub(crate) fn refuse(&mut self, i: usize, refusal: Refusal, effects: &mut Vec<Effect>) {
-        let id = self.calls[i].id;
+        // If the call has run, the response of a target tells the caller more than a refusal.
+        let ending = match self.calls[i].kept_response {
+            true => Ending::Deliver,
+            false => Ending::Refuse(refusal),
+        };
         self.record_shortage(i, refusal.kind);
-        // The call has run, and the response of a target tells the caller more than a refusal.
-        let deliver = self.calls[i].kept_response && refusal.kind != RefusalKind::Truncated;
-        effects.push(match deliver {
-            true => Effect::Deliver { id },
-            false => Effect::Refuse { id, refusal },
+        self.end(i, ending, effects);
+    }
+
+    /// Ends a call. A response that has begun can only be cut off: another one, or its beginning, would
+    /// be written into it.
+    fn end(&mut self, i: usize, ending: Ending, effects: &mut Vec<Effect>) {
+        let call = &self.calls[i];
+        let id = call.id;
+        let truncated = Ending::Refuse(self.refusal(RefusalKind::Truncated, 0));
+        let ending = match call.delivered {
+            Delivered::Nothing => ending,
+            Delivered::Events(_) | Delivered::Part => truncated,
+        };
+        effects.push(match ending {
+            Ending::Deliver => Effect::Deliver { id },
+            Ending::Refuse(refusal) => Effect::Refuse { id, refusal },
         });
         self.finish(i, effects);
     }
--- a/crates/rw-gate/src/scheduling/scheduler_flow.rs
+++ b/crates/rw-gate/src/scheduling/scheduler_flow.rs
@@ -5,7 +5,7 @@
     Reservation, SchedulerMessage, WorkEnd, load_of,
 };
 use crate::{
-    CallRequest, Effect, Gate, Prompt, PromptPart, RetryPolicy, call_state::CallState,
+    CallRequest, Delivered, Effect, Gate, Prompt, PromptPart, RetryPolicy, call_state::CallState,
     placement::Placement,
 };
 use rw_types::{Millis, RequestId};
@@ -201,7 +201,7 @@
         prefilled: request.prefilled_in.is_some(),
         active: None,
         handle: None,
-        resume_after: None,
+        delivered: Delivered::Nothing,
         software: None,
         placing: Placing::default(),
     }
--- a/crates/rw-gate/tests/accounts.rs
+++ b/crates/rw-gate/tests/accounts.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    Account, CallRequest, Credential, DelegatedCall, Digest, DispatchMode, DispatchOutcome, Event,
-    GateSettings, KvHandle, RefusalKind, Routing,
+    Account, CallRequest, Credential, DelegatedCall, Delivered, Digest, DispatchMode,
+    DispatchOutcome, Event, GateSettings, KvHandle, RefusalKind, Routing,
 };
 use rw_types::{KeyHash, Millis};
 use std::sync::Arc;
@@ -332,7 +332,7 @@
     world.step(Event::StreamBegun { id });
     let broken = DispatchOutcome::Broken {
         crashed: false,
-        delivered: Some(3),
+        delivered: Delivered::Events(3),
     };
     let resumed = world.end(id, broken);
     for (name, effects) in [("decode", decode), ("resumed", resumed)] {
--- a/crates/rw-gate/tests/calls.rs
+++ b/crates/rw-gate/tests/calls.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rw_gate::{DispatchOutcome, Effect, Event, GateSettings, RefusalKind, Role};
+use rw_gate::{Delivered, DispatchOutcome, Effect, Event, GateSettings, RefusalKind, Role};
 use support::*;
 
 struct OutcomeCase {
@@ -64,7 +64,9 @@
         OutcomeCase {
             name: "idempotent, timed out: may have run",
             path: "/safe/1",
-            outcomes: &[DispatchOutcome::TimedOut { delivered: false }],
+            outcomes: &[DispatchOutcome::TimedOut {
+                delivered: Delivered::Nothing,
+            }],
             is_dispatched: false,
             refused: Some(RefusalKind::TimedOut),
         },
@@ -111,7 +113,9 @@
         DispatchOutcome::NotSent,
         REJECTED,
         BROKEN,
-        DispatchOutcome::TimedOut { delivered: false },
+        DispatchOutcome::TimedOut {
+            delivered: Delivered::Nothing,
+        },
     ];
     for outcome in outcomes {
         let mut world = World::new();
@@ -283,7 +287,7 @@
     let first = sent_to(&sent).to_owned();
     let broken = DispatchOutcome::Broken {
         crashed: false,
-        delivered: Some(4),
+        delivered: Delivered::Events(4),
     };
     let retried = world.end(id, broken.clone());
     let resumed = dispatch(&retried).expect("a second target");
@@ -299,7 +303,7 @@
     let (id, _) = world.arrive(generation("/chat/1", (1, 100), (2, 100)));
     let broken = DispatchOutcome::Broken {
         crashed: false,
-        delivered: Some(4),
+        delivered: Delivered::Events(4),
     };
     let truncated = world.end(id, broken);
     assert_eq!(refused(&truncated), Some(RefusalKind::Truncated));
@@ -343,8 +347,18 @@
     let cases = [
         case("the caller leaves first", false, None, true),
         case("the caller leaves during the stream", true, None, false),
-        case("no event in time", false, timed_out(false), true),
-        case("a late stream", true, timed_out(true), false),
+        case(
+            "no event in time",
+            false,
+            timed_out(Delivered::Nothing),
+            true,
+        ),
+        case(
+            "a late stream",
+            true,
+            timed_out(Delivered::Events(1)),
+            false,
+        ),
         case("not sent", false, Some(DispatchOutcome::NotSent), true),
         case(
             "rejected",
--- a/crates/rw-gate/tests/delegation.rs
+++ b/crates/rw-gate/tests/delegation.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    CallRequest, DelegatedCall, Delegation, DelegationOutcome, Digest, DispatchOutcome, Effect,
-    Event, GateSettings, Refusal, RefusalKind, SoftwareId, TargetIncarnation,
+    CallRequest, DelegatedCall, Delegation, DelegationOutcome, Delivered, Digest, DispatchOutcome,
+    Effect, Event, GateSettings, Refusal, RefusalKind, SoftwareId, TargetIncarnation,
 };
 use rw_types::RequestId;
 use support::*;
@@ -293,7 +293,7 @@
         // It may have run.
         Case {
             path: "/once/1",
-            outcome: broken(None),
+            outcome: broken(Delivered::Nothing),
             next: Next::Refused(RefusalKind::ResponseLost),
         },
         Case {
@@ -303,22 +303,22 @@
         },
         Case {
             path: "/chat/1",
-            outcome: broken(None),
+            outcome: broken(Delivered::Nothing),
             next: Next::Refused(RefusalKind::ResponseLost),
         },
         Case {
             path: "/chat/1",
-            outcome: broken(Some(2)),
+            outcome: broken(Delivered::Events(2)),
             next: Next::Refused(RefusalKind::Truncated),
         },
         Case {
             path: "/safe/1",
-            outcome: broken(None),
+            outcome: broken(Delivered::Nothing),
             next: Next::OtherNode,
         },
         Case {
             path: "/brief/1",
-            outcome: broken(Some(2)),
+            outcome: broken(Delivered::Events(2)),
             next: Next::OtherNode,
         },
     ];
@@ -348,7 +348,12 @@
     let (id, _) = world.arrive(request("/brief/1"));
     let software = SoftwareId::of(ENGINES, "v7");
     world.step(Event::DelegatedStreamBegun { id, software });
-    let effects = world.end_delegation(id, DelegationOutcome::Broken { delivered: Some(3) });
+    let effects = world.end_delegation(
+        id,
+        DelegationOutcome::Broken {
+            delivered: Delivered::Events(3),
+        },
+    );
     let second = delegation(&effects).map(|d| &d.call);
     assert_eq!(second.and_then(|c| c.software), Some(software));
     assert_eq!(second.and_then(|c| c.resume_after), Some(3));
--- a/crates/rw-gate/tests/placing.rs
+++ b/crates/rw-gate/tests/placing.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rw_gate::{DispatchMode, DispatchOutcome, RefusalKind};
+use rw_gate::{Delivered, DispatchMode, DispatchOutcome, RefusalKind};
 use support::*;
 
 /// Prefills the prompt of `request` at 50 tokens per millisecond and completes the call.
@@ -155,7 +155,7 @@
     world.now += 3_000;
     let broken = DispatchOutcome::Broken {
         crashed: false,
-        delivered: Some(4),
+        delivered: Delivered::Events(4),
     };
     let resumed = world.end(id, broken);
     assert_eq!(dispatch(&resumed).and_then(|d| d.resume_after), Some(4));
--- a/crates/rw-gate/tests/poison_parts.rs
+++ b/crates/rw-gate/tests/poison_parts.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    CallRequest, Dispatch, DispatchOutcome, Effect, Event, GateSettings, Prompt, PromptPart,
-    RefusalKind, Role,
+    CallRequest, Delivered, Dispatch, DispatchOutcome, Effect, Event, GateSettings, Prompt,
+    PromptPart, RefusalKind, Role,
 };
 use rw_types::{Millis, RequestId};
 use support::*;
@@ -32,7 +32,7 @@
 
 const CRASHED: DispatchOutcome = DispatchOutcome::Broken {
     crashed: true,
-    delivered: None,
+    delivered: Delivered::Nothing,
 };
 
 #[derive(Debug, Clone)]
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    CallRequest, Digest, DispatchOutcome, Effect, Event, GateSettings, RefusalKind, Role,
-    TargetSpec, VersionRecord,
+    CallRequest, Delivered, Digest, DispatchOutcome, Effect, Event, GateSettings, RefusalKind,
+    Role, TargetSpec, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
@@ -59,7 +59,7 @@
     (id, target)
 }
 
-fn broken(delivered: Option<u64>) -> DispatchOutcome {
+fn broken(delivered: Delivered) -> DispatchOutcome {
     DispatchOutcome::Broken {
         crashed: false,
         delivered,
@@ -89,8 +89,8 @@
 fn a_stream_goes_on_at_its_version_within_one_response() {
     struct Case {
         name: &'static str,
-        /// Last event delivered before the stream broke.
-        delivered: Option<u64>,
+        /// What the caller had got before the stream broke.
+        delivered: Delivered,
         /// Engines beside the one that begins.
         others: &'static [(&'static str, &'static str)],
         /// Engine that gets the stream next.
@@ -99,19 +99,19 @@
     let cases = [
         Case {
             name: "one of its version serves",
-            delivered: Some(2),
+            delivered: Delivered::Events(2),
             others: &[("a", "v2"), ("b", "v1"), ("c", "v2")],
             next: "b",
         },
         Case {
             name: "none of its version serves",
-            delivered: Some(2),
+            delivered: Delivered::Events(2),
             others: &[("a", "v2")],
             next: "",
         },
         Case {
             name: "nothing was delivered",
-            delivered: None,
+            delivered: Delivered::Nothing,
             others: &[("a", "v2")],
             next: "a",
         },
@@ -120,7 +120,7 @@
         let mut world = world("x", &[("0", "v1")]);
         let (id, effects) = world.arrive(stream("c"));
         assert_eq!(sent_to(&effects), "0", "{}", case.name);
-        if case.delivered.is_some() {
+        if case.delivered != Delivered::Nothing {
             world.step(Event::FirstEvent { id });
             world.step(Event::StreamBegun { id });
         }
--- a/crates/rw-gate/tests/support/mod.rs
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -7,9 +7,9 @@
 )]
 
 use rw_gate::{
-    CallLimits, CallRequest, Credential, Dispatch, DispatchMode, DispatchOutcome, Effect,
-    EngineSpec, Event, FleetNode, Gate, GateSettings, Prompt, PromptPart, Refusal, RefusalKind,
-    RetryPolicy, Role, Route, Routing, Service, ServiceWeight, TargetSpec,
+    CallLimits, CallRequest, Credential, Delivered, Dispatch, DispatchMode, DispatchOutcome,
+    Effect, EngineSpec, Event, FleetNode, Gate, GateSettings, Prompt, PromptPart, Refusal,
+    RefusalKind, RetryPolicy, Role, Route, Routing, Service, ServiceWeight, TargetSpec,
 };
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
@@ -215,9 +215,9 @@
 
 pub const BROKEN: DispatchOutcome = DispatchOutcome::Broken {
     crashed: false,
-    delivered: None,
+    delivered: Delivered::Nothing,
 };
 pub const CRASHED: DispatchOutcome = DispatchOutcome::Broken {
     crashed: true,
-    delivered: None,
+    delivered: Delivered::Nothing,
 };
--- a/crates/rw-load/src/relay/engine_faults.rs
+++ b/crates/rw-load/src/relay/engine_faults.rs
@@ -78,7 +78,7 @@
                 continue;
             }
             self.engines[engine].cancel(call);
-            let delivered = self.calls[call].started.then_some(0);
+            let delivered = self.calls[call].delivered();
             let outcome = DispatchOutcome::Broken {
                 crashed: true,
                 delivered,
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -12,9 +12,9 @@
     scaling::{Lease, initial_leases, start_us},
 };
 use rw_gate::{
-    CallRequest, Credential, DispatchOutcome, DutySettings, Effect, Event, FleetNode, Gate,
-    GateSettings, OrderOutcome, PLACEMENT_TIMEOUT_MS, Prompt as RequestPrompt, Role, SchedulerNode,
-    TargetSpec, TargetSpeeds,
+    CallRequest, Credential, Delivered, DispatchOutcome, DutySettings, Effect, Event, FleetNode,
+    Gate, GateSettings, OrderOutcome, PLACEMENT_TIMEOUT_MS, Prompt as RequestPrompt, Role,
+    SchedulerNode, TargetSpec, TargetSpeeds,
 };
 use rw_types::{Millis, RequestId};
 use std::{
@@ -89,6 +89,14 @@
     pub(super) fn runs_at(&self) -> usize {
         self.delegate.unwrap_or(self.node)
     }
+
+    /// What its caller has got, as far as it matters for the next run.
+    pub(super) fn delivered(&self) -> Delivered {
+        match self.started {
+            true => Delivered::Events(0),
+            false => Delivered::Nothing,
+        }
+    }
 }
 
 pub(super) struct Simulation<'a> {
--- a/crates/rw-load/src/relay/node_cuts.rs
+++ b/crates/rw-load/src/relay/node_cuts.rs
@@ -44,7 +44,7 @@
             self.engines[engine].cancel(call);
             let outcome = DispatchOutcome::Broken {
                 crashed: false,
-                delivered: c.started.then_some(0),
+                delivered: c.delivered(),
             };
             self.send_event_after(BREAK_US, call, |id| Event::DispatchEnded { id, outcome });
         }
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -72,7 +72,7 @@
                 return Ok(DispatchOutcome::Stalled);
             }
             return Ok(DispatchOutcome::TimedOut {
-                delivered: progress.out.is_started(),
+                delivered: progress.delivered(),
             });
         };
         match ended {
@@ -89,9 +89,10 @@
                 let parts = request.prompt.map(|p| p.parts).unwrap_or_default();
                 self.log
                     .dispatch_broken(call, dispatch, &parts, &error, crashed);
-                let begun = progress.out.is_started();
-                let delivered = begun.then(|| progress.last_event.unwrap_or(0));
-                Ok(DispatchOutcome::Broken { crashed, delivered })
+                Ok(DispatchOutcome::Broken {
+                    crashed,
+                    delivered: progress.delivered(),
+                })
             }
         }
     }
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -64,7 +64,7 @@
         progress.framing = None;
         let exchange = self.delegated_exchange(call, delegation, &mut conn, progress);
         let Some(ended) = timeout_at(deadline, exchange).await else {
-            let delivered = progress.out.is_started();
+            let delivered = progress.delivered();
             return Ok(DelegationOutcome::TimedOut { delivered });
         };
         match ended {
@@ -72,8 +72,7 @@
             Err(ExchangeError::Caller) => Err(CallerDisconnected),
             Err(ExchangeError::Target(error)) => {
                 self.log.delegation_broken(call, delegation, &error);
-                let is_begun = progress.out.is_started();
-                let delivered = is_begun.then(|| progress.last_event.unwrap_or(0));
+                let delivered = progress.delivered();
                 Ok(DelegationOutcome::Broken { delivered })
             }
         }
--- a/crates/rw-relay/src/response_progress.rs
+++ b/crates/rw-relay/src/response_progress.rs
@@ -1,6 +1,7 @@
 //! State of the response to a call.
 
 use crate::{Framing, ResponseHead, response_writer::ResponseWriter};
+use rw_gate::Delivered;
 
 /// A response received in full.
 #[derive(Debug)]
@@ -31,4 +32,12 @@
             last_event: None,
         }
     }
+
+    /// What the caller has got by now.
+    pub(crate) fn delivered(&self) -> Delivered {
+        match self.out.is_started() {
+            true => Delivered::Events(self.last_event.unwrap_or(0)),
+            false => Delivered::Nothing,
+        }
+    }
 }
