One type owns the response to a caller: a plain body that has begun is not continued

A caller got 200 with 120,000 bytes of one run and the whole body of another behind them, and took what was left over for the beginning of its next response. Whether a response had begun was a flag of the writer that each place had to ask for, and a retry of an idempotent call didn't.

ResponseWriter now holds a state (nothing sent, events, partial, complete, conflict) that every method takes before it writes and puts back afterwards: - a head is written only from the first state, so there can be one only; - a plain body is written through a BodyWriter, which exists only from the first state and belongs to one run: when it is dropped, nothing can follow; - events are written through an EventWriter, from the first state or after complete events of the same status with a known identifier; - a write that is abandoned halfway leaves the state partial; - a body never exceeds its declared length, and isn't complete before it. What the caller has got is read from this state, and the gate runs no call again after a part that nothing can follow, which saves the second run. A stream of events without identifiers, which was run again from its start, is such a part. Other types and statuses than those of the stream that has begun find no writer.

The writer can't write what the metric called overwritten, so that this value becomes conflict: bytes that belong to no response were to be written and were withheld.

--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -495,9 +495,10 @@
         if delivered != Delivered::Nothing {
             call.client_deadline = now.plus(call.client_timeout_ms);
         }
-        let can_retry = !call.outcome_unknown
+        let may_run = !call.outcome_unknown
             || (call.retry_policy.is_retryable() && call.runs < call.max_attempts);
-        if can_retry && self.retry_anywhere(now, i, effects) {
+        let can_go_on = delivered != Delivered::Part;
+        if may_run && can_go_on && self.retry_anywhere(now, i, effects) {
             return;
         }
         let kind = self.failure_kind(i, RefusalKind::NoTarget);
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -11,7 +11,7 @@
     notices::Addressee,
     pool::{ConnectError, TargetConnection},
     response_progress::{BufferedResponse, ResponseProgress},
-    streaming::StreamedResponse,
+    streaming::{StreamEnd, StreamedResponse, is_streamed},
     timeout::timeout_at,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
@@ -59,7 +59,6 @@
         if !self.may_send(dispatch) {
             return Ok(DispatchOutcome::Withheld);
         }
-        progress.last_event = dispatch.resume_after;
         progress.framing = None;
         let exchange = self.exchange(call, dispatch, conn, progress);
         let stall = dispatch.stall_timeout_ms.map(Duration::from_millis);
@@ -72,7 +71,7 @@
                 return Ok(DispatchOutcome::Stalled);
             }
             return Ok(DispatchOutcome::TimedOut {
-                delivered: progress.delivered(),
+                delivered: progress.out.delivered(),
             });
         };
         match ended {
@@ -91,7 +90,7 @@
                     .dispatch_broken(call, dispatch, &parts, &error, crashed);
                 Ok(DispatchOutcome::Broken {
                     crashed,
-                    delivered: progress.delivered(),
+                    delivered: progress.out.delivered(),
                 })
             }
         }
@@ -139,9 +138,7 @@
         if !metadata.signed {
             return Err(malformed().into());
         }
-        let oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
-        let is_stream = dispatch.stream && (200..300).contains(&head.status);
-        if is_stream || oversized {
+        if is_streamed(&head, dispatch.stream) {
             self.note_source(call, progress);
             let streamed = StreamedResponse {
                 conn: &mut conn.connection,
@@ -149,12 +146,18 @@
                 body,
                 is_stream: dispatch.stream,
                 is_resumable: dispatch.resumable,
+                resume_after: dispatch.resume_after,
                 from: &dispatch.target,
                 begun: Event::StreamBegun { id: call.id },
             };
-            self.stream_response(call, streamed, progress).await?;
-            self.release(conn, &head, true);
-            return Ok(DispatchOutcome::Delivered);
+            let status = head.status;
+            return match self.stream_response(call, streamed, progress).await? {
+                StreamEnd::Delivered => {
+                    self.release(conn, &head, true);
+                    Ok(DispatchOutcome::Delivered)
+                }
+                StreamEnd::Unrelated => Ok(DispatchOutcome::Complete { status }),
+            };
         }
         let full_body = body
             .read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
--- a/crates/rw-relay/src/decision_log.rs
+++ b/crates/rw-relay/src/decision_log.rs
@@ -107,8 +107,8 @@
     /// A response ended other than complete.
     pub(crate) fn response_ended(&self, call: &Call, end: ResponseEnd, w: &Written) {
         let previous = call.previous.map_or(0, |id| id.0);
-        if end == ResponseEnd::Overwritten {
-            log::warn!(call = call.call_id.as_str(), n = call.id.0, previous, heads = w.heads, declared:? = w.declared, body = w.body; "bytes that belong to no response were written to a caller; this is a bug");
+        if end == ResponseEnd::Conflict {
+            log::warn!(call = call.call_id.as_str(), n = call.id.0, previous, declared:? = w.declared, body = w.body; "bytes that belong to no response were withheld from a caller; this is a bug");
         } else if end != ResponseEnd::Complete && self.allow_line() {
             log::info!(call = call.call_id.as_str(), n = call.id.0, previous, end = end.as_str(), declared:? = w.declared, body = w.body; "response not complete");
         }
--- a/crates/rw-relay/src/delegation/receive.rs
+++ b/crates/rw-relay/src/delegation/receive.rs
@@ -2,8 +2,8 @@
 
 use super::{DELEGATION_HEADER, DelegateNote, take_json};
 use crate::{
-    Connection, Dialect, Framing, Relay, RequestHead, front::CallSource,
-    response_writer::ResponseWriter,
+    Connection, Dialect, Framing, Relay, RequestHead, ResponseWriter, caller_stream::CallerStream,
+    front::CallSource,
 };
 use rw_gate::{DelegatedCall, Refusal, RefusalKind};
 use smol::{Async, Timer};
@@ -118,7 +118,7 @@
 /// Refuses a delegated call whose body hasn't been read.
 async fn refuse_offer(conn: &Connection, refusal: &Refusal) -> io::Result<()> {
     let status = refusal.kind.status().unwrap_or(503);
-    let mut out = ResponseWriter::new(conn.stream(), "", true);
+    let mut out = ResponseWriter::new(CallerStream(conn.stream()), "", true);
     out.set_note(Some(DelegateNote::refused(refusal)));
     out.write_refusal(status, refusal).await
 }
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -2,7 +2,7 @@
 
 use super::{DELEGATE_HEADER, DELEGATION_HEADER, DelegateNote, take_json, to_value};
 use crate::{
-    Connection, Dialect, Framing, Relay, ResponseHead, ResponseMetadata,
+    Connection, Dialect, Relay, ResponseHead, ResponseMetadata,
     attempt::{DEADLINE_GRACE, MAX_BUFFERED_BYTES, MAX_HEAD_BYTES},
     body::BodyReader,
     call::Call,
@@ -11,7 +11,7 @@
     io_error::malformed,
     notices::Addressee,
     response_progress::{BufferedResponse, ResponseProgress},
-    streaming::StreamedResponse,
+    streaming::{StreamEnd, StreamedResponse, is_streamed},
     timeout::{timeout, timeout_at},
 };
 use rw_gate::{Delegation, DelegationOutcome, Event, ResponseSource};
@@ -60,11 +60,10 @@
         if let HeadResponse::Refused(refused) = response {
             return Ok(refused);
         }
-        progress.last_event = delegation.call.resume_after;
         progress.framing = None;
         let exchange = self.delegated_exchange(call, delegation, &mut conn, progress);
         let Some(ended) = timeout_at(deadline, exchange).await else {
-            let delivered = progress.delivered();
+            let delivered = progress.out.delivered();
             return Ok(DelegationOutcome::TimedOut { delivered });
         };
         match ended {
@@ -72,7 +71,7 @@
             Err(ExchangeError::Caller) => Err(CallerDisconnected),
             Err(ExchangeError::Target(error)) => {
                 self.log.delegation_broken(call, delegation, &error);
-                let delivered = progress.delivered();
+                let delivered = progress.out.delivered();
                 Ok(DelegationOutcome::Broken { delivered })
             }
         }
@@ -142,23 +141,26 @@
         }
         self.notice_of_source(&source, metadata);
         progress.framing = Some(head.framing);
-        let is_oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
-        let is_stream = delegation.stream && (200..300).contains(&head.status);
-        if is_stream || is_oversized {
+        if is_streamed(&head, delegation.stream) {
             let streamed = StreamedResponse {
                 conn,
                 head,
                 body,
                 is_stream: delegation.stream,
                 is_resumable: delegation.resumable,
+                resume_after: delegation.call.resume_after,
                 from: &delegation.vm,
                 begun: Event::DelegatedStreamBegun {
                     id: call.id,
                     software: source.software,
                 },
             };
-            self.stream_response(call, streamed, progress).await?;
-            return Ok(DelegationOutcome::Delivered);
+            return Ok(
+                match self.stream_response(call, streamed, progress).await? {
+                    StreamEnd::Delivered => DelegationOutcome::Delivered,
+                    StreamEnd::Unrelated => DelegationOutcome::Complete,
+                },
+            );
         }
         let bytes = body.read_all(conn, MAX_BUFFERED_BYTES as usize).await?;
         progress.buffered = Some(BufferedResponse { head, body: bytes });
--- a/crates/rw-relay/src/endpoint_server.rs
+++ b/crates/rw-relay/src/endpoint_server.rs
@@ -1,8 +1,8 @@
 //! HTTP server for the node's own endpoints: readiness, metrics and calls from peers.
 
 use crate::{
-    Connection, Dialect, Relay, RequestHead, body::BodyReader, response_writer::ResponseWriter,
-    timeout::timeout,
+    Connection, Dialect, Relay, RequestHead, ResponseWriter, body::BodyReader,
+    caller_stream::CallerStream, timeout::timeout,
 };
 use rw_gate::WorkKind;
 use smol::Async;
@@ -68,7 +68,8 @@
                 return;
             };
             let response = handler.handle(self, &head, &body);
-            let mut writer = ResponseWriter::new(conn.stream(), &head.method, !head.keep_alive);
+            let mut writer =
+                ResponseWriter::new(CallerStream(conn.stream()), &head.method, !head.keep_alive);
             let written = writer.write_endpoint(response.status, &response.body).await;
             if written.is_err() || !head.keep_alive {
                 return;
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -1,8 +1,9 @@
 //! Drives a call to its final response.
 
 use crate::{
-    Dialect, Relay, call::Call, delegation::DelegateNote, exchange_error::CallerDisconnected,
-    response_progress::ResponseProgress, response_writer::ResponseWriter,
+    Dialect, Relay, ResponseWriter, call::Call, caller_stream::CallerStream,
+    delegation::DelegateNote, exchange_error::CallerDisconnected,
+    response_progress::ResponseProgress,
 };
 use rw_gate::{DelegatedCall, Delegation, Dispatch, Effect, Event, Refusal};
 
@@ -86,7 +87,7 @@
     async fn refuse(
         &self,
         refusal: &Refusal,
-        out: &mut ResponseWriter,
+        out: &mut ResponseWriter<CallerStream>,
     ) -> Result<(), CallerDisconnected> {
         match refusal.kind.status() {
             Some(status) if !out.is_started() => {
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -1,12 +1,12 @@
 //! Server for callers' connections.
 
 use crate::{
-    BootClock, Connection, Dialect, HeadError, Relay, RequestHead, ResponseEnd,
+    BootClock, Connection, Dialect, HeadError, Relay, RequestHead, ResponseWriter,
     body::BodyReader,
     call::Call,
+    caller_stream::CallerStream,
     delegation::{EXTRA_HEADER_BYTES, restore_framing},
     response_progress::ResponseProgress,
-    response_writer::ResponseWriter,
     timeout::timeout,
 };
 use rw_gate::{CallLimits, DelegatedCall, Event};
@@ -192,7 +192,7 @@
         let id = self.next_id();
         let close = !head.keep_alive || self.stopping.get();
         let keep = head.keep_alive;
-        let out = ResponseWriter::new(conn.stream(), &head.method, close);
+        let out = ResponseWriter::new(CallerStream(conn.stream()), &head.method, close);
         let mut progress = ResponseProgress::new(out);
         let call_id = self.dialect.call_id(&head).to_owned();
         let started = self.clock.now();
@@ -221,7 +221,7 @@
             drop(gate);
             self.step(Event::CallerDisconnected { id });
         }
-        let end = ResponseEnd::of(out.written(), out.is_finished());
+        let end = out.end();
         self.metrics.response_ended(end);
         self.log.response_ended(&call, end, out.written());
         self.metrics.call_finished(self.clock.now().since(started));
@@ -243,7 +243,7 @@
     async fn reject(&self, conn: &Connection, status: u16, kind: &'static str) -> AfterRequest {
         self.log.rejected(status, kind);
         self.metrics.rejected(kind);
-        let mut out = ResponseWriter::new(conn.stream(), "", true);
+        let mut out = ResponseWriter::new(CallerStream(conn.stream()), "", true);
         match out.write_error(status, kind, 0).await {
             Ok(()) => AfterRequest::Close,
             Err(_) => AfterRequest::Abort,
--- a/crates/rw-relay/src/response_end.rs
+++ b/crates/rw-relay/src/response_end.rs
@@ -1,7 +1,5 @@
 //! How responses end.
 
-use crate::Written;
-
 /// How the response to a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseEnd {
@@ -11,23 +9,12 @@
     Complete,
     /// A part was written, and the connection is closed.
     Cut,
-    /// Bytes were written that belong to no response: a second head, or more than the first one
-    /// declared.
-    Overwritten,
+    /// A second response, or more than the first one declared, was to be written. It wasn't, and the
+    /// connection is closed.
+    Conflict,
 }
 
 impl ResponseEnd {
-    /// The end of a response of which `written` was written.
-    #[must_use]
-    pub fn of(written: &Written, is_finished: bool) -> Self {
-        match (written.heads, is_finished) {
-            _ if written.is_overwritten() => Self::Overwritten,
-            (0, _) => Self::Unwritten,
-            (_, true) => Self::Complete,
-            (_, false) => Self::Cut,
-        }
-    }
-
     /// Name in logs and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
@@ -35,7 +22,7 @@
             Self::Unwritten => "unwritten",
             Self::Complete => "complete",
             Self::Cut => "cut",
-            Self::Overwritten => "overwritten",
+            Self::Conflict => "conflict",
         }
     }
 }
--- a/crates/rw-relay/src/response_writer.rs
+++ b/crates/rw-relay/src/response_writer.rs
@@ -1,42 +1,41 @@
 //! Writes responses to callers.
 
 use crate::{
-    Framing, HeaderField, ResponseHead, Written,
-    delegation::{DELEGATE_HEADER, DelegateNote},
-    head::is_hop,
+    BodyWriter, EventWriter, HeaderField, ResponseEnd, ResponseHead, Written,
+    delegation::DelegateNote,
+    response_head::{HeadLines, is_bodyless},
+    response_state::ResponseState,
 };
-use rw_gate::Refusal;
-use smol::{Async, io::AsyncWriteExt as _};
-use std::{fmt::Write as _, io, net::TcpStream, rc::Rc};
-
-/// Writes one response. If it is dropped before the response is complete, the connection must be
-/// closed.
+use rw_gate::{Delivered, Refusal};
+use smol::io::{AsyncWrite, AsyncWriteExt as _};
+use std::{io, mem};
+
+/// Writes the one response to a call, over all runs of the call.
+///
+/// Each method takes the state, and puts the next one back once its bytes are written: a second head or
+/// the body of another run finds none to start from. If the writer is dropped before the response is
+/// complete, the connection must be closed.
 #[derive(Debug)]
-pub(crate) struct ResponseWriter {
-    stream: Rc<Async<TcpStream>>,
+pub struct ResponseWriter<W> {
+    stream: W,
     /// Whether the connection is closed after this response.
     pub(crate) close: bool,
     /// Whether the response must have no body, because the request method is HEAD.
     head_only: bool,
-    /// Whether writing the response has begun.
-    started: bool,
-    /// Whether the response was written in full.
-    finished: bool,
-    chunked: bool,
+    state: ResponseState,
     written: Written,
     /// What another node, to which the response goes, must know of it.
     note: Option<DelegateNote>,
 }
 
-impl ResponseWriter {
-    pub(crate) fn new(stream: Rc<Async<TcpStream>>, method: &str, close: bool) -> Self {
+impl<W: AsyncWrite + Unpin> ResponseWriter<W> {
+    /// Creates a writer of the response to a request with `method`.
+    pub fn new(stream: W, method: &str, close: bool) -> Self {
         Self {
             stream,
             close,
             head_only: method == "HEAD",
-            started: false,
-            finished: false,
-            chunked: false,
+            state: ResponseState::Unsent,
             written: Written::default(),
             note: None,
         }
@@ -47,78 +46,58 @@
         self.note = note;
     }
 
-    pub(crate) fn is_started(&self) -> bool {
-        self.started
+    /// Whether anything was written.
+    #[must_use]
+    pub fn is_started(&self) -> bool {
+        self.state != ResponseState::Unsent
+    }
+
+    /// Whether the response was written in full.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.state == ResponseState::Complete
     }
 
-    pub(crate) fn is_finished(&self) -> bool {
-        self.finished
+    /// How the response ends if nothing more is written.
+    #[must_use]
+    pub fn end(&self) -> ResponseEnd {
+        self.state.end()
     }
 
-    pub(crate) fn written(&self) -> &Written {
+    /// What the caller has got.
+    #[must_use]
+    pub fn delivered(&self) -> Delivered {
+        self.state.delivered()
+    }
+
+    /// What was written.
+    #[must_use]
+    pub fn written(&self) -> &Written {
         &self.written
     }
 
     /// Writes a target's full response.
-    pub(crate) async fn write_full(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
-        let mut bytes = self.head_lines(head.status, &head.headers);
-        let bodyless = head.status == 204 || head.status == 304;
-        if !bodyless && !self.head_only {
-            push_length(&mut bytes, body.len());
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or a response has begun.
+    pub async fn write_full(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
+        let mut lines = self.lines(head.status, &head.headers);
+        if !is_bodyless(head) && !self.head_only {
+            lines.push_length(body.len() as u64);
         } else if let Some(length) = head.header("content-length") {
             // The response to HEAD declares the length of the body that it omits.
-            push_header(&mut bytes, "content-length", length);
+            lines.push("content-length", length);
         }
-        bytes.push_str("\r\n");
-        let mut bytes = bytes.into_bytes();
-        bytes.extend_from_slice(body);
-        self.written.add_head(Some(body.len() as u64));
-        self.written.add_body(body.len());
-        self.write(&bytes).await?;
-        self.finished = true;
-        Ok(())
-    }
-
-    /// Writes the head of a streamed response and the first bytes of its body.
-    pub(crate) async fn write_head(&mut self, head: &ResponseHead, first: &[u8]) -> io::Result<()> {
-        let mut bytes = self.head_lines(head.status, &head.headers);
-        match head.framing {
-            Framing::Length(n) => push_header(&mut bytes, "content-length", &n.to_string()),
-            Framing::Chunked | Framing::Close => {
-                self.chunked = true;
-                push_header(&mut bytes, "transfer-encoding", "chunked");
-            }
-        }
-        bytes.push_str("\r\n");
-        let mut bytes = bytes.into_bytes();
-        self.written.add_head(match head.framing {
-            Framing::Length(n) => Some(n),
-            Framing::Chunked | Framing::Close => None,
-        });
-        self.written.add_body(first.len());
-        self.push_chunk(&mut bytes, first);
-        self.write(&bytes).await
-    }
-
-    /// Writes more bytes of a streamed body.
-    pub(crate) async fn write_chunk(&mut self, chunk: &[u8]) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(chunk.len() + 16);
-        self.written.add_body(chunk.len());
-        self.push_chunk(&mut bytes, chunk);
-        self.write(&bytes).await
-    }
-
-    /// Ends a streamed body that is complete.
-    pub(crate) async fn finish(&mut self) -> io::Result<()> {
-        if self.chunked {
-            self.write(b"0\r\n\r\n").await?;
-        }
-        self.finished = true;
-        Ok(())
+        self.write_whole(lines, body).await
     }
 
     /// Writes the refusal of a call.
-    pub(crate) async fn write_refusal(&mut self, status: u16, refusal: &Refusal) -> io::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or a response has begun.
+    pub async fn write_refusal(&mut self, status: u16, refusal: &Refusal) -> io::Result<()> {
         let kind = refusal.kind.as_str();
         self.write_error(status, kind, refusal.retry_ms).await
     }
@@ -135,79 +114,82 @@
             name: "content-type".to_owned(),
             value: "application/json".to_owned(),
         }];
-        let mut bytes = self.head_lines(status, &headers);
+        let mut lines = self.lines(status, &headers);
         if retry_ms > 0 {
             let seconds = format!("{:.3}", retry_ms as f64 / 1e3);
-            push_header(&mut bytes, "retry-after", &seconds);
+            lines.push("retry-after", &seconds);
         }
         let body = format!("{{\"error\":{{\"kind\":\"{kind}\",\"retry_after_ms\":{retry_ms}}}}}");
-        push_length(&mut bytes, body.len());
-        bytes.push_str("\r\n");
-        self.written.add_head(None);
-        if !self.head_only {
-            self.written.add_body(body.len());
-            bytes.push_str(&body);
-        }
-        self.write(bytes.as_bytes()).await?;
-        self.finished = true;
-        Ok(())
+        lines.push_length(body.len() as u64);
+        let body = if self.head_only { "" } else { &body };
+        self.write_whole(lines, body.as_bytes()).await
     }
 
     /// Writes the response of one of the node's own endpoints.
     pub(crate) async fn write_endpoint(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
-        let mut lines = self.head_lines(status, &[]);
-        push_length(&mut lines, body.len());
-        lines.push_str("\r\n");
-        let mut bytes = lines.into_bytes();
-        bytes.extend_from_slice(body);
-        self.write(&bytes).await?;
-        self.finished = true;
-        Ok(())
+        let mut lines = self.lines(status, &[]);
+        lines.push_length(body.len() as u64);
+        self.write_whole(lines, body).await
     }
 
-    fn head_lines(&self, status: u16, headers: &[HeaderField]) -> String {
-        let mut lines = format!("HTTP/1.1 {status} {}\r\n", reason(status));
-        if let Some(note) = &self.note {
-            push_header(&mut lines, DELEGATE_HEADER, &note.to_value());
-        }
-        let forwarded = headers.iter().filter(|f| !is_hop(&f.name));
-        forwarded.for_each(|f| push_header(&mut lines, &f.name, &f.value));
-        if self.close {
-            push_header(&mut lines, "connection", "close");
-        }
-        lines
+    /// A writer of the response's only body; `None` if a response has begun.
+    pub fn body<'a>(&'a mut self, head: &'a ResponseHead) -> Option<BodyWriter<'a, W>> {
+        let is_unsent = self.state == ResponseState::Unsent;
+        is_unsent.then(|| BodyWriter::new(self, head))
     }
 
-    fn push_chunk(&self, bytes: &mut Vec<u8>, chunk: &[u8]) {
-        // An empty chunk would end the body.
-        if chunk.is_empty() {
-            return;
-        }
-        if self.chunked {
-            bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
-        }
-        bytes.extend_from_slice(chunk);
-        if self.chunked {
-            bytes.extend_from_slice(b"\r\n");
-        }
+    /// A writer of events from the beginning of a stream, or on from the last event written; `None` if a
+    /// response has begun that they can't follow.
+    pub fn events<'a>(&'a mut self, head: &'a ResponseHead) -> Option<EventWriter<'a, W>> {
+        let may_follow = match self.state {
+            ResponseState::Unsent => true,
+            ResponseState::Events { status, last } => status == head.status && last.is_some(),
+            ResponseState::Complete | ResponseState::Partial | ResponseState::Conflict => false,
+        };
+        may_follow.then(|| EventWriter::new(self, head))
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.started = true;
-        (&*self.stream).write_all(bytes).await
+    pub(crate) fn lines(&self, status: u16, headers: &[HeaderField]) -> HeadLines {
+        HeadLines::new(status, headers, self.note.as_ref(), self.close)
     }
-}
 
-fn push_header(lines: &mut String, name: &str, value: &str) {
-    // Writing to a `String` can't fail.
-    let _infallible = write!(lines, "{name}: {value}\r\n");
-}
+    /// Takes the state, so that nothing else can be written until [`Self::put`] follows.
+    pub(crate) fn take(&mut self) -> ResponseState {
+        mem::replace(&mut self.state, ResponseState::Partial)
+    }
 
-fn push_length(lines: &mut String, length: usize) {
-    push_header(lines, "content-length", &length.to_string());
-}
+    /// Puts back the state after a write.
+    pub(crate) fn put(&mut self, state: ResponseState) {
+        self.state = state;
+    }
+
+    /// Gives up the response, because what follows belongs to none.
+    pub(crate) fn conflict(&mut self) -> io::Error {
+        self.state = ResponseState::Conflict;
+        io::Error::other("a response has begun that these bytes don't belong to")
+    }
 
-fn reason(status: u16) -> &'static str {
-    let known = rw_http::StatusCode::try_from(status);
-    known.map_or("Unknown", |s| s.canonical_reason())
+    /// Begins a response.
+    pub(crate) fn begin(&mut self, declared: Option<u64>) -> io::Result<()> {
+        if self.take() != ResponseState::Unsent {
+            return Err(self.conflict());
+        }
+        self.written.declared = declared;
+        Ok(())
+    }
+
+    /// Writes bytes that hold this many bytes of the body.
+    pub(crate) async fn write(&mut self, bytes: &[u8], body: usize) -> io::Result<()> {
+        self.written.body += body as u64;
+        self.stream.write_all(bytes).await
+    }
+
+    async fn write_whole(&mut self, lines: HeadLines, body: &[u8]) -> io::Result<()> {
+        self.begin(Some(body.len() as u64))?;
+        let mut bytes = lines.into_bytes();
+        bytes.extend_from_slice(body);
+        self.write(&bytes, body.len()).await?;
+        self.put(ResponseState::Complete);
+        Ok(())
+    }
 }
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Connection, Dialect, EventSplitter, Framing, Relay, ResponseHead,
+    attempt::MAX_BUFFERED_BYTES,
     body::BodyReader,
     call::Call,
     exchange_error::{ExchangeError, caller_result},
@@ -25,67 +26,113 @@
     pub(crate) is_stream: bool,
     /// Whether the stream may be resumed.
     pub(crate) is_resumable: bool,
+    /// Event after which the stream was to go on.
+    pub(crate) resume_after: Option<u64>,
     /// Target or node that sends it.
     pub(crate) from: &'a str,
     /// Event for the gate when the first event of the stream is about to be delivered.
     pub(crate) begun: Event,
 }
 
+/// How a response that didn't break off was forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamEnd {
+    Delivered,
+    /// It doesn't go on with the response that has begun, which stays incomplete.
+    Unrelated,
+}
+
 impl<D: Dialect> Relay<D> {
-    /// Forwards a response. An event stream is forwarded by complete events, so that a caller never
-    /// receives a part of one.
+    /// Forwards a response as it arrives.
     pub(crate) async fn stream_response(
         &self,
         call: &Call,
         streamed: StreamedResponse<'_>,
         progress: &mut ResponseProgress,
-    ) -> Result<(), ExchangeError> {
+    ) -> Result<StreamEnd, ExchangeError> {
+        match streamed.is_stream && is_event_stream(&streamed.head) {
+            true => self.forward_events(call, streamed, progress).await,
+            false => self.forward_body(call, streamed, progress).await,
+        }
+    }
+
+    async fn forward_body(
+        &self,
+        call: &Call,
+        streamed: StreamedResponse<'_>,
+        progress: &mut ResponseProgress,
+    ) -> Result<StreamEnd, ExchangeError> {
+        let StreamedResponse {
+            conn,
+            head,
+            mut body,
+            from,
+            ..
+        } = streamed;
+        let Some(mut writer) = progress.out.body(&head) else {
+            return Ok(StreamEnd::Unrelated);
+        };
+        let mut is_first = true;
+        while let Some(bytes) = body.next(conn).await? {
+            if is_first {
+                self.first_bytes(call, from);
+                is_first = false;
+            }
+            caller_result(writer.write(&bytes).await)?;
+        }
+        caller_result(writer.finish().await)?;
+        Ok(StreamEnd::Delivered)
+    }
+
+    /// Forwards an event stream by complete events, so that a caller never receives a part of one. A
+    /// stream that has begun goes on only with events after the last one that the caller has got.
+    async fn forward_events(
+        &self,
+        call: &Call,
+        streamed: StreamedResponse<'_>,
+        progress: &mut ResponseProgress,
+    ) -> Result<StreamEnd, ExchangeError> {
         let StreamedResponse {
             conn,
-            mut head,
+            head,
             mut body,
-            is_stream,
             is_resumable,
+            resume_after,
             from,
             begun,
+            ..
         } = streamed;
         let mut splitter = match is_resumable {
-            true => EventSplitter::after(progress.last_event),
+            true => EventSplitter::after(resume_after),
             false => EventSplitter::unfiltered(),
         };
+        let Some(mut writer) = progress.out.events(&head) else {
+            return Ok(StreamEnd::Unrelated);
+        };
         let mut begun = Some(begun);
-        let has_events = is_stream && is_event_stream(&head);
-        let framing = head.framing;
-        if has_events && framing != Framing::Length(0) {
-            // The length that a target declares doesn't hold once another continues its stream.
-            head.framing = Framing::Chunked;
-        }
         let mut is_first = true;
         while let Some(bytes) = body.next(conn).await? {
             if is_first {
                 self.first_bytes(call, from);
                 is_first = false;
             }
-            let bytes = match has_events {
-                true => splitter.push(&bytes),
-                false => bytes,
-            };
+            let events = splitter.push(&bytes);
             if splitter.incomplete().len() > MAX_EVENT_BYTES {
                 return Err(malformed().into());
             }
-            if !bytes.is_empty() {
-                if let Some(event) = begun.take_if(|_| has_events) {
-                    self.step(event);
-                }
-                write_body(progress, &head, &bytes).await?;
-                progress.last_event = splitter.last_id();
+            if events.is_empty() {
+                continue;
             }
+            if let Some(event) = begun.take() {
+                self.step(event);
+            }
+            caller_result(writer.write(&events, splitter.last_id()).await)?;
         }
-        if has_events && was_cut(framing, &splitter) {
+        if was_cut(head.framing, &splitter) {
             return Err(truncated().into());
         }
-        write_body(progress, &head, splitter.incomplete()).await?;
-        caller_result(progress.out.finish().await)
+        caller_result(writer.finish(splitter.incomplete()).await)?;
+        Ok(StreamEnd::Delivered)
     }
 
     fn first_bytes(&self, call: &Call, from: &str) {
@@ -95,18 +142,14 @@
     }
 }
 
-/// Writes a part of the body, and before the first one the head.
-async fn write_body(
-    progress: &mut ResponseProgress,
-    head: &ResponseHead,
-    bytes: &[u8],
-) -> Result<(), ExchangeError> {
-    let out = &mut progress.out;
-    let written = match out.is_started() {
-        true => out.write_chunk(bytes).await,
-        false => out.write_head(head, bytes).await,
-    };
-    caller_result(written)
+/// Whether a response is forwarded as it arrives rather than held until it is complete.
+pub(crate) fn is_streamed(head: &ResponseHead, expects_events: bool) -> bool {
+    let is_success = (200..300).contains(&head.status);
+    match head.framing {
+        Framing::Length(0) => false,
+        Framing::Length(n) if n > MAX_BUFFERED_BYTES => true,
+        _ => expects_events && is_success,
+    }
 }
 
 /// Whether the body is a stream of server-sent events; one without a content type is taken for one.
