A stream goes on only with events after the last one delivered

A stream of a resumable route ended as complete although the run that resumed it had no event after the last one delivered (an empty body, or repeated events only), and events without identifiers were appended, which may have been delivered before. Callers lost events or got them twice.

A run that resumes a stream which has begun must now bring an event with a higher identifier before its end, and none without an identifier before it; else the response is cut off. A stream whose latest event has no identifier has no place to go on from and isn't resumed. Comments don't count as events. What doesn't go on ends the call as a complete answer of the target does, so that it costs no further run.

--- a/crates/rw-relay/src/sse.rs
+++ b/crates/rw-relay/src/sse.rs
@@ -10,6 +10,12 @@
     keeps_repeats: bool,
     /// Whether an event was returned.
     has_events: bool,
+    /// Whether an event with an identifier was returned.
+    has_ids: bool,
+    /// Whether an event without an identifier was returned before any with one.
+    unplaced: bool,
+    /// Whether the latest event that was returned had no identifier.
+    ends_without_id: bool,
 }
 
 impl EventSplitter {
@@ -48,13 +54,38 @@
             if id.is_some() && id <= self.last_id && !self.keeps_repeats {
                 continue;
             }
-            self.last_id = id.or(self.last_id);
-            self.has_events = true;
+            self.record(id, &event);
             out.extend_from_slice(&event);
         }
         out
     }
 
+    fn record(&mut self, id: Option<u64>, event: &[u8]) {
+        self.has_events = true;
+        self.last_id = id.or(self.last_id);
+        if id.is_some() {
+            self.has_ids = true;
+            self.ends_without_id = false;
+        } else if !is_comment(event) {
+            self.unplaced |= !self.has_ids;
+            self.ends_without_id = true;
+        }
+    }
+
+    /// Event after which another run may go on; `None` if later ones without an identifier were
+    /// returned, which it might repeat.
+    #[must_use]
+    pub fn position(&self) -> Option<u64> {
+        self.last_id.filter(|_| !self.ends_without_id)
+    }
+
+    /// Whether an event without an identifier was returned before any with one, so that it isn't known
+    /// whether it follows the event given to [`Self::after`].
+    #[must_use]
+    pub fn is_unplaced(&self) -> bool {
+        self.unplaced
+    }
+
     /// Whether an event was returned.
     #[must_use]
     pub fn has_events(&self) -> bool {
@@ -97,3 +128,9 @@
     let id = lines.find_map(|l| l.strip_prefix(b"id:"))?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
+
+/// Whether all lines of an event are comments.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.all(|l| matches!(l, [] | [b'\r'] | [b':', ..]))
+}
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -106,6 +106,7 @@
             true => EventSplitter::after(resume_after),
             false => EventSplitter::unfiltered(),
         };
+        let goes_on = progress.out.is_started();
         let Some(mut writer) = progress.out.events(&head) else {
             return Ok(StreamEnd::Unrelated);
         };
@@ -123,14 +124,20 @@
             if events.is_empty() {
                 continue;
             }
+            if goes_on && splitter.is_unplaced() {
+                return Ok(StreamEnd::Unrelated);
+            }
             if let Some(event) = begun.take() {
                 self.step(event);
             }
-            caller_result(writer.write(&events, splitter.last_id()).await)?;
+            caller_result(writer.write(&events, splitter.position()).await)?;
         }
         if was_cut(head.framing, &splitter) {
             return Err(truncated().into());
         }
+        if goes_on && splitter.last_id() == resume_after {
+            return Ok(StreamEnd::Unrelated);
+        }
         caller_result(writer.finish(splitter.incomplete()).await)?;
         Ok(StreamEnd::Delivered)
     }
--- a/crates/rw-relay/tests/sse.rs
+++ b/crates/rw-relay/tests/sse.rs
@@ -46,3 +46,57 @@
     assert_eq!(splitter.incomplete(), b"id: 1\ndata: half");
     assert_eq!(splitter.push(b"\n\n"), b"id: 1\ndata: half\n\n");
 }
+
+#[test]
+fn events_without_identifiers_leave_no_place_to_go_on_from() {
+    struct Case {
+        name: &'static str,
+        text: &'static str,
+        position: Option<u64>,
+        is_unplaced: bool,
+    }
+    let cases = [
+        Case {
+            name: "identifiers",
+            text: "id: 3\ndata: d\n\n",
+            position: Some(3),
+            is_unplaced: false,
+        },
+        Case {
+            name: "a repeated event",
+            text: "id: 2\ndata: d\n\n",
+            position: Some(2),
+            is_unplaced: false,
+        },
+        Case {
+            name: "none",
+            text: "data: d\n\n",
+            position: None,
+            is_unplaced: true,
+        },
+        Case {
+            name: "none before the first",
+            text: "data: d\n\nid: 3\ndata: d\n\n",
+            position: Some(3),
+            is_unplaced: true,
+        },
+        Case {
+            name: "none after the last",
+            text: "id: 3\ndata: d\n\ndata: d\r\n\r\n",
+            position: None,
+            is_unplaced: false,
+        },
+        Case {
+            name: "comments",
+            text: ": a\n\n: b\r\n\r\n",
+            position: Some(2),
+            is_unplaced: false,
+        },
+    ];
+    for case in cases {
+        let mut splitter = EventSplitter::after(Some(2));
+        splitter.push(case.text.as_bytes());
+        let seen = (splitter.position(), splitter.is_unplaced());
+        assert_eq!(seen, (case.position, case.is_unplaced), "{}", case.name);
+    }
+}
