Another node's events continue a stream only at its software version

A stream that has begun may go on only at the version of the targets' software that made its first events. A node that passes such a stream to another one names the version, but took whatever came back: a node that was cut off, or runs another build, and doesn't know the versions apart could continue it with the events of another one.

The other node names the version of the target with its response. If it isn't that of the stream, the response is cut off.

Evidence: the test fails without the check with "v2: 200 with 32 bytes", two events of two versions; with it the caller gets a cut response, and events of the stream's version still go on.

--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -141,6 +141,10 @@
         }
         self.notice_of_source(&source, metadata);
         progress.framing = Some(head.framing);
+        let is_same_version = delegation.call.software == Some(source.software);
+        if progress.out.is_started() && !is_same_version {
+            return Ok(DelegationOutcome::Complete);
+        }
         if is_streamed(&head, delegation.stream) {
             let streamed = StreamedResponse {
                 conn,
