--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -1,9 +1,10 @@
 //! Dispatches of a call and their outcomes.
 
 use crate::{
-    CacheInsert, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle, RefusalKind,
-    SentPrefill, SoftwareId, TargetLoad, account_usage::Decision, call_state::ActiveDispatch,
-    placement::Placement, prefix_cache::prefix_hashes, refusal_status::is_refusal_status,
+    CacheInsert, Delivered, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle,
+    RefusalKind, SentPrefill, SoftwareId, TargetLoad, account_usage::Decision,
+    call_state::ActiveDispatch, placement::Placement, prefix_cache::prefix_hashes,
+    refusal_status::is_refusal_status,
 };
 use rw_types::{Millis, RequestId};
 
@@ -173,7 +174,6 @@
             DispatchOutcome::Broken { delivered, .. } => {
                 self.end_broken(now, i, &current, delivered, effects);
             }
-            DispatchOutcome::CutOff { .. } => self.refuse_late(i, true, effects),
             DispatchOutcome::TimedOut { delivered } => self.refuse_late(i, delivered, effects),
         }
     }
@@ -306,7 +306,7 @@
             priority: call.priority,
             account: call.account.clone(),
             hides_credential: call.hides_credential || self.routing.has_accounts,
-            resume_after: call.resume_after,
+            resume_after: call.resume_after(),
             generation: call.request.prompt.is_some(),
             stream: call.retry_policy.is_stream(),
             resumable: call.retry_policy.is_stream() && call.retry_policy.is_retryable(),
@@ -373,14 +373,13 @@
             }
             DispatchOutcome::Prefilled(_) => target.health.record_outcome(now, false),
             DispatchOutcome::Withheld | DispatchOutcome::Rejected { .. } => {}
-            DispatchOutcome::NotSent
-            | DispatchOutcome::Broken { crashed: false, .. }
-            | DispatchOutcome::CutOff { crashed: false } => target.health.record_outcome(now, true),
+            DispatchOutcome::NotSent | DispatchOutcome::Broken { crashed: false, .. } => {
+                target.health.record_outcome(now, true)
+            }
             DispatchOutcome::TimedOut { .. } | DispatchOutcome::Stalled => {
                 target.health.record_outcome(now, true)
             }
-            DispatchOutcome::Broken { crashed: true, .. }
-            | DispatchOutcome::CutOff { crashed: true } => {
+            DispatchOutcome::Broken { crashed: true, .. } => {
                 target.health.mark_down(now);
                 self.suspects
                     .record_crash(now, fingerprint, &current.target);
@@ -411,7 +410,6 @@
             let refusal = self.refusal(RefusalKind::ResponseLost, retry_ms);
             return self.refuse(i, refusal, effects);
         }
-        let id = call.id;
         // The call may succeed when it is retried; unlike after a broken connection, the same
         // target may be chosen again. If the call can't be retried, this response is delivered.
         let failed =
@@ -420,8 +418,7 @@
         if failed && self.retry(now, i, effects) {
             return;
         }
-        effects.push(Effect::Deliver { id });
-        self.finish(i, effects);
+        self.deliver(i, effects);
     }
 
     fn end_prefill(
@@ -480,7 +477,7 @@
         now: Millis,
         i: usize,
         current: &ActiveDispatch,
-        delivered: Option<u64>,
+        delivered: Delivered,
         effects: &mut Vec<Effect>,
     ) {
         let call = &mut self.calls[i];
@@ -493,29 +490,26 @@
         self.retry_broken(now, i, delivered, effects);
     }
 
-    /// Retries a call whose response broke off after `delivered`, or refuses it.
+    /// Retries a call whose response broke off when the caller had got `delivered`, or refuses it.
     pub(crate) fn retry_broken(
         &mut self,
         now: Millis,
         i: usize,
-        delivered: Option<u64>,
+        delivered: Delivered,
         effects: &mut Vec<Effect>,
     ) {
         let call = &mut self.calls[i];
-        if delivered.is_some() {
-            call.resume_after = delivered;
+        call.delivered = delivered;
+        if delivered != Delivered::Nothing {
             call.client_deadline = now.plus(call.client_timeout_ms);
         }
-        let can_retry = !call.outcome_unknown
+        let may_run = !call.outcome_unknown
             || (call.retry_policy.is_retryable() && call.runs < call.max_attempts);
-        if can_retry && self.retry_anywhere(now, i, effects) {
+        let can_go_on = delivered != Delivered::Part;
+        if may_run && can_go_on && self.retry_anywhere(now, i, effects) {
             return;
         }
-        let kind = match delivered {
-            Some(_) => RefusalKind::Truncated,
-            None if self.calls[i].outcome_unknown => RefusalKind::ResponseLost,
-            None => RefusalKind::NoTarget,
-        };
+        let kind = self.failure_kind(i, RefusalKind::NoTarget);
         let retry = self.retry_ms(0.0);
         self.refuse(i, self.refusal(kind, retry), effects);
     }
--- a/crates/rw-gate/src/delegation/delegation_flow.rs
+++ b/crates/rw-gate/src/delegation/delegation_flow.rs
@@ -54,7 +54,7 @@
                 is_counted,
                 runs: call.runs,
                 software: call.software,
-                resume_after: call.resume_after,
+                resume_after: call.resume_after(),
             },
             stream: call.retry_policy.is_stream(),
             resumable: call.retry_policy.is_resumable(),
@@ -95,10 +95,7 @@
         };
         self.delegates.ended(&vm);
         match outcome {
-            DelegationOutcome::Complete => {
-                effects.push(Effect::Deliver { id });
-                self.finish(i, effects);
-            }
+            DelegationOutcome::Complete => self.deliver(i, effects),
             DelegationOutcome::Delivered => self.finish(i, effects),
             DelegationOutcome::NotSent => {
                 self.delegates.failed(now, &vm);
@@ -114,10 +111,6 @@
                 self.calls[i].outcome_unknown = true;
                 self.retry_broken(now, i, delivered, effects);
             }
-            DelegationOutcome::CutOff => {
-                self.delegates.failed(now, &vm);
-                self.refuse_late(i, true, effects);
-            }
             DelegationOutcome::TimedOut { delivered } => self.refuse_late(i, delivered, effects),
         }
     }
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -6,17 +6,16 @@
     call::Call,
     carried_calls::CallKey,
     delegation::DelegateNote,
-    delivered_before::DeliveredBefore,
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
     notices::Addressee,
     pool::{ConnectError, TargetConnection},
     response_progress::{BufferedResponse, ResponseProgress},
-    streaming::StreamedResponse,
+    streaming::{StreamEnd, StreamedResponse, is_streamed},
     timeout::timeout_at,
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event, is_refusal_status};
+use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
 use smol::{future, io::AsyncWriteExt as _};
 use std::{
     cell::Cell,
@@ -59,7 +58,7 @@
         if !self.may_send(dispatch) {
             return Ok(DispatchOutcome::Withheld);
         }
-        let delivered = DeliveredBefore::new(progress, dispatch.resume_after);
+        progress.framing = None;
         let exchange = self.exchange(call, dispatch, conn, progress);
         let stall = dispatch.stall_timeout_ms.map(Duration::from_millis);
         let stall = stall
@@ -71,7 +70,7 @@
                 return Ok(DispatchOutcome::Stalled);
             }
             return Ok(DispatchOutcome::TimedOut {
-                delivered: progress.out.is_started(),
+                delivered: progress.out.delivered(),
             });
         };
         match ended {
@@ -88,9 +87,9 @@
                 let parts = request.prompt.map(|p| p.parts).unwrap_or_default();
                 self.log
                     .dispatch_broken(call, dispatch, &parts, &error, crashed);
-                Ok(match delivered.part(progress) {
-                    Some(delivered) => DispatchOutcome::Broken { crashed, delivered },
-                    None => DispatchOutcome::CutOff { crashed },
+                Ok(DispatchOutcome::Broken {
+                    crashed,
+                    delivered: progress.out.delivered(),
                 })
             }
         }
@@ -138,11 +137,7 @@
         if !metadata.signed {
             return Err(malformed().into());
         }
-        // The gate decides whether the caller gets a status that promises that the call has not run.
-        let oversized = matches!(head.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES)
-            && !is_refusal_status(head.status);
-        let is_stream = dispatch.stream && (200..300).contains(&head.status);
-        if is_stream || oversized {
+        if is_streamed(&head, dispatch.stream) {
             self.note_source(call, progress);
             let streamed = StreamedResponse {
                 conn: &mut conn.connection,
@@ -150,12 +145,18 @@
                 body,
                 is_stream: dispatch.stream,
                 is_resumable: dispatch.resumable,
+                resume_after: dispatch.resume_after,
                 from: &dispatch.target,
                 begun: Event::StreamBegun { id: call.id },
             };
-            self.stream_response(call, streamed, progress).await?;
-            self.release(conn, &head, true);
-            return Ok(DispatchOutcome::Delivered);
+            let status = head.status;
+            return match self.stream_response(call, streamed, progress).await? {
+                StreamEnd::Delivered => {
+                    self.release(conn, &head, true);
+                    Ok(DispatchOutcome::Delivered)
+                }
+                StreamEnd::Unrelated => Ok(DispatchOutcome::Complete { status }),
+            };
         }
         let full_body = body
             .read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
