The events of one run are passed on by a type of their own, without a network

No behaviour changes but one: only a stream of a resumable route leaves a place for another run to go on from; before, the route's policy alone prevented it.

An answer that doesn't go on with a response is an end of the exchange of its own.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -11,7 +11,7 @@
     notices::Addressee,
     pool::{ConnectError, TargetConnection},
     response_progress::{BufferedResponse, ResponseProgress},
-    streaming::{StreamEnd, StreamedResponse, is_streamed},
+    streaming::{StreamedResponse, is_streamed},
     timeout::timeout_at,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
@@ -77,6 +77,7 @@
         match ended {
             Ok(end) => Ok(end),
             Err(ExchangeError::Caller) => Err(CallerDisconnected),
+            Err(ExchangeError::Unrelated { status }) => Ok(DispatchOutcome::Complete { status }),
             Err(ExchangeError::Target(error)) => {
                 self.pool.drop_idle(addr);
                 // A malformed response is no sign that its target has terminated.
@@ -150,14 +151,9 @@
                 from: &dispatch.target,
                 begun: Event::StreamBegun { id: call.id },
             };
-            let status = head.status;
-            return match self.stream_response(call, streamed, progress).await? {
-                StreamEnd::Delivered => {
-                    self.release(conn, &head, true);
-                    Ok(DispatchOutcome::Delivered)
-                }
-                StreamEnd::Unrelated => Ok(DispatchOutcome::Complete { status }),
-            };
+            self.stream_response(call, streamed, progress).await?;
+            self.release(conn, &head, true);
+            return Ok(DispatchOutcome::Delivered);
         }
         let full_body = body
             .read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -11,7 +11,7 @@
     io_error::malformed,
     notices::Addressee,
     response_progress::{BufferedResponse, ResponseProgress},
-    streaming::{StreamEnd, StreamedResponse, is_streamed},
+    streaming::{StreamedResponse, is_streamed},
     timeout::{timeout, timeout_at},
 };
 use rw_gate::{Delegation, DelegationOutcome, Event, ResponseSource};
@@ -69,6 +69,7 @@
         match ended {
             Ok(outcome) => Ok(outcome),
             Err(ExchangeError::Caller) => Err(CallerDisconnected),
+            Err(ExchangeError::Unrelated { .. }) => Ok(DelegationOutcome::Complete),
             Err(ExchangeError::Target(error)) => {
                 self.log.delegation_broken(call, delegation, &error);
                 let delivered = progress.out.delivered();
@@ -143,7 +144,9 @@
         progress.framing = Some(head.framing);
         let is_same_version = delegation.call.software == Some(source.software);
         if progress.out.is_started() && !is_same_version {
-            return Ok(DelegationOutcome::Complete);
+            return Err(ExchangeError::Unrelated {
+                status: head.status,
+            });
         }
         if is_streamed(&head, delegation.stream) {
             let streamed = StreamedResponse {
@@ -159,12 +162,8 @@
                     software: source.software,
                 },
             };
-            return Ok(
-                match self.stream_response(call, streamed, progress).await? {
-                    StreamEnd::Delivered => DelegationOutcome::Delivered,
-                    StreamEnd::Unrelated => DelegationOutcome::Complete,
-                },
-            );
+            self.stream_response(call, streamed, progress).await?;
+            return Ok(DelegationOutcome::Delivered);
         }
         let bytes = body.read_all(conn, MAX_BUFFERED_BYTES as usize).await?;
         progress.buffered = Some(BufferedResponse { head, body: bytes });
--- /dev/null
+++ b/crates/rw-relay/src/event_run.rs
@@ -0,0 +1,97 @@
+//! The events of one run, as they are passed on.
+
+use crate::{EventSplitter, EventWriter, Framing, ResponseHead, ResponseWriter, StreamError};
+use smol::io::AsyncWrite;
+
+/// Maximum size of an event, of which only complete ones are forwarded.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Passes on the events of one run, so that a caller never receives a part of one. A stream that has
+/// begun goes on only with events after the last one that the caller has got.
+#[derive(Debug)]
+pub struct EventRun<'a, W> {
+    writer: EventWriter<'a, W>,
+    splitter: EventSplitter,
+    framing: Framing,
+    is_resumable: bool,
+    /// Event after which the run was to begin.
+    after: Option<u64>,
+    /// Whether a run before it has begun the response.
+    goes_on: bool,
+}
+
+impl<'a, W: AsyncWrite + Unpin> EventRun<'a, W> {
+    /// A run whose response has this head and begins after the event `after`; `None` if its events
+    /// can't follow what was written of the response.
+    pub fn new(
+        out: &'a mut ResponseWriter<W>,
+        head: &'a ResponseHead,
+        is_resumable: bool,
+        after: Option<u64>,
+    ) -> Option<Self> {
+        let goes_on = out.is_started();
+        let splitter = match is_resumable {
+            true => EventSplitter::after(after),
+            false => EventSplitter::unfiltered(),
+        };
+        Some(Self {
+            writer: out.events(head)?,
+            splitter,
+            framing: head.framing,
+            is_resumable,
+            after,
+            goes_on,
+        })
+    }
+
+    /// Takes bytes of the body, and returns the events to be written next.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError::Malformed`] if an event is too long; [`StreamError::Unrelated`].
+    pub fn take(&mut self, bytes: &[u8]) -> Result<Vec<u8>, StreamError> {
+        let events = self.splitter.push(bytes);
+        if self.splitter.incomplete().len() > MAX_EVENT_BYTES {
+            return Err(StreamError::Malformed);
+        }
+        match self.goes_on && self.splitter.is_unplaced() {
+            true => Err(StreamError::Unrelated),
+            false => Ok(events),
+        }
+    }
+
+    /// Writes the events that [`Self::take`] returned.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError::Caller`].
+    pub async fn write(&mut self, events: &[u8]) -> Result<(), StreamError> {
+        let position = self.splitter.position().filter(|_| self.is_resumable);
+        let written = self.writer.write(events, position).await;
+        written.map_err(|_| StreamError::Caller)
+    }
+
+    /// Ends the stream after the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError::Truncated`], [`StreamError::Unrelated`] if no new event came, or
+    /// [`StreamError::Caller`].
+    pub async fn finish(self) -> Result<(), StreamError> {
+        if self.was_cut() {
+            return Err(StreamError::Truncated);
+        }
+        if self.goes_on && self.splitter.last_id() == self.after {
+            return Err(StreamError::Unrelated);
+        }
+        let ended = self.writer.finish(self.splitter.incomplete()).await;
+        ended.map_err(|_| StreamError::Caller)
+    }
+
+    /// Whether the target broke off a body that has ended.
+    fn was_cut(&self) -> bool {
+        // A crash also ends the connection, so without other framing a stream needs at least one event.
+        let is_empty = self.framing == Framing::Close && !self.splitter.has_events();
+        is_empty || self.splitter.is_inside_event()
+    }
+}
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -1,20 +1,17 @@
 //! Forwards a response body as it arrives.
 
 use crate::{
-    Connection, Dialect, EventSplitter, Framing, Relay, ResponseHead,
+    Connection, Dialect, EventRun, Framing, Relay, ResponseHead, StreamError,
     attempt::MAX_BUFFERED_BYTES,
     body::BodyReader,
     call::Call,
     exchange_error::{ExchangeError, caller_result},
-    io_error::{malformed, truncated},
     response_progress::ResponseProgress,
 };
 use rw_gate::Event;
 
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
-/// Maximum size of an event, of which only complete ones are forwarded.
-const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// A response whose body is forwarded as it arrives.
 #[derive(Debug)]
@@ -34,14 +31,6 @@
     pub(crate) begun: Event,
 }
 
-/// How a response that didn't break off was forwarded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StreamEnd {
-    Delivered,
-    /// It doesn't go on with the response that has begun, which stays incomplete.
-    Unrelated,
-}
-
 impl<D: Dialect> Relay<D> {
     /// Forwards a response as it arrives.
     pub(crate) async fn stream_response(
@@ -49,7 +38,7 @@
         call: &Call,
         streamed: StreamedResponse<'_>,
         progress: &mut ResponseProgress,
-    ) -> Result<StreamEnd, ExchangeError> {
+    ) -> Result<(), ExchangeError> {
         match streamed.is_stream && is_event_stream(&streamed.head) {
             true => self.forward_events(call, streamed, progress).await,
             false => self.forward_body(call, streamed, progress).await,
@@ -61,85 +50,50 @@
         call: &Call,
         streamed: StreamedResponse<'_>,
         progress: &mut ResponseProgress,
-    ) -> Result<StreamEnd, ExchangeError> {
-        let StreamedResponse {
-            conn,
-            head,
-            mut body,
-            from,
-            ..
-        } = streamed;
-        let Some(mut writer) = progress.out.body(&head) else {
-            return Ok(StreamEnd::Unrelated);
-        };
+    ) -> Result<(), ExchangeError> {
+        let StreamedResponse { conn, mut body, .. } = streamed;
+        let status = streamed.head.status;
+        let writer = progress.out.body(&streamed.head);
+        let mut writer = writer.ok_or(ExchangeError::Unrelated { status })?;
         let mut is_first = true;
         while let Some(bytes) = body.next(conn).await? {
             if is_first {
-                self.first_bytes(call, from);
+                self.first_bytes(call, streamed.from);
                 is_first = false;
             }
             caller_result(writer.write(&bytes).await)?;
         }
-        caller_result(writer.finish().await)?;
-        Ok(StreamEnd::Delivered)
+        caller_result(writer.finish().await)
     }
 
-    /// Forwards an event stream by complete events, so that a caller never receives a part of one. A
-    /// stream that has begun goes on only with events after the last one that the caller has got.
     async fn forward_events(
         &self,
         call: &Call,
         streamed: StreamedResponse<'_>,
         progress: &mut ResponseProgress,
-    ) -> Result<StreamEnd, ExchangeError> {
-        let StreamedResponse {
-            conn,
-            head,
-            mut body,
-            is_resumable,
-            resume_after,
-            from,
-            begun,
-            ..
-        } = streamed;
-        let mut splitter = match is_resumable {
-            true => EventSplitter::after(resume_after),
-            false => EventSplitter::unfiltered(),
-        };
-        let goes_on = progress.out.is_started();
-        let Some(mut writer) = progress.out.events(&head) else {
-            return Ok(StreamEnd::Unrelated);
-        };
-        let mut begun = Some(begun);
+    ) -> Result<(), ExchangeError> {
+        let StreamedResponse { conn, mut body, .. } = streamed;
+        let (head, after) = (&streamed.head, streamed.resume_after);
+        let failed = |error| ExchangeError::of_stream(error, head.status);
+        let run = EventRun::new(&mut progress.out, head, streamed.is_resumable, after);
+        let mut run = run.ok_or(failed(StreamError::Unrelated))?;
+        let mut begun = Some(streamed.begun);
         let mut is_first = true;
         while let Some(bytes) = body.next(conn).await? {
             if is_first {
-                self.first_bytes(call, from);
+                self.first_bytes(call, streamed.from);
                 is_first = false;
             }
-            let events = splitter.push(&bytes);
-            if splitter.incomplete().len() > MAX_EVENT_BYTES {
-                return Err(malformed().into());
-            }
+            let events = run.take(&bytes).map_err(failed)?;
             if events.is_empty() {
                 continue;
             }
-            if goes_on && splitter.is_unplaced() {
-                return Ok(StreamEnd::Unrelated);
-            }
             if let Some(event) = begun.take() {
                 self.step(event);
             }
-            caller_result(writer.write(&events, splitter.position()).await)?;
+            run.write(&events).await.map_err(failed)?;
         }
-        if was_cut(head.framing, &splitter) {
-            return Err(truncated().into());
-        }
-        if goes_on && splitter.last_id() == resume_after {
-            return Ok(StreamEnd::Unrelated);
-        }
-        caller_result(writer.finish(splitter.incomplete()).await)?;
-        Ok(StreamEnd::Delivered)
+        run.finish().await.map_err(failed)
     }
 
     fn first_bytes(&self, call: &Call, from: &str) {
@@ -165,10 +119,3 @@
     let media_type = content_type.split(';').next().unwrap_or_default();
     media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
 }
-
-/// Whether an event stream whose body has ended was broken off by the target.
-fn was_cut(framing: Framing, splitter: &EventSplitter) -> bool {
-    // A crash also ends the connection, so without other framing a stream needs at least one event.
-    let is_empty = framing == Framing::Close && !splitter.has_events();
-    is_empty || splitter.is_inside_event()
-}
