Relay: calls of one identifier replace their connection

Since an identifier comes once on a connection, each call of a caller that uses one identifier for all opened a connection and left it idle in the pool. Once the node's limit for the target was reached, callers got 503. `a_removed_key_is_accepted_nowhere_after_the_time_for_it` failed with "Hang: 4.35518232s", 503 instead of 200, and the test added here with "call 80", 503 instead of 200.

Where connections to a target are idle and none fits the call, one of them is now closed before another is opened, so that their number doesn't grow.

--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -108,7 +108,10 @@
     ) -> Result<TargetConnection, ConnectError> {
         let mut conn = match self.take_idle(addr, incarnation, call) {
             Some(conn) => conn,
-            None => self.open(addr, incarnation, limit).await?,
+            None => {
+                self.drop_one_idle(addr);
+                self.open(addr, incarnation, limit).await?
+            }
         };
         conn.carried.add(call);
         Ok(conn)
@@ -171,6 +174,15 @@
         self.idle.borrow_mut().retain(|i| i.conn.addr != addr);
     }
 
+    /// Drops an idle connection to an address where none fits a call, so that calls of one identifier
+    /// don't pile them up.
+    fn drop_one_idle(&self, addr: SocketAddr) {
+        let mut idle = self.idle.borrow_mut();
+        if let Some(i) = idle.iter().rposition(|i| i.conn.addr == addr) {
+            idle.remove(i);
+        }
+    }
+
     /// Drops expired connections, and the counters of addresses without an open connection.
     pub(crate) fn prune(&self) {
         let now = self.clock.now();
