Relay: only a connection whose request was sent in full is used again

Three tests failed, as "/once/long: read as a body: POST /once/long HTTP/1.1": for calls of the node itself, those passed on by another node, and streams behind a prefill.

Cause: sending stops when the head of the response has been read, and the connection went back into the pool on a flag that its caller passed. This path passed `true`.

The flag is gone. `TargetConnection` carries no request; beginning a call turns it into an `ActiveConnection`, which gives the `TargetConnection` back only when the request was sent to its end and no response to another call came. The pool takes and gives out nothing else. Any other end drops the connection, which closes it: errors, time-outs, and callers that leave.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -10,15 +10,14 @@
     head::is_hop,
     io_error::malformed,
     notices::Addressee,
-    pool::{ConnectError, TargetConnection},
+    pool::ConnectError,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::StreamedResponse,
+    target_connection::{ActiveConnection, TargetConnection},
     timeout::timeout_at,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event, is_refusal_status};
-use smol::{future, io::AsyncWriteExt as _};
 use std::{
-    cell::Cell,
     fmt::Write as _,
     io,
     net::SocketAddr,
@@ -99,21 +98,13 @@
         &self,
         call: &Call,
         dispatch: &Dispatch,
-        mut conn: TargetConnection,
+        conn: TargetConnection,
         progress: &mut ResponseProgress,
     ) -> Result<DispatchOutcome, ExchangeError> {
-        let bytes = self.request_bytes(call, dispatch);
-        let stream = conn.connection.stream();
-        let written = Cell::new(false);
-        let writing = async {
-            let sent = (&*stream).write_all(&bytes).await;
-            written.set(sent.is_ok());
-            // A target may respond before it has read the whole request, so a failed write ends
-            // nothing; a broken connection shows up when reading.
-            future::pending().await
-        };
-        let reading = self.read_response_head(call, dispatch, &mut conn);
-        let (head, metadata) = future::or(reading, writing).await?;
+        let request = self.request_bytes(call, dispatch);
+        let (mut conn, sending) = conn.begin(CallKey::of(&call.call_id), request);
+        let receive = self.read_response_head(call, dispatch, &mut conn);
+        let (head, metadata) = sending.during(receive).await?;
         let event = Event::ResponseStarted {
             id: call.id,
             load: metadata.load,
@@ -122,17 +113,15 @@
         progress.framing = Some(head.framing);
         let mut body = BodyReader::new(head.framing);
         if metadata.rejected {
-            body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
+            body.read_all(conn.connection(), MAX_BUFFERED_BYTES as usize)
                 .await?;
-            self.release(conn, &head, written.get());
+            self.release(conn, &head);
             return Ok(DispatchOutcome::Rejected {
                 status: head.status,
             });
         }
         if dispatch.mode == DispatchMode::Prefill {
-            return self
-                .finish_prefill(dispatch, conn, &head, body, written.get())
-                .await;
+            return self.finish_prefill(dispatch, conn, &head, body).await;
         }
         if !metadata.signed {
             return Err(malformed().into());
@@ -144,7 +133,7 @@
         if is_stream || oversized {
             self.note_source(call, progress);
             let streamed = StreamedResponse {
-                conn: &mut conn.connection,
+                conn: conn.connection(),
                 head: head.clone(),
                 body,
                 is_stream: dispatch.stream,
@@ -153,14 +142,14 @@
                 begun: Event::StreamBegun { id: call.id },
             };
             self.stream_response(call, streamed, progress).await?;
-            self.release(conn, &head, true);
+            self.release(conn, &head);
             return Ok(DispatchOutcome::Delivered);
         }
         let full_body = body
-            .read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
+            .read_all(conn.connection(), MAX_BUFFERED_BYTES as usize)
             .await?;
         let status = head.status;
-        self.release(conn, &head, written.get());
+        self.release(conn, &head);
         self.note_source(call, progress);
         progress.buffered = Some(BufferedResponse {
             head,
@@ -187,11 +176,11 @@
         &self,
         call: &Call,
         dispatch: &Dispatch,
-        conn: &mut TargetConnection,
+        conn: &mut ActiveConnection,
     ) -> io::Result<(ResponseHead, ResponseMetadata)> {
         let sent_at = self.clock.now();
         loop {
-            let bytes = conn.connection.read_head(MAX_HEAD_BYTES).await?;
+            let bytes = conn.connection().read_head(MAX_HEAD_BYTES).await?;
             let bytes = bytes.map_err(|_| malformed())?;
             let parsed = ResponseHead::parse(&bytes, &call.head.method);
             let head = parsed.map_err(|_| malformed())?;
@@ -203,7 +192,7 @@
                 NamedCall::One(call_id) => *call_id == call.call_id,
                 // Without a call identifier, only the first response on a connection is known to
                 // belong to its request.
-                NamedCall::Missing => !conn.is_suspect && conn.is_first_call(),
+                NamedCall::Missing => conn.awaits_first_response(),
                 // It may be a copy that was written while this call runs, so its promise that the
                 // call has not run can't be believed.
                 NamedCall::Conflicting => return Err(malformed()),
@@ -211,7 +200,7 @@
             let target = Addressee {
                 name: &dispatch.target,
                 incarnation: dispatch.incarnation,
-                addr: conn.addr,
+                addr: conn.addr(),
                 asked_at: is_own.then_some(sent_at),
             };
             if is_own {
@@ -219,10 +208,10 @@
                 return Ok((head, metadata));
             }
             self.notice_of_other_response(target, &metadata);
-            conn.is_suspect = true;
+            conn.set_suspect();
             self.log.unmatched_response(call, &metadata);
             let mut body = BodyReader::new(head.framing);
-            body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
+            body.read_all(conn.connection(), MAX_BUFFERED_BYTES as usize)
                 .await?;
             if !head.keep_alive {
                 return Err(malformed());
@@ -233,15 +222,14 @@
     async fn finish_prefill(
         &self,
         dispatch: &Dispatch,
-        mut conn: TargetConnection,
+        mut conn: ActiveConnection,
         head: &ResponseHead,
         mut body: BodyReader,
-        written: bool,
     ) -> Result<DispatchOutcome, ExchangeError> {
         let bytes = body
-            .read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
+            .read_all(conn.connection(), MAX_BUFFERED_BYTES as usize)
             .await?;
-        self.release(conn, head, written);
+        self.release(conn, head);
         let handle = self.dialect.parse_handle(&dispatch.addr, &bytes);
         Ok(match handle.filter(|_| head.status == 200) {
             Some(handle) => DispatchOutcome::Prefilled(handle),
@@ -252,10 +240,10 @@
     }
 
     /// Returns a connection to the pool if it can carry another call.
-    pub(crate) fn release(&self, conn: TargetConnection, head: &ResponseHead, written: bool) {
-        if !head.keep_alive || !written {
+    fn release(&self, conn: ActiveConnection, head: &ResponseHead) {
+        let Some(conn) = conn.finish().filter(|_| head.keep_alive) else {
             return;
-        }
+        };
         let idle_s = head.header("keep-alive").and_then(keep_alive_seconds);
         self.pool.release(conn, idle_s);
     }
--- a/crates/rw-relay/src/carried_calls.rs
+++ b/crates/rw-relay/src/carried_calls.rs
@@ -29,14 +29,13 @@
         self.0.push_back(key);
     }
 
-    /// Number of calls that are remembered.
-    pub(crate) fn len(&self) -> usize {
-        self.0.len()
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
     }
 
     /// Whether the response to a further call can be told from a copy of an earlier one: by an
     /// identifier that no earlier call had, or because there was no earlier call.
     pub(crate) fn can_tell(&self, key: CallKey) -> bool {
-        self.0.is_empty() || (key.0.is_some() && !self.0.contains(&key))
+        self.is_empty() || (key.0.is_some() && !self.0.contains(&key))
     }
 }
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -41,6 +41,7 @@
 mod settings;
 mod sse;
 mod streaming;
+mod target_connection;
 mod timeout;
 mod usage;
 
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     BootClock, Connection,
-    carried_calls::{CallKey, CarriedCalls},
+    carried_calls::CallKey,
+    target_connection::{OpenCount, TargetConnection},
     timeout::timeout,
 };
 use rw_types::Millis;
@@ -29,34 +30,6 @@
 /// A connection expires this much before the idle timeout that its target announces.
 const IDLE_MARGIN_MS: u64 = 500;
 
-/// An open connection to a target, counted towards the limit of its address until it is dropped.
-#[derive(Debug)]
-pub(crate) struct TargetConnection {
-    pub(crate) connection: Connection,
-    /// Whether it has delivered a response to another call than the one that it carried.
-    pub(crate) is_suspect: bool,
-    carried: CarriedCalls,
-    pub(crate) addr: SocketAddr,
-    incarnation: u64,
-    _count: OpenCount,
-}
-
-impl TargetConnection {
-    /// Whether it carries its first call.
-    pub(crate) fn is_first_call(&self) -> bool {
-        self.carried.len() == 1
-    }
-}
-
-#[derive(Debug)]
-struct OpenCount(Rc<Cell<u32>>);
-
-impl Drop for OpenCount {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 #[derive(Debug)]
 struct IdleConnection {
     conn: TargetConnection,
@@ -106,15 +79,13 @@
         call: CallKey,
         limit: u32,
     ) -> Result<TargetConnection, ConnectError> {
-        let mut conn = match self.take_idle(addr, incarnation, call) {
-            Some(conn) => conn,
+        match self.take_idle(addr, incarnation, call) {
+            Some(conn) => Ok(conn),
             None => {
                 self.drop_one_idle(addr);
-                self.open(addr, incarnation, limit).await?
+                self.open(addr, incarnation, limit).await
             }
-        };
-        conn.carried.add(call);
-        Ok(conn)
+        }
     }
 
     async fn open(
@@ -127,18 +98,13 @@
         if count.get() >= limit {
             return Err(ConnectError::AtLimit);
         }
-        count.set(count.get() + 1);
-        let count_guard = OpenCount(count);
+        let count = OpenCount::new(count);
         self.opened.set(self.opened.get() + 1);
         match timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
-            Some(Ok(connection)) => Ok(TargetConnection {
-                connection,
-                is_suspect: false,
-                carried: CarriedCalls::default(),
-                addr,
-                incarnation,
-                _count: count_guard,
-            }),
+            Some(Ok(connection)) => {
+                let key = (addr, incarnation);
+                Ok(TargetConnection::new(connection, key, count))
+            }
             _ => Err(ConnectError::Failed),
         }
     }
@@ -159,7 +125,7 @@
         let idle = idle_s.map_or(IDLE_TIMEOUT_MS, |s| {
             (s * 1_000).saturating_sub(IDLE_MARGIN_MS)
         });
-        if idle == 0 || conn.is_suspect || !conn.connection.is_idle() {
+        if idle == 0 || !conn.is_idle() {
             return;
         }
         let expires = self.clock.now().plus(idle);
@@ -171,14 +137,14 @@
     /// Drops the idle connections to an address where one has failed, because they may be broken
     /// too.
     pub(crate) fn drop_idle(&self, addr: SocketAddr) {
-        self.idle.borrow_mut().retain(|i| i.conn.addr != addr);
+        self.idle.borrow_mut().retain(|i| i.conn.addr() != addr);
     }
 
     /// Drops an idle connection to an address where none fits a call, so that calls of one identifier
     /// don't pile them up.
     fn drop_one_idle(&self, addr: SocketAddr) {
         let mut idle = self.idle.borrow_mut();
-        if let Some(i) = idle.iter().rposition(|i| i.conn.addr == addr) {
+        if let Some(i) = idle.iter().rposition(|i| i.conn.addr() == addr) {
             idle.remove(i);
         }
     }
@@ -216,11 +182,11 @@
     ) -> Option<TargetConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        let fits = |i: &IdleConnection| i.conn.addr == addr && i.conn.carried.can_tell(call);
+        let fits = |i: &IdleConnection| i.conn.addr() == addr && i.conn.can_tell(call);
         while let Some(i) = idle.iter().rposition(fits) {
             let found = idle.remove(i);
-            let usable = found.conn.incarnation == incarnation && now < found.expires;
-            if usable && found.conn.connection.is_idle() {
+            let usable = found.conn.incarnation() == incarnation && now < found.expires;
+            if usable && found.conn.is_idle() {
                 return Some(found.conn);
             }
         }
