Relay: a request is sent on while its response is read

A target that begins its response, reads the rest of a long body, and then ends the response never got that rest: the node stopped sending when it had read the response's head. Both sides waited, and callers got 504, or a stream that broke off at the deadline. The test failed with "/once/1", 504 instead of 200.

The request is now sent for as long as the response is read, whole, streamed or of a prefill. What is not sent by the end of the response is not sent at all, and the connection is closed.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -102,9 +102,20 @@
         progress: &mut ResponseProgress,
     ) -> Result<DispatchOutcome, ExchangeError> {
         let request = self.request_bytes(call, dispatch);
-        let (mut conn, sending) = conn.begin(CallKey::of(&call.call_id), request);
-        let receive = self.read_response_head(call, dispatch, &mut conn);
-        let (head, metadata) = sending.during(receive).await?;
+        let (conn, sending) = conn.begin(CallKey::of(&call.call_id), request);
+        let receive = self.receive(call, dispatch, conn, progress);
+        sending.during(receive).await
+    }
+
+    /// Reads the response to `call`, and forwards a streamed one.
+    async fn receive(
+        &self,
+        call: &Call,
+        dispatch: &Dispatch,
+        mut conn: ActiveConnection,
+        progress: &mut ResponseProgress,
+    ) -> Result<DispatchOutcome, ExchangeError> {
+        let (head, metadata) = self.read_response_head(call, dispatch, &mut conn).await?;
         let event = Event::ResponseStarted {
             id: call.id,
             load: metadata.load,
