--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -49,6 +49,7 @@
 mod sse;
 mod stream_error;
 mod streaming;
+mod target_connection;
 mod timeout;
 mod usage;
 mod written;
