Usage reports: a stored window that no node can have written is dropped

What was seen: a row of usage reports with a window near 2^64 ended a debug build ("attempt to add with overflow" and "attempt to multiply with overflow", usage_flow.rs) and, below the overflow, no usage was reported any more: "no report: duties" in odd_rows_of_the_lease_and_of_usage_reports_stop_no_report.

Cause: the next window is the one after the last in the row, and the times of a window were computed without a bound.

Reports of windows that begin more than 30 days ahead are dropped when the row is read; no difference of clocks is as large. The remaining sums and products saturate, also those on what other nodes ask and answer.

--- a/crates/rw-gate/src/usage_flow.rs
+++ b/crates/rw-gate/src/usage_flow.rs
@@ -30,6 +30,10 @@
 const MAX_REPEATS: u32 = 2;
 /// Number of reports that the store holds at most. Those that are late are dropped earlier.
 const MAX_REPORTS: usize = 32;
+/// Time by which the start of a stored window may lie in the future, in milliseconds. It covers any
+/// difference between clocks; a report of a later window was not written by a node, and would keep
+/// others from being written until then.
+const MAX_AHEAD_MS: u64 = 30 * 86_400_000;
 /// Number of accepted windows that are remembered.
 const MAX_ACCEPTED: usize = 16;
 
@@ -136,7 +140,7 @@
     pub fn answer_usage(&mut self, now: Millis, query: &UsageQuery) -> UsageAnswer {
         // The window may have begun before this node started.
         let start = Millis(now.0.saturating_sub(query.age_ms));
-        let end = Millis((now.0 + query.length_ms).saturating_sub(query.age_ms));
+        let end = Millis(now.plus(query.length_ms).0.saturating_sub(query.age_ms));
         let report = self.usage_counter.count(query.window, start, end);
         UsageAnswer {
             vm: self.settings.vm.clone(),
@@ -195,12 +199,12 @@
         let late_ms = self.settings.duties.usage_late_ms;
         let oldest = (unix_ms + MIN_LEFT_MS).saturating_sub(late_ms) / length_ms;
         let next = match last {
-            Some(last) => last + 1,
+            Some(last) => last.saturating_add(1),
             // Before the first report, there was no service in the windows before this node's start.
             None => self.true_time.own(Millis(0))? / length_ms,
         };
         let window = next.max(oldest);
-        (window * length_ms <= unix_ms).then_some(window)
+        (window.saturating_mul(length_ms) <= unix_ms).then_some(window)
     }
 
     fn collect(
@@ -277,7 +281,11 @@
         self.usage.reading = None;
         match row {
             // A write in flight may still change the row.
-            Some(row) if self.usage.writing.is_none() => self.usage.row = Some(row),
+            Some(mut row) if self.usage.writing.is_none() => {
+                let reports = &mut row.record.reports;
+                reports.retain(|r| !self.is_ahead(now, r.window));
+                self.usage.row = Some(row);
+            }
             _ => self.usage.read_after = now.plus(MIN_RETRY_MS),
         }
         self.check_usage(now, effects);
@@ -325,13 +333,22 @@
         });
     }
 
+    /// Whether a window begins so late that no node can have written its report.
+    fn is_ahead(&self, now: Millis, window: u64) -> bool {
+        let length_ms = self.settings.duties.usage_window_ms.unwrap_or_default();
+        let offset = self.true_time.offset().unwrap_or_default();
+        let unix_ms = (now.0 as i64).saturating_add(offset).max(0) as u64;
+        window.saturating_mul(length_ms) > unix_ms.saturating_add(MAX_AHEAD_MS)
+    }
+
     /// Whether it is too late to report a window.
     fn is_late(&self, now: Millis, window: u64) -> bool {
         let duties = &self.settings.duties;
         let length_ms = duties.usage_window_ms.unwrap_or_default();
-        let due_ms = (window + 1) * length_ms + duties.usage_late_ms;
+        let end_ms = window.saturating_add(1).saturating_mul(length_ms);
+        let due_ms = end_ms.saturating_add(duties.usage_late_ms);
         let offset = self.true_time.offset().unwrap_or_default();
-        now.0 as i64 + offset >= due_ms as i64
+        i64::try_from(due_ms).is_ok_and(|due_ms| now.0 as i64 + offset >= due_ms)
     }
 
     /// A usage report ended.
--- a/crates/rw-gate/src/usage_report.rs
+++ b/crates/rw-gate/src/usage_report.rs
@@ -75,7 +75,7 @@
             .counts
             .binary_search_by(|(name, _)| name.as_str().cmp(account));
         match found {
-            Ok(i) => self.counts[i].1 += calls,
+            Ok(i) => self.counts[i].1 = self.counts[i].1.saturating_add(calls),
             Err(i) => self.counts.insert(i, (account.to_owned(), calls)),
         }
     }
