--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -226,7 +226,9 @@
     let routes = routing.routes.iter();
     let resumable = routes.filter(|r| r.retry_policy.is_resumable());
     let longest_ms = resumable.map(|r| r.timeout_ms).max().unwrap_or_default();
-    (longest_ms + RESUME_MARGIN_MS).max(MIN_ORIGIN_TTL_MS)
+    longest_ms
+        .saturating_add(RESUME_MARGIN_MS)
+        .max(MIN_ORIGIN_TTL_MS)
 }
 
 /// The stream that a call takes up, if it says which.
