Load of a target: running and waiting calls are added without overflow

What was seen: an answer with Redwingweir-Instance-Load: 4294967295,4294967295,4294967295 ended a debug build ("attempt to add with overflow", placer.rs) in an_answer_with_an_extreme_load_stops_nothing; a release build took the target for an idle one.

The sum saturates, so that the target counts as full.

--- a/crates/rw-gate/src/placer.rs
+++ b/crates/rw-gate/src/placer.rs
@@ -145,7 +145,7 @@
             let reported = t
                 .load
                 .filter(|(at, _)| self.now.since(*at) < MAX_LOAD_AGE_MS);
-            let reported = reported.map_or(0, |(_, l)| l.running + l.waiting);
+            let reported = reported.map_or(0, |(_, l)| l.running.saturating_add(l.waiting));
             let running = t.open_calls.max(reported);
             let load = t.speed.scaled_load(WorkKind::Plain, running, t.spec.slots);
             let saturation = t.speed.saturation(t.spec.slots);
@@ -208,7 +208,7 @@
         let reported = t
             .load
             .filter(|(at, _)| self.now.since(*at) < MAX_LOAD_AGE_MS);
-        let reported = reported.map_or(0, |(_, l)| l.running + l.waiting);
+        let reported = reported.map_or(0, |(_, l)| l.running.saturating_add(l.waiting));
         let saturation = t.speed.saturation(engine.slots);
         let slots = saturation.map_or(engine.slots, |limit| limit.min(engine.slots));
         let no_slot = if t.running_calls().max(reported) >= slots {
