Bodies and skipped responses: every part that a peer can prolong has a bound

What was seen: a target whose trailer lines, chunk extensions, leading zeros of chunk sizes, interim responses or responses to other calls went on without end was read for as long as they came, and a caller or node whose trailers or extensions did so, too.

Cause: each line and head had a bound, but not their number.

What is neither content nor the digits of a chunk size may take 16 KiB of a body, trailers included. Interim responses and responses to other calls may take 288 KiB together, which is what a single one could take before. Past it, a caller gets 400 and its connection is closed; a target's response counts as broken, with a retry where the route allows it and 502 otherwise. Both sides of the way between nodes use the same reader.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -29,6 +29,9 @@
 /// Maximum response body that is buffered in full. A body with a larger declared length is
 /// streamed.
 pub(crate) const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+/// Maximum number of bytes that are read and dropped before the response to a call: interim responses
+/// and responses to other calls, together.
+const MAX_SKIPPED_BYTES: usize = MAX_HEAD_BYTES + MAX_BUFFERED_BYTES as usize;
 /// Extra wait after a call's deadline, so that the target's own final response can still arrive.
 pub(crate) const DEADLINE_GRACE: Duration = Duration::from_millis(40);
 
@@ -189,9 +192,11 @@
         conn: &mut TargetConnection,
     ) -> io::Result<(ResponseHead, ResponseMetadata)> {
         let sent_at = self.clock.now();
+        let mut skippable = MAX_SKIPPED_BYTES;
         loop {
             let bytes = conn.connection.read_head(MAX_HEAD_BYTES).await?;
             let bytes = bytes.map_err(|_| malformed())?;
+            skippable = skippable.checked_sub(bytes.len()).ok_or_else(malformed)?;
             let parsed = ResponseHead::parse(&bytes, &call.head.method);
             let head = parsed.map_err(|_| malformed())?;
             if head.status < 200 {
@@ -216,8 +221,8 @@
             }
             self.log.unmatched_response(call, &metadata);
             let mut body = BodyReader::new(head.framing);
-            body.read_all(&mut conn.connection, MAX_BUFFERED_BYTES as usize)
-                .await?;
+            let dropped = body.read_all(&mut conn.connection, skippable).await?;
+            skippable -= dropped.len();
             if !head.keep_alive {
                 return Err(malformed());
             }
--- a/crates/rw-relay/src/body.rs
+++ b/crates/rw-relay/src/body.rs
@@ -8,6 +8,13 @@
 
 /// Maximum length of a chunk-size or trailer line.
 const MAX_LINE_BYTES: usize = 1_024;
+/// Length of a chunk-size line that doesn't count towards [`MAX_EXTRA_BYTES`]: the digits of the highest
+/// size.
+const SIZE_DIGITS: usize = 16;
+const LINE_END: &[u8] = b"\r\n";
+/// Maximum number of bytes of a chunked body that are neither its content nor the digits of chunk sizes:
+/// extensions, leading zeros and trailers together.
+const MAX_EXTRA_BYTES: usize = 16 << 10;
 
 /// How the end of a message body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +60,8 @@
     framing: Framing,
     /// Bytes left of the declared length or of the current chunk.
     remaining: u64,
+    /// Bytes left for what is neither content nor the digits of chunk sizes.
+    extra: usize,
     finished: bool,
 }
 
@@ -65,6 +74,7 @@
         Self {
             framing,
             remaining,
+            extra: MAX_EXTRA_BYTES,
             finished: framing == Framing::Length(0),
         }
     }
@@ -121,6 +131,7 @@
     async fn next_chunk(&mut self, conn: &mut Connection) -> io::Result<Option<Vec<u8>>> {
         if self.remaining == 0 {
             let line = conn.read_line(MAX_LINE_BYTES).await?;
+            self.spend_extra(line.len().saturating_sub(SIZE_DIGITS))?;
             let size = line.split(|b| *b == b';').next().unwrap_or_default();
             let size = std::str::from_utf8(size).map_err(|_| malformed())?.trim();
             let is_hex = !size.is_empty() && size.bytes().all(|b| b.is_ascii_hexdigit());
@@ -130,7 +141,13 @@
             self.remaining = u64::from_str_radix(size, 16).map_err(|_| malformed())?;
             if self.remaining == 0 {
                 // Trailers are read and not forwarded.
-                while !conn.read_line(MAX_LINE_BYTES).await?.is_empty() {}
+                loop {
+                    let line = conn.read_line(MAX_LINE_BYTES).await?;
+                    if line.is_empty() {
+                        break;
+                    }
+                    self.spend_extra(line.len() + LINE_END.len())?;
+                }
                 self.finished = true;
                 return Ok(None);
             }
@@ -141,4 +158,9 @@
         }
         Ok(Some(bytes))
     }
+
+    fn spend_extra(&mut self, bytes: usize) -> io::Result<()> {
+        self.extra = self.extra.checked_sub(bytes).ok_or_else(malformed)?;
+        Ok(())
+    }
 }
