Connections give way to others while their data is always ready

What was seen: while one connection had bytes ready at each read, the node served no other one: a stream of events, a body, or what a caller goes on sending after it was refused, in the 300 ms for which that is read to be dropped.

Cause: all tasks of a node share one thread, a read that is ready doesn't return to the executor, and a time-out is looked at after its work.

A connection gives way after 32 KiB that it has read without waiting, and between requests that have arrived already. What is read to be dropped is 8 MiB at most. A buffer no longer keeps what was taken from it while each read ends inside a line, which made the memory of such a connection grow with what it had read.

--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -6,7 +6,7 @@
 };
 use rw_http::set_keepalive;
 use smol::{
-    Async, Timer,
+    Async, Timer, future,
     io::{AsyncRead as _, AsyncWriteExt as _},
 };
 use std::{
@@ -24,6 +24,9 @@
 /// Number of bytes of further requests that are read while a caller waits for a response. An orderly
 /// close behind more than these is noticed only after the response.
 const READ_AHEAD_BYTES: usize = 64 << 10;
+/// Number of bytes that a connection may read without waiting before other tasks get a turn: all of them
+/// share one thread.
+const TURN_BYTES: usize = 32 << 10;
 /// Interval between checks for a failed connection while that many bytes are waiting.
 const DISCONNECT_POLL: Duration = Duration::from_millis(100);
 
@@ -33,6 +36,8 @@
     stream: Rc<Async<TcpStream>>,
     buffer: Vec<u8>,
     position: usize,
+    /// Bytes read since the connection last waited for data, or gave way to others.
+    turn: usize,
 }
 
 impl Connection {
@@ -50,6 +55,7 @@
             stream: Rc::new(stream),
             buffer: Vec::new(),
             position: 0,
+            turn: 0,
         })
     }
 
@@ -89,6 +95,11 @@
         }
     }
 
+    /// Whether data has arrived that is not read yet.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.unread().is_empty()
+    }
+
     /// The underlying socket.
     pub(crate) fn stream(&self) -> Rc<Async<TcpStream>> {
         self.stream.clone()
@@ -189,14 +200,26 @@
     }
 
     async fn fill_buffer(&mut self) -> io::Result<usize> {
+        if self.turn >= TURN_BYTES {
+            self.turn = 0;
+            future::yield_now().await;
+        }
+        // What was taken would otherwise stay in memory for as long as each read ends inside a line.
+        self.buffer.drain(..self.position);
+        self.position = 0;
+        let mut has_waited = false;
         // This buffer lives for one poll only, so that a waiting connection holds none.
         let read = poll_fn(|cx| {
             let mut buf = [0; READ_BYTES];
-            let n = ready!(Pin::new(&mut &*self.stream).poll_read(cx, &mut buf))?;
+            let polled = Pin::new(&mut &*self.stream).poll_read(cx, &mut buf);
+            has_waited |= polled.is_pending();
+            let n = ready!(polled)?;
             self.buffer.extend_from_slice(&buf[..n]);
             Poll::Ready(io::Result::Ok(n))
         });
-        read.await
+        let n = read.await?;
+        self.turn = n + if has_waited { 0 } else { self.turn };
+        Ok(n)
     }
 }
 
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -25,6 +25,8 @@
 /// How long input is still read before a connection is closed, so that the caller can read the
 /// last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of bytes that are read meanwhile.
+const MAX_LINGER_BYTES: usize = 8 << 20;
 /// Interval between checks whether an idle connection is to be closed.
 const IDLE_POLL: Duration = Duration::from_millis(500);
 /// Time by which an idle connection outlives the configured idle timeout, in milliseconds.
@@ -93,6 +95,8 @@
             let after = Box::pin(self.serve_request(&mut conn, from)).await;
             self.in_flight.set(self.in_flight.get() - 1);
             match after {
+                // Requests that have arrived already would keep the thread from other connections.
+                AfterRequest::Keep if conn.has_unread() => future::yield_now().await,
                 AfterRequest::Keep => {}
                 AfterRequest::Close => return linger(conn).await,
                 AfterRequest::Abort => return,
@@ -247,7 +251,11 @@
 /// reset the connection.
 async fn linger(mut conn: Connection) {
     conn.shutdown(Shutdown::Write);
-    let drained =
-        async { while matches!(conn.read_some(usize::MAX).await, Ok(b) if !b.is_empty()) {} };
+    let drained = async {
+        let mut left = MAX_LINGER_BYTES;
+        while let Ok(bytes @ [_, ..]) = conn.read_some(left).await.as_deref() {
+            left -= bytes.len();
+        }
+    };
     timeout(LINGER_TIMEOUT, drained).await;
 }
