HTTP client and listener: responses have a bound, connections give way

What was seen: a store whose answers have no end kept the node from its callers: "body: other callers not served in time" and, with up to 64 MiB for each of its feeds, took more memory than a node has.

Cause: the body's size was bounded at 64 MiB, the size of a chunk could have any number of zeros, which were read without a bound, and a read that is ready doesn't return to the executor.

--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,8 +1,11 @@
 //! HTTP client with a pool of idle connections per address.
 
 use crate::{
-    ClientResponse, SendError, expiring_stream::ExpiringStream, head_limit::HeadLimited,
-    keepalive::set_keepalive, lazy_timer::LazyTimer,
+    ClientResponse, SendError,
+    expiring_stream::ExpiringStream,
+    head_limit::{HeadBudget, HeadLimited},
+    keepalive::set_keepalive,
+    lazy_timer::LazyTimer,
 };
 use async_h1::client::{Encoder, decode};
 use http_types::{Body, Method, Request, Response, Url};
@@ -97,11 +100,11 @@
         let result = exchange(conn.stream.clone(), request);
         let result = conn.timer.within(timeout, result).await;
         let result = result.and_then(|r| r.map_err(|_| SendError::Broken));
-        let Ok(response) = result else {
+        let Ok((response, budget)) = result else {
             self.drop_idle(addr);
             return Err(result.err().unwrap_or(SendError::Broken));
         };
-        ClientResponse::check(response, conn, self.clone())
+        ClientResponse::check(response, conn, self.clone(), budget)
     }
 
     /// Closes the idle connections to `addr`; to be called when a connection to `addr` stopped
@@ -141,8 +144,7 @@
         let budget = stream.budget();
         let result = within(timeout, async_h1::connect(stream, request)).await?;
         let response = result.map_err(|_| SendError::Broken)?;
-        budget.lift();
-        ClientResponse::check(response, conn, self.clone())
+        ClientResponse::check(response, conn, self.clone(), budget)
     }
 
     async fn pooled(&self, addr: SocketAddr, pooling: Pooling) -> Option<ClientConn> {
@@ -192,8 +194,12 @@
     }
 }
 
-/// Sends a request in one write and reads the header of the response.
-async fn exchange(mut stream: TcpStream, request: Request) -> http_types::Result<Response> {
+/// Sends a request in one write and reads the header of the response. Returns it with the budget for the
+/// body.
+async fn exchange(
+    mut stream: TcpStream,
+    request: Request,
+) -> http_types::Result<(Response, HeadBudget)> {
     let mut encoder = Encoder::new(request);
     let mut bytes = Vec::with_capacity(512);
     encoder.read_to_end(&mut bytes).await?;
@@ -201,8 +207,7 @@
     let stream = HeadLimited::new(stream);
     let budget = stream.budget();
     let response = decode(stream).await?;
-    budget.lift();
-    Ok(response)
+    Ok((response, budget))
 }
 
 async fn connect(addr: SocketAddr, timeout: Duration) -> Result<ClientConn, SendError> {
--- a/crates/rw-http/src/client_response.rs
+++ b/crates/rw-http/src/client_response.rs
@@ -1,12 +1,14 @@
 //! A response whose end is defined.
 
-use crate::{Client, SendError, SseLines, client::ClientConn};
+use crate::{Client, SendError, SseLines, client::ClientConn, head_limit::HeadBudget};
 use http_types::Response;
 use smol::io::AsyncReadExt as _;
 use std::time::Duration;
 
 /// Maximum size of a body read into memory.
 const MAX_BODY_BYTES: u64 = 64 << 20;
+/// Maximum size of the framing of such a body: sizes of chunks and trailers.
+const MAX_FRAMING_BYTES: u64 = 1 << 20;
 
 /// The header of a response, whose body has yet to be read from the connection.
 #[derive(Debug)]
@@ -14,6 +16,7 @@
     response: Response,
     conn: ClientConn,
     client: Client,
+    budget: HeadBudget,
 }
 
 impl ClientResponse {
@@ -21,6 +24,7 @@
         response: Response,
         conn: ClientConn,
         client: Client,
+        budget: HeadBudget,
     ) -> Result<Self, SendError> {
         let chunked = response.header("transfer-encoding").is_some();
         let empty = response.status() == http_types::StatusCode::NoContent;
@@ -31,6 +35,7 @@
             response,
             conn,
             client,
+            budget,
         })
     }
 
@@ -53,16 +58,30 @@
     /// [`SendError::Truncated`] if the body is shorter than its content length;
     /// [`SendError::Broken`] if the connection broke or the body reaches 64 MiB;
     /// [`SendError::TimedOut`] after `timeout`.
-    pub async fn bytes(mut self, timeout: Duration) -> Result<Vec<u8>, SendError> {
+    pub async fn bytes(self, timeout: Duration) -> Result<Vec<u8>, SendError> {
+        self.bytes_below(MAX_BODY_BYTES, timeout).await
+    }
+
+    /// Like [`ClientResponse::bytes`], with another limit than 64 MiB.
+    ///
+    /// # Errors
+    ///
+    /// As [`ClientResponse::bytes`].
+    pub async fn bytes_below(mut self, max: u64, timeout: Duration) -> Result<Vec<u8>, SendError> {
         let content_length = self.content_length();
-        let mut body = Vec::with_capacity(content_length.unwrap_or(0).min(MAX_BODY_BYTES) as usize);
+        if content_length.is_some_and(|n| n >= max) {
+            return Err(SendError::Broken);
+        }
+        self.budget
+            .begin_body(max.saturating_add(MAX_FRAMING_BYTES));
+        let mut body = Vec::with_capacity(content_length.unwrap_or(0) as usize);
         let reader = self.response.take_body();
-        let mut bounded = reader.take(MAX_BODY_BYTES);
+        let mut bounded = reader.take(max);
         let read = bounded.read_to_end(&mut body);
         let read = self.conn.timer.within(timeout, read).await?;
         read.map_err(|_| SendError::Broken)?;
         // The rest of a body that reaches the limit was not read.
-        if body.len() as u64 >= MAX_BODY_BYTES {
+        if body.len() as u64 >= max {
             return Err(SendError::Broken);
         }
         if content_length.is_some_and(|n| n != body.len() as u64) {
@@ -78,6 +97,7 @@
     #[must_use]
     pub fn lines(mut self) -> SseLines {
         let close = self.closes();
+        self.budget.lift();
         SseLines::new(self.response.take_body(), self.conn, self.client, close)
     }
 
--- a/crates/rw-http/src/head_limit.rs
+++ b/crates/rw-http/src/head_limit.rs
@@ -1,5 +1,6 @@
-//! A stream that ends a response whose head is too long.
+//! A stream that ends a response whose head or body is too long.
 
+use crate::read_turn::ReadTurn;
 use smol::io::{AsyncRead, AsyncWrite};
 use std::{
     io,
@@ -14,12 +15,17 @@
 /// Maximum size of the head of a response, with what is read along of its body.
 const MAX_HEAD_BYTES: u64 = 128 << 10;
 
-/// Bytes that may still be read before the head is complete. Clones share it.
+/// Bytes that may still be read before the head, and then the body, is complete. Clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct HeadBudget(Arc<AtomicU64>);
 
 impl HeadBudget {
-    /// Ends the limit, because the head has been read.
+    /// The head has been read; limits what follows to `bytes`, with the framing of the body.
+    pub(crate) fn begin_body(&self, bytes: u64) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Ends the limit, for a body that may go on.
     pub(crate) fn lift(&self) {
         self.0.store(u64::MAX, Ordering::Relaxed);
     }
@@ -36,17 +42,23 @@
     }
 }
 
-/// A stream from which only a limited number of bytes can be read, until its budget is lifted.
+/// A stream from which only a limited number of bytes can be read, until its budget is lifted. It gives
+/// way to other tasks while data is always ready.
 #[derive(Debug, Clone)]
 pub(crate) struct HeadLimited<S> {
     inner: S,
     budget: HeadBudget,
+    turn: ReadTurn,
 }
 
 impl<S> HeadLimited<S> {
     pub(crate) fn new(inner: S) -> Self {
         let budget = HeadBudget(Arc::new(AtomicU64::new(MAX_HEAD_BYTES)));
-        Self { inner, budget }
+        Self {
+            inner,
+            budget,
+            turn: ReadTurn::default(),
+        }
     }
 
     pub(crate) fn budget(&self) -> HeadBudget {
@@ -60,7 +72,10 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        ready!(self.turn.poll(cx));
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        self.turn.record(&read);
+        let n = ready!(read)?;
         self.budget.spend(n)?;
         Poll::Ready(Ok(n))
     }
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -15,6 +15,7 @@
 mod limited_stream;
 mod limits;
 mod listen;
+mod read_turn;
 mod registry;
 mod respond;
 mod retry_after;
--- a/crates/rw-http/src/limited_stream.rs
+++ b/crates/rw-http/src/limited_stream.rs
@@ -1,6 +1,6 @@
 //! A TCP stream that enforces the size and time limits of its connection.
 
-use crate::conn::Conn;
+use crate::{conn::Conn, read_turn::ReadTurn};
 use smol::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
@@ -21,12 +21,17 @@
 pub(crate) struct LimitedStream {
     tcp: TcpStream,
     conn: Arc<Conn>,
+    turn: ReadTurn,
 }
 
 impl LimitedStream {
     pub(crate) fn new(conn: Arc<Conn>) -> Self {
         let tcp = conn.tcp.clone();
-        Self { tcp, conn }
+        Self {
+            tcp,
+            conn,
+            turn: ReadTurn::default(),
+        }
     }
 
     /// Waits for the first bytes of a request; false if the connection closes instead.
@@ -51,7 +56,10 @@
     ) -> Poll<io::Result<usize>> {
         let mut n = self.conn.take_buffered(buf);
         if n == 0 {
-            n = match Pin::new(&mut self.tcp).poll_read(cx, buf) {
+            ready!(self.turn.poll(cx));
+            let read = Pin::new(&mut self.tcp).poll_read(cx, buf);
+            self.turn.record(&read);
+            n = match read {
                 Poll::Ready(read) => read?,
                 Poll::Pending => {
                     self.conn.on_read_pending();
