--- a/crates/rw-gate/tests/support/mod.rs
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -150,13 +150,19 @@
         Self::with(GateSettings::default())
     }
 
-    pub fn with(settings: GateSettings) -> Self {
+    /// A node that has read the configuration alone.
+    pub fn starting(settings: GateSettings) -> Self {
         let mut world = Self {
             gate: Gate::new(settings),
             now: 1_000,
             next: 1,
         };
         world.step(Event::Routing(Arc::new(routing(1))));
+        world
+    }
+
+    pub fn with(settings: GateSettings) -> Self {
+        let mut world = Self::starting(settings);
         world.step(Event::TargetsListed(fleet()));
         world.step(nodes_listed(1));
         world
