Streams: a node asks which versions there are before it resumes a stream

Callers that took up a stream at a node that was out of step during a release got the rest from a runner of another software version (ORDER).

Cause: a stream of unknown origin goes on where only one version has served lately, and the node took its own view of the targets for current while it counted as connected to the store. It does so for up to 2.8 s after the store's answers have ceased, after a suspension of any length, and after the configuration's feed alone has succeeded. Answers of other nodes were believed if these counted as connected, whatever the age of their view, and whenever they arrived; after the loss of the store, one other node without the store was enough.

Change: knowledge of the versions has an age. The registry says as of when all changes of targets have been applied: the time at which the store was asked, by the clock that counts suspensions. Before a stream of unknown origin goes on where one version is known, knowledge older than 300 ms is renewed by a feed call that is answered at once; then other nodes are asked, which renew theirs. Their answers tell the age of what they know and repeat the time of the question, from which it is counted, so that an answer that waited in a socket proves nothing. Spans of knowledge are joined only if they touch. If nobody answers, knowledge counts for 900 ms: new versions get no streams within 1 s of their coming unless no other version can. While the store is away, at least half of the other nodes must have answered, and none that is heard may reach the store.

Why this works: a stream begins at a new version only after its row was written, and a view as of a time after that holds the row, since the store's responses are linearizable.

Tests changed with the contract: targets that are listed prove nothing about later times, so that tests let the registry confirm them; nodes that lose the store are looked at a second later, when their knowledge has aged.

Old builds tell no age, so that their answers confirm nothing during an upgrade; what they know of origins still counts.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -77,7 +77,8 @@
             return Err(self.refusal(RefusalKind::NoTarget, self.settings.retry_ms));
         };
         let software = self.required_version(now, route, &request);
-        let software = software.map_err(|kind| self.refusal(kind, self.origin_retry_ms()))?;
+        let software =
+            software.map_err(|kind| self.refusal(kind, self.origin_retry_ms(now, route)))?;
         let wait_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
         let client_timeout_ms = match route.retry_policy.is_stream() {
             true => route.client_timeout_ms.min(wait_ms),
@@ -179,8 +180,9 @@
 
     /// Retry time of a call that takes up a stream of unknown origin; zero if it stays unknown, because
     /// this node knows all versions and the other nodes have been asked.
-    fn origin_retry_ms(&self) -> u64 {
-        match self.software.has_records() {
+    fn origin_retry_ms(&self, now: Millis, route: &Route) -> u64 {
+        let knows_versions = self.software.is_current(now) || self.has_several_versions(now, route);
+        match self.software.has_records() && knows_versions {
             true => 0,
             false => OTHER_NODE_RETRY_MS,
         }
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -225,6 +225,10 @@
     /// Streams whose origins the node queries.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub asks: Vec<StreamId>,
+    /// With such a query, when it was sent, in milliseconds by the clock of the node that sent it; its
+    /// answer says the same.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub asked_ms: Option<u64>,
     /// Versions of the targets' software that the node has seen, with an answer to such a query.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub history: Option<HistoryReport>,
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -153,6 +153,11 @@
         /// Time at which the store was asked.
         asked_at: Millis,
     },
+    /// All changes of targets up to a time have been applied.
+    TargetsConfirmed {
+        /// The time, at which the registry had no other targets.
+        at: Millis,
+    },
     /// No connection to the platform's API could be opened.
     ApiUnreachable,
     /// The time of day was read, when this process started.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -14,7 +14,7 @@
     engine_estimates::EngineEstimates,
     fleet_demand::FleetDemand,
     lease::Lease,
-    origin_flow::origin_ttl_ms,
+    origin_flow::{answered_question, origin_ttl_ms},
     placer::Placer,
     publication::Publication,
     rate_limits::Sharers,
@@ -195,15 +195,15 @@
             }
             Event::TargetsListed(specs) => {
                 self.roles.connected_since.get_or_insert(now);
-                self.software.start(now);
                 self.replace_targets(now, specs);
                 self.observe_software(now);
             }
+            Event::TargetsConfirmed { at } => self.software.confirm(at.min(now)),
             Event::VersionsRead(records) => self.merge_records(now, &records),
             Event::TargetsReported(specs) => self.apply_reported(now, specs),
             Event::StoreConnected => {
                 self.reconnected_at = Some(now);
-                self.software.restart(now);
+                self.software.restart();
                 self.roles.connected_since = Some(now);
             }
             Event::StoreDisconnected => self.roles.connected_since = None,
@@ -467,10 +467,14 @@
         }
         self.receive_demand(now, digest);
         self.merge_speeds(now, &digest.speeds);
+        let known = self.roles.peers.iter().find(|p| p.vm == digest.vm);
+        let answered = answered_question(now, digest);
+        let answered = answered.max(known.and_then(|p| p.answered));
         self.roles.peers.retain(|p| p.vm != digest.vm);
         self.roles.peers.push(PeerConnection {
             vm: digest.vm.clone(),
             received_at: now,
+            answered,
             connected_ms: digest.connected_ms,
             lacks_keys: digest.lacks_keys,
             leaves_duties: digest.leaves_duties,
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -25,6 +25,7 @@
 mod fleet_demand;
 mod gate;
 mod health;
+mod known_span;
 mod lasting_speed;
 mod lease;
 mod local_retry_budget;
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     CallRequest, Digest, Effect, Gate, OriginReport, RefusalKind, Route, Routing, SoftwareId,
-    StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, stream_origin::ServiceId,
+    StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, software_history::MAX_AGE_MS,
+    stream_origin::ServiceId,
 };
 use rw_types::{Millis, RequestId};
 
@@ -25,7 +26,36 @@
         }
         // A call that is refused for its key is worth no query.
         self.identify(now, route, request).ok()?;
-        self.only_version(now, route).is_none().then_some(stream)
+        let is_known = self.software.is_fresh(now) || self.is_store_away(now);
+        let is_known = is_known && self.only_version(now, route).is_some();
+        (!is_known).then_some(stream)
+    }
+
+    /// Whether a call takes up a stream that can go on once this node knows which versions there are now,
+    /// whoever knows where the stream began.
+    #[must_use]
+    pub fn needs_versions(&self, now: Millis, request: &CallRequest) -> bool {
+        if self.software.is_fresh(now) || self.missing_origin(now, request).is_none() {
+            return false;
+        }
+        let route = self.routing.find_route(&request.host, &request.path);
+        route.is_some_and(|route| !self.has_several_versions(now, route))
+    }
+
+    /// Whether streams of `route` that callers still take up may have begun at several versions.
+    pub(crate) fn has_several_versions(&self, now: Millis, route: &Route) -> bool {
+        let [only] = route.traffic_split.as_slice() else {
+            return true;
+        };
+        let window_ms = route.timeout_ms + RESUME_MARGIN_MS;
+        self.software.is_mixed(now, &only.service, window_ms)
+    }
+
+    /// Whether this node doesn't know which versions there are now, so that its answer to a query helps
+    /// nobody who doesn't know that either.
+    #[must_use]
+    pub fn is_outdated(&self, now: Millis) -> bool {
+        !self.software.is_fresh(now)
     }
 
     /// The service of `route` that a call must go to because the stream that it takes up began there.
@@ -97,15 +127,17 @@
     pub fn ask_origins(&self, now: Millis, streams: Vec<StreamId>) -> Digest {
         Digest {
             asks: streams,
+            asked_ms: Some(now.0),
             ..self.empty_digest(now)
         }
     }
 
     /// The digest that answers such a query, as far as this node knows.
     #[must_use]
-    pub fn answer_origins(&self, now: Millis, streams: &[StreamId]) -> Digest {
+    pub fn answer_origins(&self, now: Millis, query: &Digest) -> Digest {
         Digest {
-            origins: self.origins.answer(streams),
+            origins: self.origins.answer(&query.asks),
+            asked_ms: query.asked_ms,
             history: Some(self.software.report(now)),
             ..self.empty_digest(now)
         }
@@ -126,10 +158,8 @@
             self.origins.merge(now, report);
         }
         if let Some(history) = &digest.history {
-            self.software.merge(now, history);
-            if digest.connected_ms > 0 {
-                self.software.confirm(now);
-            }
+            let asked_at = answered_question(now, digest);
+            self.software.merge(now, history, asked_at);
         }
     }
 
@@ -205,22 +235,32 @@
         let [only] = route.traffic_split.as_slice() else {
             return None;
         };
+        if !self.software.is_current(now) && !self.is_store_away(now) {
+            return None;
+        }
         let window_ms = route.timeout_ms + RESUME_MARGIN_MS;
-        let is_current = self.roles.connected_since.is_some() || self.is_store_away(now);
-        self.software
-            .only_version(now, &only.service, window_ms, is_current)
+        self.software.only_version(now, &only.service, window_ms)
     }
 
-    /// Whether no node from which digests arrive reaches the store, so that new targets can't become
-    /// known to any of them.
+    /// Whether neither this node nor any that is heard reaches the store, and at least half of the others
+    /// have just said what they know. Then new targets can hardly have become known to any node.
     fn is_store_away(&self, now: Millis) -> bool {
         let peers = self.roles.peers.iter();
         let mut heard = peers.filter(|p| now.since(p.received_at) < PEER_TIMEOUT_MS);
-        let first = heard.next();
-        first.is_some_and(|p| p.connected_ms == 0) && heard.all(|p| p.connected_ms == 0)
+        let is_away = self.roles.connected_since.is_none() && heard.all(|p| p.connected_ms == 0);
+        let is_recent = |at: Millis| now.since(at) < MAX_AGE_MS;
+        let peers = self.roles.peers.iter();
+        let answers = peers.filter(|p| p.answered.is_some_and(is_recent)).count();
+        is_away && answers > 0 && answers * 2 >= self.nodes.saturating_sub(1)
     }
 }
 
+/// When this node sent the query that a digest answers, if it does.
+pub(crate) fn answered_question(now: Millis, digest: &Digest) -> Option<Millis> {
+    let asked_at = digest.asked_ms.filter(|_| digest.asks.is_empty());
+    asked_at.map(Millis).filter(|at| *at <= now)
+}
+
 /// Time for which origins and versions matter: as long as callers of any route take up streams.
 pub(crate) fn origin_ttl_ms(routing: &Routing) -> u64 {
     let routes = routing.routes.iter();
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -54,6 +54,8 @@
 pub(crate) struct PeerConnection {
     pub(crate) vm: String,
     pub(crate) received_at: Millis,
+    /// When this node sent the latest query that the other one has answered.
+    pub(crate) answered: Option<Millis>,
     /// Milliseconds for which it had reached the store then; zero if it did not reach it.
     pub(crate) connected_ms: u64,
     /// Whether it didn't know which keys of client accounts are valid.
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -1,14 +1,17 @@
 //! Software versions that the targets of each service have had lately.
 
-use crate::{SoftwareId, VersionRecord, stream_origin::ServiceId};
+use crate::{SoftwareId, VersionRecord, known_span::KnownSpan, stream_origin::ServiceId};
 use rw_types::Millis;
 use serde::{Deserialize, Serialize};
 
-/// Time for which a report of another node counts as current, in milliseconds.
-const CONFIRMED_MS: u64 = 300;
-/// Time for which a new version gets streams only if no other can, in milliseconds, so that by then
-/// all nodes that reach the registry know of it. It is longer than changes take to reach them and
-/// [`CONFIRMED_MS`] together.
+/// Age from which the registry or other nodes are asked whether there are other versions by now, in
+/// milliseconds. All streams that are taken up within it need one question.
+const FRESH_MS: u64 = 300;
+/// Age from which knowledge of the versions isn't relied on, in milliseconds, if nobody answers. It is
+/// shorter than [`SETTLE_MS`] by more than clocks differ.
+pub(crate) const MAX_AGE_MS: u64 = 900;
+/// Time for which a new version gets streams only if no other can, in milliseconds, so that by then no
+/// node relies on knowledge from the time before it came.
 const SETTLE_MS: u64 = 1_000;
 /// Time for which a node counts as having known all versions after it has read the registry's
 /// records, in milliseconds. Callers take up no stream that began earlier.
@@ -41,6 +44,10 @@
 pub struct HistoryReport {
     /// Milliseconds for which the node has seen all versions.
     pub observed_ms: u64,
+    /// Milliseconds since it knew all versions that there were; `None` if it never did, or if the node
+    /// doesn't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
     /// The versions.
     pub seen: Vec<SeenVersion>,
 }
@@ -49,11 +56,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct SoftwareHistory {
     seen: Vec<SeenSoftware>,
-    /// Time from which all versions are known, in milliseconds since this process started. It is
-    /// negative if other nodes know them for longer.
-    since_ms: Option<i64>,
-    /// Time of the latest report from a node that reaches the registry.
-    confirmed_at: Option<Millis>,
+    /// Time for which all versions are known.
+    known: Option<KnownSpan>,
     /// Whether the registry's records have been read.
     has_records: bool,
     /// Time at which the versions of all targets are recorded next.
@@ -87,7 +91,9 @@
                 self.observe(now, &record.service, version);
             }
         }
-        self.merge_since(now, RECORDED_MS);
+        if let Some(known) = &mut self.known {
+            known.extend_back(now, RECORDED_MS);
+        }
         self.has_records = true;
     }
 
@@ -117,15 +123,20 @@
         })
     }
 
-    /// Records that from now on all versions are seen.
-    pub(crate) fn start(&mut self, now: Millis) {
-        self.since_ms.get_or_insert(now.0 as i64);
+    /// Records that all versions are known that there were at the time `at`, and none was missed since
+    /// the call before.
+    pub(crate) fn confirm(&mut self, at: Millis) {
+        let length_ms = if self.has_records { RECORDED_MS } else { 0 };
+        match &mut self.known {
+            Some(known) => known.extend(at),
+            None => self.known = Some(KnownSpan::ending(at, at, length_ms)),
+        }
     }
 
     /// Records that versions may have been missed until now, and may be until the records are read
     /// again.
-    pub(crate) fn restart(&mut self, now: Millis) {
-        self.since_ms = Some(now.0 as i64);
+    pub(crate) fn restart(&mut self) {
+        self.known = None;
         self.has_records = false;
     }
 
@@ -134,20 +145,15 @@
         self.seen.retain(|s| now.since(s.last_seen) < ttl_ms);
     }
 
-    /// The only version that targets of a service have had for `window_ms`; `None` if there were
-    /// several, or if this node can't know. `is_current` says whether this node's own knowledge is
-    /// up to date.
+    /// The only version that targets of a service have had for `window_ms`, as far as is known; `None`
+    /// if there were several, or if older ones may have been missed.
     pub(crate) fn only_version(
         &self,
         now: Millis,
         service: &str,
         window_ms: u64,
-        is_current: bool,
     ) -> Option<SoftwareId> {
-        let is_confirmed = self
-            .confirmed_at
-            .is_some_and(|at| now.since(at) < CONFIRMED_MS);
-        if !(is_current || is_confirmed) || self.observed_ms(now) < window_ms {
+        if self.observed_ms(now) < window_ms {
             return None;
         }
         let mut versions = self.recent(now, window_ms).filter(|s| s.service == service);
@@ -156,6 +162,22 @@
         versions.next().is_none().then_some(id)
     }
 
+    /// Whether all versions are known at which streams can have begun by now.
+    pub(crate) fn is_current(&self, now: Millis) -> bool {
+        self.known.is_some_and(|k| k.age_ms(now) < MAX_AGE_MS)
+    }
+
+    /// Whether all versions are known that there are now, so that nobody needs to be asked.
+    pub(crate) fn is_fresh(&self, now: Millis) -> bool {
+        self.known.is_some_and(|k| k.age_ms(now) < FRESH_MS)
+    }
+
+    /// Whether several versions of a service are known within `window_ms`.
+    pub(crate) fn is_mixed(&self, now: Millis, service: &str, window_ms: u64) -> bool {
+        let versions = self.recent(now, window_ms);
+        versions.filter(|s| s.service == service).count() > 1
+    }
+
     /// Whether all versions are known that there were within `ttl_ms`.
     pub(crate) fn is_complete(&self, now: Millis, ttl_ms: u64) -> bool {
         self.observed_ms(now) >= ttl_ms
@@ -189,33 +211,31 @@
         });
         HistoryReport {
             observed_ms: self.observed_ms(now),
+            age_ms: self.known.map(|k| k.age_ms(now)),
             seen: seen.collect(),
         }
     }
 
-    /// Records what another node has seen.
-    pub(crate) fn merge(&mut self, now: Millis, report: &HistoryReport) {
+    /// Records what another node has seen; `asked_at` is the time of the question that it answers. The
+    /// answer may have waited anywhere since, so that it shows nothing of the time after the question.
+    pub(crate) fn merge(&mut self, now: Millis, report: &HistoryReport, asked_at: Option<Millis>) {
         for seen in &report.seen {
             let at = Millis(now.0.saturating_sub(seen.age_ms));
             self.observe(at, &seen.service, &seen.version);
         }
-        self.merge_since(now, report.observed_ms);
-    }
-
-    fn merge_since(&mut self, now: Millis, observed_ms: u64) {
-        let since_ms = now.0 as i64 - observed_ms.min(RECORDED_MS) as i64;
-        self.since_ms = Some(self.since_ms.map_or(since_ms, |own| own.min(since_ms)));
-    }
-
-    /// Records that a report of a node that reaches the registry was merged.
-    pub(crate) fn confirm(&mut self, now: Millis) {
-        self.confirmed_at = Some(now);
+        let (Some(asked_at), Some(age_ms)) = (asked_at, report.age_ms) else {
+            return;
+        };
+        if asked_at <= now && age_ms <= asked_at.0 {
+            let until = Millis(asked_at.0 - age_ms);
+            let told = KnownSpan::ending(until, now, report.observed_ms.min(RECORDED_MS));
+            self.known = Some(self.known.map_or(told, |own| own.union(told)));
+        }
     }
 
     /// Milliseconds for which all versions are known.
     fn observed_ms(&self, now: Millis) -> u64 {
-        let since_ms = self.since_ms.unwrap_or(now.0 as i64);
-        u64::try_from(now.0 as i64 - since_ms).unwrap_or_default()
+        self.known.map_or(0, |k| k.observed_ms(now))
     }
 
     fn recent(&self, now: Millis, window_ms: u64) -> impl Iterator<Item = &SeenSoftware> {
--- a/crates/rw-gate/tests/release_out_of_step.rs
+++ b/crates/rw-gate/tests/release_out_of_step.rs
@@ -43,6 +43,12 @@
     }
 }
 
+/// Lets the store confirm that a node knows all targets.
+fn confirm(world: &mut World) {
+    let at = Millis(world.now);
+    world.step(Event::TargetsConfirmed { at });
+}
+
 fn nothing(_: &mut Release) {}
 
 /// A release of which one node of four hears nothing.
@@ -66,16 +72,14 @@
         release.each(|w| {
             w.step(nodes_listed(4));
             w.step(Event::TargetsListed(vec![spec("0", "v1")]));
+            confirm(w);
             w.step(Event::VersionsRead(vec![VersionRecord {
                 service: ENGINES.to_owned(),
                 versions: vec!["v1".to_owned()],
             }]));
         });
         release.pass(KNOWN_MS);
-        // As the store's rows and answers arrive.
-        release.each(|w| {
-            w.step(Event::TargetsListed(vec![spec("0", "v1")]));
-        });
+        release.each(confirm);
         release
     }
 
@@ -122,7 +126,7 @@
         let now = Millis(behind.now);
         let missing = behind.gate.missing_origin(now, &resumed(began))?;
         let question = behind.gate.ask_origins(now, vec![missing]);
-        Some(from.gate.answer_origins(Millis(from.now), &question.asks))
+        Some(from.gate.answer_origins(Millis(from.now), &question))
     }
 
     /// Lets the other node that is behind answer.
--- a/crates/rw-gate/tests/roll_outs.rs
+++ b/crates/rw-gate/tests/roll_outs.rs
@@ -15,6 +15,12 @@
 const RETURN_MS: u64 = 4_000;
 const VERSIONS: [&str; 3] = ["v1", "v1.1", "v2"];
 const TARGETS: usize = 8;
+/// Time after which a node notices that the store's answers don't arrive, in milliseconds.
+const NOTICED_MS: u64 = 2_800;
+/// Interval between releases, in milliseconds. Between them, the nodes forget the version before.
+const RELEASE_MS: u64 = 15_000;
+/// Interval at which a release replaces targets, in milliseconds.
+const REPLACE_MS: u64 = 500;
 
 /// A stream as its caller sees it.
 struct Stream {
@@ -28,6 +34,10 @@
 struct Node {
     world: World,
     is_cut: bool,
+    /// Since when the store's answers don't arrive, which the node hasn't noticed.
+    hangs_since: Option<u64>,
+    /// Records that it writes to the store, until they arrive.
+    writes: Vec<VersionRecord>,
     /// Updates from the store that are on their way, with the time of their arrival.
     updates: Vec<(u64, Event)>,
 }
@@ -98,18 +108,36 @@
         });
         world.now = self.now;
         world.step(Event::TargetsListed(self.targets.clone()));
+        confirm(&mut world);
         world.step(Event::VersionsRead(self.records.clone()));
         Node {
             world,
             is_cut: false,
+            hangs_since: None,
+            writes: Vec::new(),
             updates: Vec::new(),
         }
     }
 
-    /// Replaces a target by one with another version, as the store tells the nodes that reach it.
-    fn replace_target(&mut self) {
+    /// Replaces any target by one with any version.
+    fn replace_any(&mut self) {
         let i = self.rng.usize(..self.targets.len());
         let version = VERSIONS[self.rng.usize(..VERSIONS.len())];
+        self.replace_target(i, version);
+    }
+
+    /// Replaces all targets one after the other by those with the next version, every [`RELEASE_MS`].
+    fn release(&mut self) {
+        let step = self.now % RELEASE_MS / REPLACE_MS;
+        let version = VERSIONS[(self.now / RELEASE_MS) as usize % VERSIONS.len()];
+        let next = self.targets.get(step as usize);
+        if next.is_some_and(|t| t.software != version) {
+            self.replace_target(step as usize, version);
+        }
+    }
+
+    /// Replaces a target by one with another version, as the store tells the nodes that reach it.
+    fn replace_target(&mut self, i: usize, version: &str) {
         let new = self.target(i, version);
         let old = std::mem::replace(&mut self.targets[i], new.clone());
         for node in self.nodes.iter_mut().filter(|n| !n.is_cut) {
@@ -130,16 +158,39 @@
         let (targets, records) = (self.targets.clone(), self.records.clone());
         let node = &mut self.nodes[n];
         node.is_cut = !node.is_cut;
+        node.hangs_since = None;
         node.updates.clear();
         if node.is_cut {
             node.world.step(Event::StoreDisconnected);
         } else {
             node.world.step(Event::StoreConnected);
             node.world.step(Event::TargetsListed(targets));
+            confirm(&mut node.world);
             node.world.step(Event::VersionsRead(records));
         }
     }
 
+    /// The store's answers to a node begin or cease to hang.
+    fn toggle_hang(&mut self, n: usize) {
+        let (now, node) = (self.now, &mut self.nodes[n]);
+        node.hangs_since = match node.hangs_since {
+            None if !node.is_cut => Some(now),
+            _ => None,
+        };
+    }
+
+    /// Lets a node read the changes of targets now.
+    fn refresh(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        if node.is_cut || node.hangs_since.is_some() {
+            return;
+        }
+        for (_, event) in std::mem::take(&mut node.updates) {
+            node.world.step(event);
+        }
+        confirm(&mut node.world);
+    }
+
     fn begin(&mut self) {
         let n = self.rng.usize(..self.nodes.len());
         self.started += 1;
@@ -201,11 +252,16 @@
         let Some(stream) = self.nodes[n].world.gate.missing_origin(now, request) else {
             return;
         };
+        if self.nodes[n].world.gate.needs_versions(now, request) {
+            self.refresh(n);
+        }
+        let question = self.nodes[n].world.gate.ask_origins(now, vec![stream]);
         for other in (0..self.nodes.len()).filter(|other| *other != n) {
             if self.rng.f64() < self.loss {
                 continue;
             }
-            let answer = self.nodes[other].world.gate.answer_origins(now, &[stream]);
+            self.refresh(other);
+            let answer = self.nodes[other].world.gate.answer_origins(now, &question);
             self.nodes[n].world.step(Event::DigestReceived(answer));
         }
     }
@@ -226,25 +282,47 @@
 
     fn tick(&mut self) {
         self.now += TICK_MS;
-        for node in &mut self.nodes {
-            node.world.now = self.now;
+        for n in 0..self.nodes.len() {
+            let hangs_since = self.nodes[n].hangs_since;
+            if hangs_since.is_some_and(|at| self.now - at >= NOTICED_MS) {
+                self.toggle_cut(n);
+            }
+            self.tick_node(n);
+        }
+        self.exchange();
+    }
+
+    fn tick_node(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        node.world.now = self.now;
+        if node.hangs_since.is_none() {
             let (due, left) = node.updates.drain(..).partition(|(at, _)| *at <= self.now);
             node.updates = left;
             let due: Vec<(u64, Event)> = due;
             for (_, event) in due {
                 node.world.step(event);
             }
-            for effect in node.world.step(Event::Tick) {
-                if let Effect::RecordVersions(record) = effect {
-                    self.records.retain(|r| r.service != record.service);
-                    self.records.push(record);
-                }
+        }
+        for effect in node.world.step(Event::Tick) {
+            if let Effect::RecordVersions(record) = effect {
+                node.writes.push(record);
+            }
+        }
+        if node.hangs_since.is_none() && !node.is_cut {
+            for record in node.writes.drain(..) {
+                self.records.retain(|r| r.service != record.service);
+                self.records.push(record);
             }
         }
-        self.exchange();
     }
 }
 
+/// Lets the store confirm that a node knows all targets.
+fn confirm(world: &mut World) {
+    let at = Millis(world.now);
+    world.step(Event::TargetsConfirmed { at });
+}
+
 fn stream(call_id: &str) -> CallRequest {
     CallRequest {
         call_id: call_id.to_owned(),
@@ -252,16 +330,19 @@
     }
 }
 
-/// Plays a fleet in which targets are replaced at random times, and nodes restart and are cut off.
-fn play(seed: u64) -> Tally {
+/// Plays a fleet in which targets are replaced at random times or one after the other, and nodes restart
+/// and are cut off.
+fn play(seed: u64, is_release: bool) -> Tally {
     let mut fleet = Fleet::new(seed);
     for _ in 0..SECONDS * 1_000 / TICK_MS {
         fleet.tick();
         fleet.begin();
         fleet.begin();
         fleet.take_up();
-        if fleet.rng.f64() < 0.08 {
-            fleet.replace_target();
+        match is_release {
+            true => fleet.release(),
+            false if fleet.rng.f64() < 0.08 => fleet.replace_any(),
+            false => {}
         }
         if fleet.rng.f64() < 0.01 {
             let n = fleet.rng.usize(..fleet.nodes.len());
@@ -271,15 +352,18 @@
             let n = fleet.rng.usize(..fleet.nodes.len());
             fleet.toggle_cut(n);
         }
+        if fleet.rng.f64() < 0.02 {
+            let n = fleet.rng.usize(..fleet.nodes.len());
+            fleet.toggle_hang(n);
+        }
     }
     fleet.tally
 }
 
-#[test]
-fn no_stream_crosses_versions_in_random_roll_outs() {
+fn assert_none_crosses(is_release: bool) {
     let mut all = Tally::default();
     for seed in 0..40 {
-        let tally = play(seed);
+        let tally = play(seed, is_release);
         all.begun += tally.begun;
         all.resumed += tally.resumed;
         all.unknown += tally.unknown;
@@ -297,3 +381,13 @@
         all.unknown
     );
 }
+
+#[test]
+fn no_stream_crosses_versions_in_random_roll_outs() {
+    assert_none_crosses(false);
+}
+
+#[test]
+fn no_stream_crosses_versions_when_one_replaces_the_other() {
+    assert_none_crosses(true);
+}
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -30,10 +30,22 @@
         vm: vm.to_owned(),
         ..GateSettings::default()
     });
-    world.step(engines(versions));
+    list(&mut world, versions);
     world
 }
 
+/// Lets a node read all engines from the store.
+fn list(world: &mut World, versions: &[(&str, &str)]) {
+    world.step(engines(versions));
+    confirm(world);
+}
+
+/// Lets the store confirm that a node knows all targets.
+fn confirm(world: &mut World) {
+    let at = Millis(world.now);
+    world.step(Event::TargetsConfirmed { at });
+}
+
 fn stream(call_id: &str) -> CallRequest {
     CallRequest {
         call_id: call_id.to_owned(),
@@ -80,7 +92,7 @@
         return false;
     };
     let question = to.gate.ask_origins(Millis(to.now), vec![stream]);
-    let answer = from.gate.answer_origins(Millis(from.now), &question.asks);
+    let answer = from.gate.answer_origins(Millis(from.now), &question);
     to.step(Event::DigestReceived(answer));
     true
 }
@@ -207,16 +219,17 @@
         // A stream that begins at v1, in a fleet that has had both versions for long.
         for world in [&mut first, &mut witness, &mut second] {
             world.now += 60_000;
+            confirm(world);
         }
-        first.step(engines(&[("0", "v1"), ("2", "v1")]));
+        list(&mut first, &[("0", "v1"), ("2", "v1")]);
         begin(&mut first, "c");
-        first.step(engines(BOTH));
+        list(&mut first, BOTH);
         let digest = first.gate.publish(Millis(first.now)).expect("a digest");
         witness.step(Event::DigestReceived(digest.clone()));
         if case.is_told {
             second.step(Event::DigestReceived(digest));
         }
-        second.step(engines(case.engines));
+        list(&mut second, case.engines);
         let request = resumed(case.began);
         if case.is_asked {
             assert!(ask(&mut second, &witness, &request), "{}", case.name);
@@ -296,6 +309,7 @@
         let mut world = world("x", &[]);
         let mut other = self::world("y", &[("0", "v1")]);
         other.now += 60_000;
+        confirm(&mut other);
         world.now += case.known_ms;
         if let Some(ms) = case.replaced_ms {
             world.now -= ms;
@@ -303,9 +317,10 @@
             world.step(Event::TargetUpdated(spec("0", "v1")));
             world.now += ms;
         }
-        world.step(engines(&[("0", "v1")]));
+        list(&mut world, &[("0", "v1")]);
         if !case.is_connected {
             world.step(Event::StoreDisconnected);
+            world.now += 1_000;
         }
         let request = resumed(Some("z"));
         if case.is_told {
@@ -362,11 +377,17 @@
         for world in [&mut world, &mut other] {
             world.now += 60_000;
             world.step(Event::Tick);
+            confirm(world);
         }
         world.step(Event::StoreDisconnected);
         if !case.answer_connected {
             other.step(Event::StoreDisconnected);
         }
+        world.now += 1_000;
+        other.now += 1_000;
+        if case.answer_connected {
+            confirm(&mut other);
+        }
         if let Some(connected) = case.other_connected {
             world.step(Event::DigestReceived(Digest {
                 vm: "z".to_owned(),
@@ -390,6 +411,7 @@
     for world in [&mut first, &mut second] {
         world.now += 60_000;
         world.step(Event::Tick);
+        confirm(world);
     }
     begin(&mut first, "c");
     tell(&mut first, &mut second);
@@ -587,6 +609,7 @@
     for _ in 0..60 {
         world.now += 1_000;
         world.step(Event::Tick);
+        confirm(&mut world);
     }
     let now = Millis(world.now);
     let is_unknown = |began| {
@@ -603,6 +626,7 @@
     world.step(record(&["v1"]));
     world.now += 60_000;
     world.step(Event::Tick);
+    confirm(&mut world);
     let is_unknown = |world: &World| {
         let now = Millis(world.now);
         let request = resumed(Some("z"));
@@ -612,7 +636,7 @@
     world.step(Event::StoreDisconnected);
     world.now += 5_000;
     world.step(Event::StoreConnected);
-    world.step(engines(&[("0", "v1")]));
+    list(&mut world, &[("0", "v1")]);
     assert!(is_unknown(&world), "before the records are read");
     world.step(record(&["v1", "v2"]));
     assert!(is_unknown(&world), "another version came and went");
@@ -620,7 +644,7 @@
     world.step(Event::StoreDisconnected);
     world.now += 60_000;
     world.step(Event::StoreConnected);
-    world.step(engines(&[("0", "v1")]));
+    list(&mut world, &[("0", "v1")]);
     world.step(record(&["v1"]));
     assert!(!is_unknown(&world), "no other version came");
 }
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -303,12 +303,14 @@
     }
 
     /// Answers a query of the node at `to` for the origins of streams.
-    async fn answer_asks(&self, socket: &Async<UdpSocket>, asks: &[StreamId], to: SocketAddr) {
-        if asks.is_empty() {
+    async fn answer_asks(&self, socket: &Async<UdpSocket>, query: &Digest, to: SocketAddr) {
+        if query.asks.is_empty() {
             return;
         }
+        // The node that asks repeats its query until it knows enough.
+        self.refresh_targets();
         let now = self.clock.now();
-        let answer = self.gate.borrow().answer_origins(now, asks);
+        let answer = self.gate.borrow().answer_origins(now, query);
         if let Some(text) = encode(&answer) {
             self.send_text(socket, &text, to).await;
         }
@@ -337,10 +339,14 @@
                 Ok(Received::Placed(reply)) => self.placement_received(reply),
                 Ok(Received::Digest(digest)) => {
                     let digest = *digest;
-                    let asks = digest.asks.clone();
+                    let query = Digest {
+                        asks: digest.asks.clone(),
+                        asked_ms: digest.asked_ms,
+                        ..Digest::default()
+                    };
                     self.answer_demand(socket, &digest, from).await;
                     self.digest_received(digest);
-                    self.answer_asks(socket, &asks, from).await;
+                    self.answer_asks(socket, &query, from).await;
                 }
                 Err(error) => log::debug!(from:%, error:%; "datagram is not a digest; dropped"),
             }
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -55,7 +55,10 @@
     pub leases: Receiver<()>,
     /// Records of software versions to keep; one replaces the one before of the same service.
     pub records: Receiver<VersionRecord>,
-    /// Clock of the node, by which the registry dates confirmations of the configuration.
+    /// Requests to read the changes of targets now.
+    pub refreshes: Receiver<()>,
+    /// Clock of the node, by which the registry dates confirmations of the configuration and of the
+    /// targets.
     pub clock: BootClock,
     /// Age that a confirmation of the configuration must not reach, in milliseconds; `None` if it may
     /// have any age.
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -56,6 +56,8 @@
     pub(crate) version_records: Sender<VersionRecord>,
     /// Queue of streams to ask other nodes about.
     pub(crate) origin_asks: Sender<OriginQuery>,
+    /// Requests that the registry reads the changes of targets now.
+    pub(crate) refresh_targets: Sender<()>,
     /// Queue of messages between nodes and schedulers.
     pub(crate) datagrams: Sender<Datagram>,
     /// Calls that wait for schedulers.
@@ -95,6 +97,7 @@
     pub(crate) request_lease: Sender<()>,
     pub(crate) version_records: Sender<VersionRecord>,
     pub(crate) origin_asks: Sender<OriginQuery>,
+    pub(crate) refresh_targets: Sender<()>,
     pub(crate) datagrams: Sender<Datagram>,
     pub(crate) order_queue: Sender<Effect>,
     pub(crate) duties: DutySenders,
@@ -123,6 +126,7 @@
             request_lease: senders.request_lease,
             version_records: senders.version_records,
             origin_asks: senders.origin_asks,
+            refresh_targets: senders.refresh_targets,
             datagrams: senders.datagrams,
             placements: PlacementWaiters::default(),
             order_queue: senders.order_queue,
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -107,6 +107,7 @@
         let (order_queue, orders) = async_channel::bounded(ORDER_QUEUE);
         let (version_records, records) = async_channel::bounded(RECORD_QUEUE);
         let (origin_asks, asks) = async_channel::bounded(ASK_QUEUE);
+        let (refresh_targets, refreshes) = async_channel::bounded(1);
         let (duties, duty_calls) = duty_queues();
         let (datagrams, messages) = async_channel::bounded(MESSAGE_QUEUE);
         let senders = Senders {
@@ -114,6 +115,7 @@
             request_lease,
             version_records,
             origin_asks,
+            refresh_targets,
             datagrams,
             order_queue,
             duties,
@@ -123,6 +125,7 @@
             leases: lease_requests,
             records,
             usage: duty_calls.records,
+            refreshes,
             clock: relay.clock,
             max_config_age_ms: relay.max_config_age_ms.clone(),
         };
