Streams: a node that missed changes of targets reads the version records anew

Cause: where the store no longer keeps the history from which a node's feed goes on, the node reads all targets, and took the time in between for known. Only the end of an outage made it read the store's records of versions.

Change: the registry says that changes were missed before it reads all targets anew, and reads the records. The node takes up streams of unknown origin without a question only once it has them.

--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -153,6 +153,8 @@
         /// Time at which the store was asked.
         asked_at: Millis,
     },
+    /// The registry no longer keeps some changes of targets, so that all targets are read anew.
+    ChangesMissed,
     /// All changes of targets up to a time have been applied.
     TargetsConfirmed {
         /// The time, at which the registry had no other targets.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -198,6 +198,7 @@
                 self.replace_targets(now, specs);
                 self.observe_software(now);
             }
+            Event::ChangesMissed => self.software.restart(),
             Event::TargetsConfirmed { at } => self.software.confirm(at.min(now)),
             Event::VersionsRead(records) => self.merge_records(now, &records),
             Event::TargetsReported(specs) => self.apply_reported(now, specs),
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -648,3 +648,29 @@
     world.step(record(&["v1"]));
     assert!(!is_unknown(&world), "no other version came");
 }
+
+#[test]
+fn after_missed_changes_a_node_does_not_know_which_versions_came_and_went() {
+    let mut world = world("a", &[("0", "v1")]);
+    world.step(record(&["v1"]));
+    world.now += 60_000;
+    world.step(Event::Tick);
+    confirm(&mut world);
+    let is_unknown = |world: &World| {
+        let now = Millis(world.now);
+        let request = resumed(Some("z"));
+        world.gate.missing_origin(now, &request).is_some()
+    };
+    assert!(!is_unknown(&world));
+    world.step(Event::ChangesMissed);
+    list(&mut world, &[("0", "v1")]);
+    assert!(is_unknown(&world), "before the records are read");
+    world.step(record(&["v1", "v2"]));
+    assert!(is_unknown(&world), "another version came and went");
+    world.now += 60_000;
+    world.step(Event::Tick);
+    world.step(Event::ChangesMissed);
+    list(&mut world, &[("0", "v1")]);
+    world.step(record(&["v1"]));
+    assert!(!is_unknown(&world), "no other version came");
+}
