Digests: nodes tell each other of services with several versions

While no node reached the store, a caller could be given the rest of its stream by a runner of another software version (ORDER): the node that had read of the new version last, and had begun the stream there, was gone, and no other one had heard more of it than digests without the versions.

Evidence: the new case "no node reaches the store, and the one that heard last is gone after a digest" of a_stream_never_goes_on_at_the_version_that_a_node_out_of_step_knows failed before (at another version), and passes now.

Cause: versions were told only in answers to queries, so that a node's knowledge of a new version was lost with it.

Change: a digest names the versions of each service that has had several lately, at once when one is new and then once a second, since a digest may be lost. What they are told says nothing of the time for which all versions are known. A node that is cut off from the store and still sends streams to a version that is gone for the others keeps it known to them, too.

--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -229,7 +229,8 @@
     /// answer says the same.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub asked_ms: Option<u64>,
-    /// Versions of the targets' software that the node has seen, with an answer to such a query.
+    /// Versions of the targets' software that the node has seen, with an answer to such a query; without
+    /// one, only those of services with several versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub history: Option<HistoryReport>,
     /// Recent engine time of the node's client accounts.
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -218,6 +218,7 @@
         let leaving = self.targets.take_leaving(MAX_LEAVING);
         let limits = self.targets.take_limits(now, MAX_LIMITS);
         let origins = self.take_origins(now, MAX_ORIGINS);
+        let history = self.software.take_news(now, self.origin_ttl_ms);
         let speeds = self.due_speeds(now);
         let has_news = !reports.is_empty()
             || !suspects.is_empty()
@@ -225,6 +226,7 @@
             || !leaving.is_empty()
             || !limits.is_empty()
             || !origins.is_empty()
+            || history.is_some()
             || speeds.iter().any(|s| s.is_news);
         if !has_news && !self.publication.is_due(now) {
             return None;
@@ -240,6 +242,7 @@
             limits,
             speeds: self.take_speeds(now, speeds),
             origins,
+            history,
             shares: self.take_shares(now),
             demand: self.take_demand(now),
             ..self.empty_digest(now)
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -16,6 +16,9 @@
 /// Time for which a node counts as having known all versions after it has read the registry's
 /// records, in milliseconds. Callers take up no stream that began earlier.
 const RECORDED_MS: u64 = 86_400_000;
+/// Interval at which other nodes are told of services with several versions, in milliseconds, since a
+/// digest may be lost. A new version is told at once.
+const TELL_INTERVAL_MS: u64 = 1_000;
 /// Interval at which the versions of all targets are recorded, in milliseconds.
 const OBSERVE_INTERVAL_MS: u64 = 1_000;
 
@@ -28,6 +31,16 @@
     last_seen: Millis,
 }
 
+impl SeenSoftware {
+    fn report(&self, now: Millis) -> SeenVersion {
+        SeenVersion {
+            service: self.service.clone(),
+            version: self.version.clone(),
+            age_ms: now.since(self.last_seen),
+        }
+    }
+}
+
 /// A version that a service has had, in a report to another node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeenVersion {
@@ -62,6 +75,8 @@
     has_records: bool,
     /// Time at which the versions of all targets are recorded next.
     next_observation: Millis,
+    /// When other nodes were last told of services with several versions.
+    told_at: Option<Millis>,
 }
 
 impl SoftwareHistory {
@@ -204,11 +219,7 @@
 
     /// What this node has seen, for another node.
     pub(crate) fn report(&self, now: Millis) -> HistoryReport {
-        let seen = self.seen.iter().map(|s| SeenVersion {
-            service: s.service.clone(),
-            version: s.version.clone(),
-            age_ms: now.since(s.last_seen),
-        });
+        let seen = self.seen.iter().map(|s| s.report(now));
         HistoryReport {
             observed_ms: self.observed_ms(now),
             age_ms: self.known.map(|k| k.age_ms(now)),
@@ -216,6 +227,26 @@
         }
     }
 
+    /// The versions of the services that have had several within `ttl_ms`, if other nodes are to be told
+    /// now. They count as told.
+    pub(crate) fn take_news(&mut self, now: Millis, ttl_ms: u64) -> Option<HistoryReport> {
+        let mixed = self.mixed_services(now, ttl_ms);
+        let is_mixed = |s: &&SeenSoftware| mixed.contains(&ServiceId::of_name(&s.service));
+        let told = self.recent(now, ttl_ms).filter(is_mixed);
+        let newest = told.clone().map(|s| s.first_seen).max()?;
+        let is_told = |at: Millis| at > newest && now.since(at) < TELL_INTERVAL_MS;
+        if self.told_at.is_some_and(is_told) {
+            return None;
+        }
+        let report = HistoryReport {
+            observed_ms: 0,
+            age_ms: None,
+            seen: told.map(|s| s.report(now)).collect(),
+        };
+        self.told_at = Some(now);
+        Some(report)
+    }
+
     /// Records what another node has seen; `asked_at` is the time of the question that it answers. The
     /// answer may have waited anywhere since, so that it shows nothing of the time after the question.
     pub(crate) fn merge(&mut self, now: Millis, report: &HistoryReport, asked_at: Option<Millis>) {
@@ -238,7 +269,7 @@
         self.known.map_or(0, |k| k.observed_ms(now))
     }
 
-    fn recent(&self, now: Millis, window_ms: u64) -> impl Iterator<Item = &SeenSoftware> {
+    fn recent(&self, now: Millis, window_ms: u64) -> impl Iterator<Item = &SeenSoftware> + Clone {
         let seen = self.seen.iter();
         seen.filter(move |s| now.since(s.last_seen) < window_ms)
     }
--- a/crates/rw-gate/tests/release_out_of_step.rs
+++ b/crates/rw-gate/tests/release_out_of_step.rs
@@ -207,6 +207,26 @@
             },
             ..hangs
         },
+        Case {
+            name: "no node reaches the store, and the one that heard last is gone after a digest",
+            before: |r| {
+                r.each(|w| {
+                    w.step(nodes_listed(3));
+                    w.step(Event::StoreDisconnected);
+                });
+            },
+            after: |r| {
+                // The digest with the stream's origin was lost.
+                let now = Millis(r.in_step.now);
+                let _lost = r.in_step.gate.publish(now);
+                r.pass(1_000);
+                let next = r.in_step.gate.publish(Millis(r.in_step.now));
+                let next = next.expect("a digest each second");
+                r.behind.step(Event::DigestReceived(next));
+                r.ask_also_behind();
+            },
+            ..hangs
+        },
         Case {
             name: "it has restarted with the targets of a node whose feed hangs",
             after: |r| {
