--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -225,7 +225,12 @@
     /// Streams whose origins the node queries.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub asks: Vec<StreamId>,
-    /// Versions of the targets' software that the node has seen, with an answer to such a query.
+    /// With such a query, when it was sent, in milliseconds by the clock of the node that sent it; its
+    /// answer says the same.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub asked_ms: Option<u64>,
+    /// Versions of the targets' software that the node has seen, with an answer to such a query; without
+    /// one, only those of services with several versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub history: Option<HistoryReport>,
     /// Recent engine time of the node's client accounts.
