Store: what is remembered of versions belongs to an era

After a drill a node asked for changes behind a version of the lost history. The store had given that version out again by then, so that the call was answered without 410: the node missed the configuration that took a key away and confirmed the old one for good. Tests failed before with "the store is away for a moment: 200" (removed key) and "the new node is unknown".

--- a/crates/rw-gate/src/usage_flow.rs
+++ b/crates/rw-gate/src/usage_flow.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     DispatchOutcome, DutyOutcome, Effect, Gate, StoredUsage, UsageAnswer, UsageCollection,
-    UsageQuery, UsageRecord, UsageReport,
+    UsageQuery, UsageReport,
 };
 use rw_types::Millis;
 
@@ -41,7 +41,7 @@
     /// Read, collection, write and report in flight, with the time when they began.
     reading: Option<Millis>,
     collecting: Option<(u64, Millis)>,
-    writing: Option<(UsageRecord, Millis)>,
+    writing: Option<(StoredUsage, Millis)>,
     sending: Option<(u64, Millis)>,
     /// Counts of the next window, until they are written.
     collected: Option<UsageReport>,
@@ -260,11 +260,12 @@
         record.reports.push(report);
         let surplus = record.reports.len().saturating_sub(MAX_REPORTS);
         record.reports.drain(..surplus);
-        effects.push(Effect::WriteUsage(StoredUsage {
-            record: record.clone(),
-            version: row.version,
-        }));
-        self.usage.writing = Some((record, now));
+        let stored = StoredUsage {
+            record,
+            ..row.clone()
+        };
+        effects.push(Effect::WriteUsage(stored.clone()));
+        self.usage.writing = Some((stored, now));
     }
 
     /// The row was read; `None` if the store did not answer.
@@ -291,11 +292,11 @@
         version: Option<u64>,
         effects: &mut Vec<Effect>,
     ) {
-        let Some((record, _)) = self.usage.writing.take() else {
+        let Some((stored, _)) = self.usage.writing.take() else {
             return;
         };
         self.usage.collected = None;
-        self.usage.row = version.map(|version| StoredUsage { record, version });
+        self.usage.row = version.map(|version| StoredUsage { version, ..stored });
         self.check_usage(now, effects);
     }
 
--- a/crates/rw-gate/src/usage_report.rs
+++ b/crates/rw-gate/src/usage_report.rs
@@ -1,5 +1,6 @@
 //! Usage reports, and what nodes and the store hold of them.
 
+use crate::StoreEra;
 use serde::{Deserialize, Serialize};
 
 /// Calls that began to run in one window.
@@ -27,6 +28,8 @@
     pub record: UsageRecord,
     /// Version of the row; 0 if there is none.
     pub version: u64,
+    /// Era of the store that the version is of.
+    pub era: StoreEra,
 }
 
 /// Query of the lease holder for the calls of a window.
--- a/crates/rw-gate/tests/duties.rs
+++ b/crates/rw-gate/tests/duties.rs
@@ -288,8 +288,8 @@
             return None;
         }
         self.row = StoredUsage {
-            record: stored.record,
             version: stored.version + 1,
+            ..stored
         };
         Some(self.row.version)
     }
