Targets: entries that the store's copy lacks may be written again

After a drill a node that read all targets again dropped those whose entries the copy lacked, unless the store had been away for it alone; calls got 503 although the targets served on. It also took a target that is leaving for one that serves, if the copy was from before its notice.

The registry passes a new era on as StoreRestored before anything that was read in it. For the 2.2 s that entries have to be renewed, a missing entry is not taken for gone, whatever other nodes say of their link to the store, and a target of the same incarnation that is leaving stays so.

--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -208,6 +208,9 @@
     TargetsReported(Vec<TargetSpec>),
     /// The store is reachable again after an outage.
     StoreConnected,
+    /// The store came back from a copy, which lacks what was written last. All that follows from the
+    /// registry was read since.
+    StoreRestored,
     /// The store is unreachable.
     StoreDisconnected,
     /// Periodic timer.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -3,7 +3,7 @@
 use crate::{
     Digest, DispatchMode, Effect, Event, FleetNode, GateSettings, LeavingSource, LimitReport,
     LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, ResponseSource,
-    Routing, TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
+    Routing, Target, TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
     account_keys::AccountKeys,
     account_usage::AccountUsage,
     call_state::CallState,
@@ -70,6 +70,8 @@
     pub(crate) rng: fastrand::Rng,
     /// Time at which the store became reachable again after the latest outage, if any.
     reconnected_at: Option<Millis>,
+    /// Time at which this node learned that the store came back from a copy, if it has.
+    restored_at: Option<Millis>,
     pub(crate) roles: Roles,
     /// The lease on the duties of the fleet.
     pub(crate) lease: Lease,
@@ -122,6 +124,7 @@
             publication: Publication::default(),
             rng: fastrand::Rng::with_seed(settings.seed),
             reconnected_at: None,
+            restored_at: None,
             roles: Roles::default(),
             lease: Lease::default(),
             duty_reach: DutyReach::default(),
@@ -206,6 +209,7 @@
                 self.software.restart(now);
                 self.roles.connected_since = Some(now);
             }
+            Event::StoreRestored => self.restored_at = Some(now),
             Event::StoreDisconnected => self.roles.connected_since = None,
             Event::Tick => {
                 self.update_speeds(now);
@@ -383,6 +387,9 @@
 
     /// Time at which a target whose entry disappears now is removed.
     fn removal_time(&self, now: Millis) -> Millis {
+        if let Some(deadline) = self.restored_entries_deadline(now) {
+            return deadline;
+        }
         // A node that reached the store without interruption shows that the outage affected only
         // this node, so the entry did not lapse because of it.
         if self.peer_stayed_connected(now) {
@@ -395,6 +402,13 @@
         renewal_deadline.filter(|until| now < *until).unwrap_or(now)
     }
 
+    /// Time until which entries that the store's copy lacks are written again, if that isn't over. The
+    /// copy lacks them for all nodes, however well they reach the store.
+    fn restored_entries_deadline(&self, now: Millis) -> Option<Millis> {
+        let deadline = self.restored_at?.plus(self.settings.return_ms);
+        (now < deadline).then_some(deadline)
+    }
+
     /// Whether another node has reached the store for longer than entries take to be renewed.
     fn peer_stayed_connected(&self, now: Millis) -> bool {
         let peers = self.roles.peers.iter();
@@ -420,6 +434,7 @@
 
     fn update_target(&mut self, now: Millis, spec: TargetSpec) {
         let name = spec.name.clone();
+        let spec = self.with_lost_notice(now, spec);
         // Its version may be replaced.
         self.observe_target(now, &name);
         self.targets.upsert(spec);
@@ -445,10 +460,22 @@
             .iter()
             .for_each(|name| self.remove_target(now, name));
         for spec in specs {
+            let spec = self.with_lost_notice(now, spec);
             self.targets.upsert(spec);
         }
     }
 
+    /// The entry of a target, which keeps on leaving if the store's copy may be from before that.
+    fn with_lost_notice(&self, now: Millis, spec: TargetSpec) -> TargetSpec {
+        let is_same = |t: &&Target| t.spec.incarnation == spec.incarnation && t.spec.leaving;
+        let known = self.targets.find(&spec.name).filter(is_same);
+        let is_lost = known.is_some() && self.restored_entries_deadline(now).is_some();
+        TargetSpec {
+            leaving: spec.leaving || is_lost,
+            ..spec
+        }
+    }
+
     fn receive_digest(&mut self, now: Millis, digest: &Digest) {
         self.suspects.merge(now, &digest.suspects);
         self.suspects.prune(now, self.settings.poison_ms);
@@ -475,7 +502,7 @@
             lacks_keys: digest.lacks_keys,
             leaves_duties: digest.leaves_duties,
         });
-        if self.peer_stayed_connected(now) {
+        if self.peer_stayed_connected(now) && self.restored_entries_deadline(now).is_none() {
             self.targets.remove_lapsed();
         }
         for report in &digest.reports {
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -45,6 +45,7 @@
             ..Digest::default()
         })
     };
+    let leaving_entry = leaving.clone();
     let cases = [
         Case {
             name: "all targets are listed",
@@ -121,6 +122,39 @@
             ],
             used_targets: &["p1", "p2", "p3"],
         },
+        Case {
+            name: "an entry that the store's copy lacks may be written again",
+            events: vec![(0, Event::StoreRestored), (0, removed())],
+            used_targets: &["p1", "p2", "p3"],
+        },
+        Case {
+            name: "also if another node reached the store without interruption",
+            events: vec![
+                (0, digest(60_000)),
+                (0, Event::StoreRestored),
+                (0, removed()),
+                (0, digest(60_000)),
+            ],
+            used_targets: &["p1", "p2", "p3"],
+        },
+        Case {
+            name: "an entry that is not written again in time is gone",
+            events: vec![
+                (0, Event::StoreRestored),
+                (0, removed()),
+                (2_500, Event::Tick),
+            ],
+            used_targets: &["p2", "p3"],
+        },
+        Case {
+            name: "a leaving target stays so if the store's copy is from before that",
+            events: vec![
+                (0, Event::TargetUpdated(leaving_entry)),
+                (0, Event::StoreRestored),
+                (0, Event::TargetUpdated(entry())),
+            ],
+            used_targets: &["p2", "p3"],
+        },
     ];
     for case in cases {
         let mut world = World::new();
