Registry: a node writes its lost rows again

A copy of the store may lack the row of a node that started in the seconds before a drill, and software versions that were recorded then. Nobody wrote them again: other nodes never learned of the node, and a node that started later took a stream's only known version for the only one there was.

Until they are read, the records count as incomplete, as after an outage.

store_era: a_node_writes_its_lost_rows_again failed before ("the store is away for a moment", no row after 6 s) and passes in all six cases.

--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -209,7 +209,11 @@
                 self.software.restart(now);
                 self.roles.connected_since = Some(now);
             }
-            Event::StoreRestored => self.restored_at = Some(now),
+            Event::StoreRestored => {
+                self.restored_at = Some(now);
+                // The records may lack versions, and must not be written before they are read.
+                self.software.restart(now);
+            }
             Event::StoreDisconnected => self.roles.connected_since = None,
             Event::Tick => {
                 self.update_speeds(now);
