Keys: a configuration is not confirmed while another node has a newer one

A node that missed the configuration which took a key away, and a store that lost it in a drill: the store confirmed the one before, so that the key stayed valid at that node until the operator wrote the configuration again, also with fail-closed. The store's answers are linearizable: one to a question that was asked after another node had named a newer version, and that does not have it, shows that the store lost it. Such an answer confirms nothing, so that calls with keys are refused (stale-config) once the latest confirmation is too old, until the newer configuration is there.

A test of the gate failed before ("left: Ok((Some(\"staff\"), 1)), right: Err(StaleConfig)").

--- a/crates/rw-gate/src/account_keys.rs
+++ b/crates/rw-gate/src/account_keys.rs
@@ -25,8 +25,9 @@
     is_missing: bool,
     /// Latest time at which the configuration was asked for that the store then gave or confirmed.
     confirmed_at: Option<Millis>,
-    /// Highest version of the configuration that another node has named.
+    /// Highest version of the configuration that another node has named, and when it was first named.
     heard_version: u64,
+    heard_at: Millis,
 }
 
 impl AccountKeys {
@@ -39,14 +40,21 @@
         self.is_missing = routing.lacks_accounts();
     }
 
-    /// The store confirmed the configuration when it was asked at `asked_at`.
+    /// The store confirmed the configuration when it was asked at `asked_at`. If another node had a
+    /// newer one before, the store has lost that, and what it confirms may have keys that were removed.
     pub(crate) fn confirm(&mut self, asked_at: Millis) {
+        if self.heard_version > self.version && self.heard_at <= asked_at {
+            return;
+        }
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
     }
 
     /// Another node named the version of its configuration.
-    pub(crate) fn version_heard(&mut self, version: u64) {
-        self.heard_version = self.heard_version.max(version);
+    pub(crate) fn version_heard(&mut self, now: Millis, version: u64) {
+        if version > self.heard_version {
+            self.heard_version = version;
+            self.heard_at = now;
+        }
     }
 
     /// Whether this node knows the accounts, as of `max_age_ms` ago at most if that is set.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -486,7 +486,7 @@
         self.part_suspects.merge(now, &digest.parts);
         self.merge_origins(now, digest);
         self.delegates.digest_received(now, digest);
-        self.keys.version_heard(digest.version);
+        self.keys.version_heard(now, digest.version);
         for target in &digest.leaving {
             self.targets.set_leaving(now, target, LeavingSource::Peer);
         }
--- a/crates/rw-gate/tests/accounts.rs
+++ b/crates/rw-gate/tests/accounts.rs
@@ -295,6 +295,29 @@
     assert_eq!(unknown, Err(RefusalKind::UnknownKey));
 }
 
+/// Guards against a removed key that stays valid at a node which missed the configuration that removed
+/// it, if the store has lost that one and confirms the one before.
+#[test]
+fn a_configuration_is_not_confirmed_while_another_node_has_a_newer_one() {
+    for (fail_closed, expected) in [
+        (true, Err(RefusalKind::StaleConfig)),
+        (false, Ok((Some("staff".to_owned()), 1))),
+    ] {
+        let mut world = world(fail_closed);
+        world.step(digest(3, false));
+        for _ in 0..10 {
+            world.now += MAX_AGE_MS / 10;
+            confirm(&mut world, 0);
+        }
+        let removed = outcome(&mut world, call("/once/1", key("b1")));
+        assert_eq!(removed, expected, "fail-closed: {fail_closed}");
+        world.step(Event::Routing(Arc::new(two_accounts(3))));
+        confirm(&mut world, 0);
+        let kept = outcome(&mut world, call("/once/1", key("b1")));
+        assert_eq!(kept, Ok((Some("staff".to_owned()), 1)), "{fail_closed}");
+    }
+}
+
 /// Guards against callers that a load balancer sends to the one node which can't check their keys.
 #[test]
 fn a_node_defers_to_others_that_can_check_keys() {
