--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -171,6 +171,10 @@
     pub left_ms: u64,
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 fn is_false(flag: &bool) -> bool {
     !flag
 }
@@ -187,6 +191,9 @@
     /// not reach it.
     #[serde(rename = "reach_ms")]
     pub connected_ms: u64,
+    /// Highest fencing token that the node was granted, about once a second; 0 if none is stated.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub token: u64,
     /// Whether the node leaves the duties of the fleet to others, because it does not reach the
     /// platform's API.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -211,6 +211,7 @@
             }
             Event::StoreRestored => {
                 self.restored_at = Some(now);
+                self.lease.store_restored();
                 // The records may lack versions, and must not be written before they are read.
                 self.software.restart(now);
             }
@@ -486,6 +487,7 @@
         self.part_suspects.merge(now, &digest.parts);
         self.merge_origins(now, digest);
         self.delegates.digest_received(now, digest);
+        self.lease.token_heard(digest.token);
         self.keys.version_heard(now, digest.version);
         for target in &digest.leaving {
             self.targets.set_leaving(now, target, LeavingSource::Peer);
--- a/crates/rw-gate/src/lease.rs
+++ b/crates/rw-gate/src/lease.rs
@@ -13,6 +13,8 @@
 /// The same where usage reports are due. A report is due 10 s after the end of its window, and the
 /// lease of a holder that was killed lasts 8 s of them.
 const REPORTER_RETRY_MS: u64 = 400;
+/// Interval at which the highest token is told to other nodes, in milliseconds.
+const TELL_INTERVAL_MS: u64 = 1_000;
 
 /// State of the lease of this node.
 #[derive(Debug, Clone, Default)]
@@ -21,6 +23,10 @@
     held: Option<(u64, Millis)>,
     /// Highest token that this node has been granted.
     last_token: u64,
+    /// Highest token that another node has told of.
+    heard_token: u64,
+    /// Time of the latest digest that told of the highest token.
+    told_at: Option<Millis>,
     /// Highest token that was refused because a higher one had been seen.
     refused_token: u64,
     /// Time of the request in flight, if any.
@@ -35,7 +41,7 @@
         let Some(requested_at) = self.requested_at.take() else {
             return false;
         };
-        let token = token.filter(|token| *token > self.refused_token);
+        let token = token.filter(|token| !self.is_refused(*token) && *token > self.heard_token);
         // The validity counts from the time of the request, so that it ends before the lease
         // expires in the store.
         self.held = token.map(|token| (token, requested_at.plus(LEASE_VALID_MS)));
@@ -43,6 +49,39 @@
         token.is_some()
     }
 
+    /// Whether a call with this token must not be sent, because a higher one was granted or refused,
+    /// here or at a node that told of it.
+    fn is_refused(&self, token: u64) -> bool {
+        token <= self.refused_token || token < self.highest_token()
+    }
+
+    fn highest_token(&self) -> u64 {
+        self.last_token.max(self.heard_token)
+    }
+
+    /// Another node knows of this token; 0 if it told of none. A lower one of this node is not used any
+    /// more.
+    pub(crate) fn token_heard(&mut self, token: u64) {
+        self.heard_token = self.heard_token.max(token);
+        self.held = self.held.filter(|(held, _)| *held >= token);
+    }
+
+    /// The highest token that this node has been granted, if it is due to be told; otherwise 0. It
+    /// survives the holder at those that hear of it.
+    pub(crate) fn take_token(&mut self, now: Millis) -> u64 {
+        let is_recent = |at| now.since(at) < TELL_INTERVAL_MS;
+        if self.last_token == 0 || self.told_at.is_some_and(is_recent) {
+            return 0;
+        }
+        self.told_at = Some(now);
+        self.last_token
+    }
+
+    /// The store came back from a copy, which may lack the lease of this node.
+    pub(crate) fn store_restored(&mut self) {
+        self.held = None;
+    }
+
     /// A higher token than that of this node has been seen: no token granted so far is used again.
     pub(crate) fn refuse(&mut self) {
         self.held = None;
@@ -90,6 +129,12 @@
     /// Whether a call with this fencing token must not be sent, because a higher one has been seen.
     #[must_use]
     pub fn is_token_refused(&self, token: u64) -> bool {
-        token <= self.lease.refused_token
+        self.lease.is_refused(token)
+    }
+
+    /// Highest fencing token that this node knows, of its own leases or those of others; 0 if none.
+    #[must_use]
+    pub fn highest_token(&self) -> u64 {
+        self.lease.highest_token()
     }
 }
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -242,6 +242,7 @@
             origins,
             shares: self.take_shares(now),
             demand: self.take_demand(now),
+            token: self.lease.take_token(now),
             ..self.empty_digest(now)
         })
     }
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -437,6 +437,98 @@
     assert_eq!(world.step(Event::Tick), [Effect::AcquireLease]);
 }
 
+/// Guards against role orders with a lower token than one that was used, which targets may not check.
+#[test]
+fn a_lease_is_not_used_below_a_token_that_any_node_knows() {
+    struct Case {
+        name: &'static str,
+        /// What happens before and after the lease is granted with token 9.
+        before: Vec<Event>,
+        after: Vec<Event>,
+        is_ordered: bool,
+        is_refused: bool,
+        highest: u64,
+    }
+    let told = |token| {
+        Event::DigestReceived(Digest {
+            vm: "z".to_owned(),
+            token,
+            ..Digest::default()
+        })
+    };
+    let cases = [
+        Case {
+            name: "no other token is known",
+            before: vec![told(0), told(8)],
+            after: vec![],
+            is_ordered: true,
+            is_refused: false,
+            highest: 9,
+        },
+        Case {
+            name: "another node had a higher one",
+            before: vec![told(20)],
+            after: vec![],
+            is_ordered: false,
+            is_refused: true,
+            highest: 20,
+        },
+        Case {
+            name: "another node had the same one",
+            before: vec![told(9)],
+            after: vec![],
+            is_ordered: false,
+            is_refused: false,
+            highest: 9,
+        },
+        Case {
+            name: "another node has got a higher one since",
+            before: vec![],
+            after: vec![told(20), told(3)],
+            is_ordered: false,
+            is_refused: true,
+            highest: 20,
+        },
+        Case {
+            name: "the store may have lost the lease",
+            before: vec![],
+            after: vec![Event::StoreRestored],
+            is_ordered: false,
+            is_refused: false,
+            highest: 9,
+        },
+    ];
+    for case in cases {
+        let mut world = engines(8, 2);
+        world.now += 600;
+        for event in case.before {
+            world.step(event);
+        }
+        assert!(world.step(Event::Tick).contains(&Effect::AcquireLease));
+        world.step(Event::LeaseResult(Some(9)));
+        for event in case.after {
+            world.step(event);
+        }
+        world.now += 600;
+        let effects = world.step(Event::Tick);
+        let is_order = |e: &Effect| matches!(e, Effect::Order { token: 9, .. });
+        assert_eq!(
+            effects.iter().any(is_order),
+            case.is_ordered,
+            "{}",
+            case.name
+        );
+        // Checked again before an order is sent.
+        assert_eq!(
+            world.gate.is_token_refused(9),
+            case.is_refused,
+            "{}",
+            case.name
+        );
+        assert_eq!(world.gate.highest_token(), case.highest, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_stale_report_does_not_restart_a_role_change() {
     struct Case {
--- a/crates/rw-relay/src/duties.rs
+++ b/crates/rw-relay/src/duties.rs
@@ -111,7 +111,8 @@
             token,
             call,
         };
-        let outcome = match self.send_duty(&api.request(&request), addr, until).await {
+        let bytes = api.request(&request);
+        let outcome = match self.send_duty(&bytes, addr, (token, until)).await {
             Ok(status) => api.outcome(&request, status).await,
             Err(outcome) => outcome,
         };
@@ -125,7 +126,7 @@
         &self,
         request: &OrderRequest,
         addr: SocketAddr,
-        until: Millis,
+        (token, until): (u64, Millis),
     ) -> Result<u16, DutyOutcome> {
         let head = format!(
             "POST {} HTTP/1.1\r\nhost: {addr}\r\ncontent-type: application/json\r\n{}content-length: {}\r\nconnection: close\r\n\r\n",
@@ -140,7 +141,8 @@
         };
         // Checked directly before sending, because a process that was suspended past `until` must
         // not act.
-        if self.clock.now() >= until {
+        let is_refused = self.gate.borrow().is_token_refused(token);
+        if self.clock.now() >= until || is_refused {
             return Err(DutyOutcome::NotSent);
         }
         match timeout(CALL_TIMEOUT, exchange(conn, &bytes)).await {
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -159,6 +159,7 @@
             parts: snapshot.parts,
             leaving: snapshot.leaving,
             limits: snapshot.limits,
+            token: snapshot.token,
             ..Digest::default()
         };
         self.digest_received(received);
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -37,6 +37,9 @@
     /// Rate limits that targets have named.
     #[serde(default)]
     pub limits: Vec<rw_gate::LimitReport>,
+    /// Highest fencing token that the node knows; 0 if it knows none.
+    #[serde(default)]
+    pub token: u64,
 }
 
 /// What a node wants of the record of usage reports.
@@ -51,8 +54,9 @@
 /// What a node wants from a registry.
 #[derive(Debug)]
 pub struct RegistryRequests {
-    /// Requests for the lease on the duties of the fleet.
-    pub leases: Receiver<()>,
+    /// Requests for the lease on the duties of the fleet, each with the highest fencing token that this
+    /// node knows. The one that is granted must be higher.
+    pub leases: Receiver<u64>,
     /// Records of software versions to keep; one replaces the one before of the same service.
     pub records: Receiver<VersionRecord>,
     /// Clock of the node, by which the registry dates confirmations of the configuration.
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -51,7 +51,7 @@
     /// Triggers an immediate digest.
     pub(crate) wake_digests: Sender<()>,
     /// Requests the lease on the duties of the fleet.
-    pub(crate) request_lease: Sender<()>,
+    pub(crate) request_lease: Sender<u64>,
     /// Queue of records of software versions.
     pub(crate) version_records: Sender<VersionRecord>,
     /// Queue of streams to ask other nodes about.
@@ -92,7 +92,7 @@
 #[derive(Debug)]
 pub(crate) struct Senders {
     pub(crate) wake_digests: Sender<()>,
-    pub(crate) request_lease: Sender<()>,
+    pub(crate) request_lease: Sender<u64>,
     pub(crate) version_records: Sender<VersionRecord>,
     pub(crate) origin_asks: Sender<OriginQuery>,
     pub(crate) datagrams: Sender<Datagram>,
@@ -150,8 +150,11 @@
         for effect in &effects {
             match effect {
                 Effect::ReleaseHandle(handle) => self.release_handle(handle.clone()),
-                // A full channel means that a request is already pending.
-                Effect::AcquireLease => drop(self.request_lease.try_send(())),
+                Effect::AcquireLease => {
+                    let known = self.gate.borrow().highest_token();
+                    // A full channel means that a request is already pending.
+                    let _already_pending = self.request_lease.try_send(known);
+                }
                 Effect::RecordVersions(record) => self.record_versions(record.clone()),
                 Effect::ProbeTarget(target) => self.probe(target.clone()),
                 Effect::Order { .. } => self.enqueue_order(effect.clone()),
@@ -233,6 +236,7 @@
             parts: gate.part_suspects(self.clock.now()),
             leaving: gate.leaving_targets(),
             limits: gate.rate_limits(self.clock.now()),
+            token: gate.highest_token(),
         }
     }
 
