Usage: reports that the store lost are written again, not collected again

After a drill the row of usage reports lacks those of the last seconds, which had been sent. The leader read the row, collected their windows once more and wrote other counts for them, which a successor would send; others were never reported.

The expected version of the row has its era with it. In a new era the leader reads the row, compares it with the record that it last read or wrote with an acknowledgement, and writes those reports again that the row lacks and that are not late, before it collects or sends anything. Reports that are in the row stay as they are there.

Two new cases of the gate's test fail without the change: "another report, left: 301, right: 300".

--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -212,6 +212,7 @@
             Event::StoreRestored => {
                 self.restored_at = Some(now);
                 self.lease.store_restored();
+                self.usage.store_restored();
                 // The records may lack versions, and must not be written before they are read.
                 self.software.restart(now);
             }
--- a/crates/rw-gate/src/usage_flow.rs
+++ b/crates/rw-gate/src/usage_flow.rs
@@ -38,6 +38,12 @@
 pub(crate) struct UsageReports {
     /// The store's row as last read or written; `None` if it must be read.
     row: Option<StoredUsage>,
+    /// The row as this node last knew it, also while other nodes lead: the store may lose reports that
+    /// have been sent.
+    acknowledged: StoredUsage,
+    /// Reports that the row lacks since the store came back from a copy. They are written again before
+    /// anything else happens.
+    lost: Vec<UsageReport>,
     /// Read, collection, write and report in flight, with the time when they began.
     reading: Option<Millis>,
     collecting: Option<(u64, Millis)>,
@@ -62,9 +68,35 @@
     /// Another node leads: its writes make what is known of the row obsolete.
     fn step_down(&mut self) {
         self.row = None;
+        self.lost.clear();
         self.collected = None;
     }
 
+    /// The store came back from a copy: the row must be read again.
+    pub(crate) fn store_restored(&mut self) {
+        self.row = None;
+    }
+
+    /// The row was read. If it is of a later era than what this node knew, it may lack reports of
+    /// `acknowledged`, of which those that `is_due` are to be written again.
+    fn set_row(&mut self, row: StoredUsage, is_due: impl Fn(&UsageReport) -> bool) {
+        let is_lost = |r: &&UsageReport| {
+            let mut kept = row.record.reports.iter();
+            is_due(r) && kept.all(|k| k.window != r.window)
+        };
+        self.lost = match row.era > self.acknowledged.era {
+            true => {
+                let reports = self.acknowledged.record.reports.iter();
+                reports.filter(is_lost).cloned().collect()
+            }
+            false => Vec::new(),
+        };
+        if self.lost.is_empty() {
+            self.acknowledged = row.clone();
+        }
+        self.row = Some(row);
+    }
+
     /// Gives up operations that never ended.
     fn expire(&mut self, now: Millis) {
         let is_over = |at: Millis| now.since(at) >= OPERATION_TIMEOUT_MS;
@@ -173,6 +205,9 @@
             }
             return;
         };
+        if !self.usage.lost.is_empty() {
+            return self.restore_reports(now, effects);
+        }
         let unix_ms = (now.0 as i64 + offset).max(0) as u64;
         let last = row.record.last_window();
         self.send_report(now, effects);
@@ -184,7 +219,9 @@
             return;
         }
         match self.usage.collected.clone() {
-            Some(report) if report.window == window => self.write_report(now, report, effects),
+            Some(report) if report.window == window => {
+                self.write_reports(now, vec![report], effects)
+            }
             _ => self.collect(now, window, (age_ms, length_ms), effects),
         }
     }
@@ -247,8 +284,15 @@
         self.check_usage(now, effects);
     }
 
-    /// Writes a report to the store, behind those that are there already.
-    fn write_report(&mut self, now: Millis, report: UsageReport, effects: &mut Vec<Effect>) {
+    /// Writes the reports again that the store has lost.
+    fn restore_reports(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if self.usage.writing.is_none() {
+            self.write_reports(now, self.usage.lost.clone(), effects);
+        }
+    }
+
+    /// Writes reports to the store, beside those that are there already.
+    fn write_reports(&mut self, now: Millis, new: Vec<UsageReport>, effects: &mut Vec<Effect>) {
         if self.lease(now, effects).is_none() {
             return;
         }
@@ -257,7 +301,8 @@
         };
         let mut record = row.record.clone();
         record.reports.retain(|r| !self.is_late(now, r.window));
-        record.reports.push(report);
+        record.reports.extend(new);
+        record.reports.sort_by_key(|r| r.window);
         let surplus = record.reports.len().saturating_sub(MAX_REPORTS);
         record.reports.drain(..surplus);
         let stored = StoredUsage {
@@ -278,7 +323,11 @@
         self.usage.reading = None;
         match row {
             // A write in flight may still change the row.
-            Some(row) if self.usage.writing.is_none() => self.usage.row = Some(row),
+            Some(row) if self.usage.writing.is_none() => {
+                let mut usage = std::mem::take(&mut self.usage);
+                usage.set_row(row, |r| !self.is_late(now, r.window));
+                self.usage = usage;
+            }
             _ => self.usage.read_after = now.plus(MIN_RETRY_MS),
         }
         self.check_usage(now, effects);
@@ -297,6 +346,10 @@
         };
         self.usage.collected = None;
         self.usage.row = version.map(|version| StoredUsage { version, ..stored });
+        if let Some(row) = &self.usage.row {
+            self.usage.acknowledged = row.clone();
+            self.usage.lost.clear();
+        }
         self.check_usage(now, effects);
     }
 
--- a/crates/rw-gate/tests/duties.rs
+++ b/crates/rw-gate/tests/duties.rs
@@ -5,7 +5,7 @@
 
 use rw_gate::{
     Account, Credential, DispatchOutcome, DutyOutcome, DutyPacer, DutySettings, DutySubject,
-    Effect, Event, Gate, GateSettings, Routing, StoredUsage, UsageCollection, UsageQuery,
+    Effect, Event, Gate, GateSettings, Routing, StoreEra, StoredUsage, UsageCollection, UsageQuery,
     UsageReport,
 };
 use rw_types::{KeyHash, Millis, RequestId};
@@ -20,6 +20,8 @@
 const START_UNIX_MS: u64 = 7 * WINDOW_MS + 1_300;
 const END_MS: u64 = 70_000;
 const STEP_MS: u64 = 50;
+/// Age of the copy that the store comes back from: it lacks one report or two.
+const COPY_AGE_MS: u64 = 6_000;
 const NEVER: Range<u64> = 0..0;
 const SECRET: [u8; 32] = [7; 32];
 
@@ -51,6 +53,8 @@
     /// Error of each node's time of day at its start, in milliseconds.
     clock_errors: [i64; 3],
     requires_fencing: bool,
+    /// Times at which the store comes back from a copy that is [`COPY_AGE_MS`] old.
+    drills: &'static [u64],
     /// Windows at most that are missing or were reported late.
     max_missing: usize,
 }
@@ -67,6 +71,7 @@
         fenced: NEVER,
         clock_errors: [0; 3],
         requires_fencing: false,
+        drills: &[],
         max_missing: 0,
     };
 }
@@ -102,6 +107,10 @@
     nodes: Vec<Node>,
     lease: Lease,
     row: StoredUsage,
+    /// Rows, with the time from which they were there.
+    copies: Vec<(u64, StoredUsage)>,
+    /// Reports that were written, each as it was first.
+    written: Vec<UsageReport>,
     executed: Vec<Executed>,
     late: Vec<Executed>,
     sent: Vec<u64>,
@@ -154,6 +163,8 @@
             nodes: (0..3).map(node).collect(),
             lease: Lease::default(),
             row: StoredUsage::default(),
+            copies: vec![(0, StoredUsage::default())],
+            written: Vec::new(),
             executed: Vec::new(),
             late: Vec::new(),
             sent: Vec::new(),
@@ -172,6 +183,9 @@
             } else {
                 self.suspended = None;
             }
+            if self.case.drills.contains(&self.now) {
+                self.drill();
+            }
             let (ready, late) = self.late.drain(..).partition(|e| e.at <= self.now);
             self.late = late;
             self.executed.extend::<Vec<Executed>>(ready);
@@ -181,6 +195,24 @@
         }
     }
 
+    /// The store comes back from a copy. The lease of its holder lasts on.
+    fn drill(&mut self) {
+        let is_old = |(at, _): &&(u64, StoredUsage)| at + COPY_AGE_MS <= self.now;
+        let (_, copy) = self
+            .copies
+            .iter()
+            .rev()
+            .find(is_old)
+            .expect("a copy")
+            .clone();
+        let era = StoreEra(self.row.era.0 + 1);
+        self.row = StoredUsage { era, ..copy };
+        self.copies = vec![(0, self.row.clone())];
+        for i in 0..self.nodes.len() {
+            self.step(i, Event::StoreRestored);
+        }
+    }
+
     fn run_node(&mut self, i: usize) {
         if self.suspended == Some(i) || self.nodes[i].is_dead {
             return;
@@ -284,19 +316,31 @@
     }
 
     fn write(&mut self, stored: StoredUsage) -> Option<u64> {
-        if stored.version != self.row.version {
+        if (stored.era, stored.version) != (self.row.era, self.row.version) {
             return None;
         }
+        for report in &stored.record.reports {
+            let mut written = self.written.iter();
+            match written.find(|w| w.window == report.window) {
+                Some(first) => assert_eq!(report, first, "{}: another report", self.case.name),
+                None => self.written.push(report.clone()),
+            }
+        }
         self.row = StoredUsage {
             version: stored.version + 1,
             ..stored
         };
+        self.copies.push((self.now, self.row.clone()));
         Some(self.row.version)
     }
 
     fn collect(&mut self, i: usize, query: &UsageQuery) -> UsageCollection {
         let mut collection = UsageCollection::default();
         collection.report.window = query.window;
+        if !self.case.drills.is_empty() && self.written.iter().any(|w| w.window == query.window) {
+            // Counts are not the same if they are collected once more.
+            collection.report.add("a", 1);
+        }
         let now = Millis(self.now);
         let suspended = self.suspended;
         let live = self.nodes.iter_mut().enumerate();
@@ -423,6 +467,16 @@
         api_limited: 19_000..24_000,
         ..Case::NONE
     },
+    Case {
+        name: "the store comes back from a copy",
+        drills: &[22_000],
+        ..Case::NONE
+    },
+    Case {
+        name: "the store comes back from a copy at each time of a window, also twice in a row",
+        drills: &[20_300, 31_000, 31_500, 42_700, 54_150],
+        ..Case::NONE
+    },
     Case {
         name: "a higher token was seen",
         fenced: 19_000..22_000,
