--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -245,6 +245,7 @@
             history,
             shares: self.take_shares(now),
             demand: self.take_demand(now),
+            token: self.lease.take_token(now),
             ..self.empty_digest(now)
         })
     }
