Relay: a kept response keeps the note on its own target

A node passed a call on; the other node kept the 500 of the first target, whose response said that it is leaving, and retried at a second one, which broke off before its first event. The 500 then went back with the second target's name, so that the passing node took the second target for the leaving one, told all others, and its next calls got 503 while that target was sound.

Cause: the note on whose response it is was a value of the writer, set by each dispatch. A response that is held now holds its note, and the writer gets it with the response.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -142,7 +142,7 @@
             return Err(malformed().into());
         }
         if is_streamed(&head, dispatch.stream) {
-            self.note_source(call, progress);
+            progress.out.set_note(self.source_note(call));
             let streamed = StreamedResponse {
                 conn: conn.connection(),
                 head: head.clone(),
@@ -162,10 +162,10 @@
             .await?;
         let status = head.status;
         self.release(conn, &head);
-        self.note_source(call, progress);
         progress.buffered = Some(BufferedResponse {
             head,
             body: full_body,
+            note: self.source_note(call),
         });
         Ok(DispatchOutcome::Complete { status })
     }
@@ -175,12 +175,11 @@
         gate.may_send(self.clock.now(), &dispatch.target, dispatch.incarnation)
     }
 
-    /// Marks the response to a call of another node as that of the current target.
-    fn note_source(&self, call: &Call, progress: &mut ResponseProgress) {
-        if call.is_delegated {
-            let source = self.gate.borrow().response_source(call.id);
-            progress.out.set_note(source.map(DelegateNote::Target));
-        }
+    /// Note on a response of the current target, if the call is one of another node.
+    fn source_note(&self, call: &Call) -> Option<DelegateNote> {
+        let source = self.gate.borrow().response_source(call.id);
+        let source = source.filter(|_| call.is_delegated);
+        source.map(DelegateNote::Target)
     }
 
     /// Reads the head of the response to this call; responses to other calls are read and dropped.
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -166,7 +166,11 @@
             return Ok(DelegationOutcome::Delivered);
         }
         let bytes = body.read_all(conn, MAX_BUFFERED_BYTES as usize).await?;
-        progress.buffered = Some(BufferedResponse { head, body: bytes });
+        progress.buffered = Some(BufferedResponse {
+            head,
+            body: bytes,
+            note: None,
+        });
         Ok(DelegationOutcome::Complete)
     }
 
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -61,10 +61,11 @@
                     next = self.next_step(Event::DelegationEnded { id, outcome });
                 }
                 NextStep::Deliver => {
-                    let sent = match &progress.buffered {
-                        Some(full) => progress.out.write_full(&full.head, &full.body).await,
-                        None => Ok(()),
+                    let Some(full) = progress.buffered.take() else {
+                        return Ok(());
                     };
+                    progress.out.set_note(full.note);
+                    let sent = progress.out.write_full(&full.head, &full.body).await;
                     return sent.map_err(|_| CallerDisconnected);
                 }
                 NextStep::Refuse(refusal) => {
--- a/crates/rw-relay/src/response_progress.rs
+++ b/crates/rw-relay/src/response_progress.rs
@@ -1,12 +1,16 @@
 //! State of the response to a call.
 
-use crate::{Framing, ResponseHead, ResponseWriter, caller_stream::CallerStream};
+use crate::{
+    Framing, ResponseHead, ResponseWriter, caller_stream::CallerStream, delegation::DelegateNote,
+};
 
 /// A response received in full.
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Vec<u8>,
+    /// What another node, to which the response goes, must know of it.
+    pub(crate) note: Option<DelegateNote>,
 }
 
 /// State of the response to a call, over all its dispatches.
