Relay: a response without content declares no length

A 204 of a target with content-length was passed on with it, so that a strict caller waits for a body that never comes, or takes the next response for it. Only responses that omit a body which exists, to HEAD and 304, declare its length. a_response_without_content_declares_no_length failed before; its entry goes.

--- a/crates/rw-relay/src/response_writer.rs
+++ b/crates/rw-relay/src/response_writer.rs
@@ -10,6 +10,9 @@
 use smol::io::{AsyncWrite, AsyncWriteExt as _};
 use std::{io, mem};
 
+/// 304 Not Modified: the response that the caller has is still valid.
+const NOT_MODIFIED: u16 = 304;
+
 /// Writes the one response to a call, over all runs of the call.
 ///
 /// Each method takes the state, and puts the next one back once its bytes are written: a second head or
@@ -83,10 +86,11 @@
     /// The connection failed, or a response has begun.
     pub async fn write_full(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
         let mut lines = self.lines(head.status, &head.headers);
+        let omits_body = self.head_only || head.status == NOT_MODIFIED;
         if !is_bodyless(head) && !self.head_only {
             lines.push_length(body.len() as u64);
-        } else if let Some(length) = head.header("content-length") {
-            // The response to HEAD declares the length of the body that it omits.
+        } else if let Some(length) = head.header("content-length").filter(|_| omits_body) {
+            // Such a response declares the length of the body that it omits.
             lines.push("content-length", length);
         }
         self.write_whole(lines, body).await
