Relay: this node's own responses to HEAD have no body

Metrics, readiness and rejected bodies answered HEAD with a body: 2,897 bytes of metrics stood behind the head on a kept connection, where the next response is due.

--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -136,7 +136,7 @@
             Some(Ok(Ok(head))) => head,
             Some(Ok(Err(error))) => return self.reject_head(conn, error).await,
             Some(Err(_)) => return AfterRequest::Abort,
-            None => return self.reject(conn, 408, "slow-request").await,
+            None => return self.reject(conn, "", 408, "slow-request").await,
         };
         let delegated = match from {
             CallSource::Caller => None,
@@ -148,7 +148,7 @@
         if let crate::Framing::Length(n) = head.framing
             && n > limits.body_bytes as u64
         {
-            return self.reject(conn, 413, "body-too-large").await;
+            return self.reject(conn, &head.method, 413, "body-too-large").await;
         }
         if head.header("expect").is_some()
             && conn
@@ -162,13 +162,13 @@
         let body = match timeout(read_timeout, body.read_all(conn, limits.body_bytes)).await {
             Some(Ok(body)) => body,
             Some(Err(e)) if e.kind() == io::ErrorKind::FileTooLarge => {
-                return self.reject(conn, 413, "body-too-large").await;
+                return self.reject(conn, &head.method, 413, "body-too-large").await;
             }
             Some(Err(e)) if e.kind() == io::ErrorKind::InvalidData => {
-                return self.reject(conn, 400, "malformed-body").await;
+                return self.reject(conn, &head.method, 400, "malformed-body").await;
             }
             Some(Err(_)) => return AfterRequest::Abort,
-            None => return self.reject(conn, 408, "slow-request").await,
+            None => return self.reject(conn, &head.method, 408, "slow-request").await,
         };
         if delegated.is_some() {
             restore_framing(&mut head, &body);
@@ -241,13 +241,20 @@
             HeadError::TooLarge => (431, "head-too-large"),
             HeadError::Malformed | HeadError::Framing | HeadError::Host => (400, "malformed-head"),
         };
-        self.reject(conn, status, kind).await
+        self.reject(conn, "", status, kind).await
     }
 
-    async fn reject(&self, conn: &Connection, status: u16, kind: &'static str) -> AfterRequest {
+    /// Rejects a request with `method`, which is empty if it wasn't read.
+    async fn reject(
+        &self,
+        conn: &Connection,
+        method: &str,
+        status: u16,
+        kind: &'static str,
+    ) -> AfterRequest {
         self.log.rejected(status, kind);
         self.metrics.rejected(kind);
-        let mut out = ResponseWriter::new(CallerStream(conn.stream()), "", true);
+        let mut out = ResponseWriter::new(CallerStream(conn.stream()), method, true);
         match out.write_error(status, kind, 0).await {
             Ok(()) => AfterRequest::Close,
             Err(_) => AfterRequest::Abort,
--- a/crates/rw-relay/src/response_writer.rs
+++ b/crates/rw-relay/src/response_writer.rs
@@ -124,15 +124,20 @@
             lines.push("retry-after", &seconds);
         }
         let body = format!("{{\"error\":{{\"kind\":\"{kind}\",\"retry_after_ms\":{retry_ms}}}}}");
-        lines.push_length(body.len() as u64);
-        let body = if self.head_only { "" } else { &body };
-        self.write_whole(lines, body.as_bytes()).await
+        self.write_own(lines, body.as_bytes()).await
     }
 
     /// Writes the response of one of the node's own endpoints.
     pub(crate) async fn write_endpoint(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
-        let mut lines = self.lines(status, &[]);
+        let lines = self.lines(status, &[]);
+        self.write_own(lines, body).await
+    }
+
+    /// Writes a response of this node with the length of its body, and the body unless the request
+    /// method is HEAD.
+    async fn write_own(&mut self, mut lines: HeadLines, body: &[u8]) -> io::Result<()> {
         lines.push_length(body.len() as u64);
+        let body = if self.head_only { &[][..] } else { body };
         self.write_whole(lines, body).await
     }
 
