Relay: bytes behind a stream without framing end it as broken

A stream with neither length nor chunks ends with its connection. What a target wrote behind it, a second copy of its answer with the head, or garbage, was passed on as events, and the stream ended as complete.

Each line of an event is a comment or a field with a name. From the first event on that has another line, nothing of such a body is passed on, and the stream ends as broken off: it goes on at another target after its last event, or is cut.

--- a/crates/rw-relay/src/event_run.rs
+++ b/crates/rw-relay/src/event_run.rs
@@ -34,6 +34,11 @@
             true => EventSplitter::after(after),
             false => EventSplitter::unfiltered(),
         };
+        // A body that ends with its connection includes what the target sends behind it.
+        let splitter = match head.framing {
+            Framing::Close => splitter.checked(),
+            Framing::Length(_) | Framing::Chunked => splitter,
+        };
         Some(Self {
             writer: out.events(head)?,
             splitter,
@@ -54,6 +59,9 @@
         if self.splitter.incomplete().len() > MAX_EVENT_BYTES {
             return Err(StreamError::Malformed);
         }
+        if self.splitter.has_foreign() && events.is_empty() {
+            return Err(StreamError::Malformed);
+        }
         match self.goes_on && self.splitter.is_unplaced() {
             true => Err(StreamError::Unrelated),
             false => Ok(events),
@@ -92,6 +100,6 @@
     fn was_cut(&self) -> bool {
         // A crash also ends the connection, so without other framing a stream needs at least one event.
         let is_empty = self.framing == Framing::Close && !self.splitter.has_events();
-        is_empty || self.splitter.is_inside_event()
+        is_empty || self.splitter.is_inside_event() || self.splitter.has_foreign()
     }
 }
--- a/crates/rw-relay/src/sse.rs
+++ b/crates/rw-relay/src/sse.rs
@@ -1,5 +1,8 @@
 //! Splits a server-sent event stream into complete events.
 
+/// A stream may begin with it.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// Buffers bytes until an event is complete.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -16,6 +19,10 @@
     unplaced: bool,
     /// Whether the latest event that was returned had no identifier.
     ends_without_id: bool,
+    /// Whether lines are checked that can be none of an event.
+    checks_lines: bool,
+    /// Whether such a line was found. It and what follows are not returned.
+    has_foreign: bool,
 }
 
 impl EventSplitter {
@@ -37,6 +44,22 @@
         }
     }
 
+    /// Returns nothing from the first event on with a line that can be none of an event, such as one of
+    /// the head of another response.
+    #[must_use]
+    pub fn checked(self) -> Self {
+        Self {
+            checks_lines: true,
+            ..self
+        }
+    }
+
+    /// Whether bytes were found that are no event.
+    #[must_use]
+    pub fn has_foreign(&self) -> bool {
+        self.has_foreign
+    }
+
     /// Identifier of the last event returned, initially the one given to [`Self::after`].
     #[must_use]
     pub fn last_id(&self) -> Option<u64> {
@@ -47,8 +70,12 @@
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.buffer.extend_from_slice(bytes);
         let mut out = Vec::new();
-        while let Some(end) = event_end(&self.buffer) {
+        while let Some(end) = event_end(&self.buffer).filter(|_| !self.has_foreign) {
             let event: Vec<u8> = self.buffer.drain(..end).collect();
+            if self.checks_lines && !is_event(&event) {
+                self.has_foreign = true;
+                break;
+            }
             let id = event_id(&event);
             // Drops an event that the target repeats, so that the caller doesn't receive it twice.
             if id.is_some() && id <= self.last_id && !self.keeps_repeats {
@@ -129,6 +156,14 @@
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
 
+/// Whether all lines are fields or comments: a field has a name of letters, digits, `-` and `_`.
+fn is_event(event: &[u8]) -> bool {
+    let is_name_byte = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'\r');
+    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.all(|line| line.iter().take_while(|b| **b != b':').all(is_name_byte))
+}
+
 /// Whether all lines of an event are comments.
 fn is_comment(event: &[u8]) -> bool {
     let mut lines = event.split(|b| *b == b'\n');
