Relay: comments before the first event don't keep a stream from another run

A stream that may be resumed broke off behind a comment, before any event, and its caller got a response that was cut, although no event had been delivered and another target was free.

Comments are now held until the first event. The call is run again as one whose response hasn't begun, and its caller gets the whole body of that run.

--- a/crates/rw-relay/src/event_run.rs
+++ b/crates/rw-relay/src/event_run.rs
@@ -2,6 +2,7 @@
 
 use crate::{EventSplitter, EventWriter, Framing, ResponseHead, ResponseWriter, StreamError};
 use smol::io::AsyncWrite;
+use std::mem;
 
 /// Maximum size of an event, of which only complete ones are forwarded.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -18,6 +19,9 @@
     after: Option<u64>,
     /// Whether a run before it has begun the response.
     goes_on: bool,
+    /// Comments before the first event of a stream that may be resumed. Once written, they would keep
+    /// another run from beginning the response.
+    held: Vec<u8>,
 }
 
 impl<'a, W: AsyncWrite + Unpin> EventRun<'a, W> {
@@ -46,6 +50,7 @@
             is_resumable,
             after,
             goes_on,
+            held: Vec::new(),
         })
     }
 
@@ -62,9 +67,25 @@
         if self.splitter.has_foreign() && events.is_empty() {
             return Err(StreamError::Malformed);
         }
-        match self.goes_on && self.splitter.is_unplaced() {
-            true => Err(StreamError::Unrelated),
-            false => Ok(events),
+        if self.goes_on && self.splitter.is_unplaced() {
+            return Err(StreamError::Unrelated);
+        }
+        self.hold_comments(events)
+    }
+
+    /// Adds to what is held, and returns all of it unless it must be held on.
+    fn hold_comments(&mut self, events: Vec<u8>) -> Result<Vec<u8>, StreamError> {
+        let is_first = self.is_resumable && !self.goes_on;
+        if self.held.is_empty() && !(is_first && self.splitter.has_only_comments()) {
+            return Ok(events);
+        }
+        self.held.extend(events);
+        if self.held.len() > MAX_EVENT_BYTES {
+            return Err(StreamError::Malformed);
+        }
+        match self.splitter.has_only_comments() {
+            true => Ok(Vec::new()),
+            false => Ok(mem::take(&mut self.held)),
         }
     }
 
@@ -92,7 +113,8 @@
         if self.goes_on && self.splitter.last_id() == self.after {
             return Err(StreamError::Unrelated);
         }
-        let ended = self.writer.finish(self.splitter.incomplete()).await;
+        let rest = [&self.held, self.splitter.incomplete()].concat();
+        let ended = self.writer.finish(&rest).await;
         ended.map_err(|_| StreamError::Caller)
     }
 
--- a/crates/rw-relay/src/sse.rs
+++ b/crates/rw-relay/src/sse.rs
@@ -113,6 +113,12 @@
         self.unplaced
     }
 
+    /// Whether nothing but comments was returned, which any run may follow.
+    #[must_use]
+    pub fn has_only_comments(&self) -> bool {
+        self.has_events && !self.has_ids && !self.unplaced
+    }
+
     /// Whether an event was returned.
     #[must_use]
     pub fn has_events(&self) -> bool {
