Retry budget: the record of calls is bounded at any rate of calls

Callers saw nothing of it so far; the memory of a node grew with the calls of every service that needed no retry, because the time of each call was kept until the first retry of that service asked for the budget.

Calls are now counted by slots of a hundredth of the window, and old slots are dropped with each call. The calls of a slot lapse together with its first one, so that the budget never allows more than before, and up to a slot's calls less.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -33,7 +33,8 @@
             Ok(call) => {
                 let delegated = call.request.delegated.as_ref();
                 if !delegated.is_some_and(|d| d.is_counted) {
-                    self.budget.record_call(now, &call.service);
+                    let window_ms = self.settings.retry_window_ms;
+                    self.budget.record_call(now, &call.service, window_ms);
                 }
                 let at = self.calls.partition_point(|c| c.id < id);
                 self.calls.insert(at, call);
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -12,6 +12,7 @@
 mod availability;
 mod call_request;
 mod call_state;
+mod call_window;
 mod delegation;
 mod delivered;
 mod demand;
--- a/crates/rw-gate/src/local_retry_budget.rs
+++ b/crates/rw-gate/src/local_retry_budget.rs
@@ -1,5 +1,6 @@
 //! This node's share of the retry budget, which all nodes have in common for each service.
 
+use crate::call_window::CallWindow;
 use rw_types::Millis;
 use std::collections::VecDeque;
 
@@ -11,7 +12,7 @@
 #[derive(Debug, Clone, Default)]
 struct RetryWindow {
     service: String,
-    calls: VecDeque<Millis>,
+    calls: CallWindow,
     retries: VecDeque<Millis>,
 }
 
@@ -23,14 +24,14 @@
 }
 
 impl LocalRetryBudget {
-    /// Records a call from a caller.
-    pub fn record_call(&mut self, now: Millis, service: &str) {
-        self.window(service).calls.push_back(now);
+    /// Records a call from a caller. Calls are counted for `window_ms`.
+    pub fn record_call(&mut self, now: Millis, service: &str, window_ms: u64) {
+        self.window(service).calls.record(now, window_ms);
     }
 
     /// Takes back the latest call, which another node counts.
     pub fn withdraw_call(&mut self, service: &str) {
-        self.window(service).calls.pop_back();
+        self.window(service).calls.withdraw();
     }
 
     /// Records a retry.
@@ -49,12 +50,12 @@
         window_ms: u64,
     ) -> bool {
         let window = self.window(service);
-        for times in [&mut window.calls, &mut window.retries] {
-            while times.front().is_some_and(|t| now.since(*t) > window_ms) {
-                times.pop_front();
-            }
+        let retries = &mut window.retries;
+        while retries.front().is_some_and(|t| now.since(*t) > window_ms) {
+            retries.pop_front();
         }
-        let allowed = ratio * window.calls.len() as f64 + slack / nodes.max(1) as f64;
+        let calls = window.calls.count(now, window_ms);
+        let allowed = ratio * calls as f64 + slack / nodes.max(1) as f64;
         (window.retries.len() as f64) < (allowed * USABLE_FRACTION).floor()
     }
 
