Bodies of requests are held once while they are sent on

Callers saw requests of kept connections cut when many large bodies came at once, because the platform ends a node over its memory. One cause: each body was held twice while it was sent to a target or to another node, as the bytes of the request or of the chunk were copied together with it, and copied once more for the call's fingerprint.

A head and the body behind it are now written from where they are, in one vectored call where the socket takes both.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -9,6 +9,7 @@
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
+    message_writer::write_message,
     notices::Addressee,
     pool::{ConnectError, TargetConnection},
     response_progress::{BufferedResponse, ResponseProgress},
@@ -16,7 +17,7 @@
     timeout::timeout_at,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
-use smol::{future, io::AsyncWriteExt as _};
+use smol::future;
 use std::{
     cell::Cell,
     fmt::Write as _,
@@ -102,11 +103,11 @@
         mut conn: TargetConnection,
         progress: &mut ResponseProgress,
     ) -> Result<DispatchOutcome, ExchangeError> {
-        let bytes = self.request_bytes(call, dispatch);
+        let head = self.request_head(call, dispatch);
         let stream = conn.connection.stream();
         let written = Cell::new(false);
         let writing = async {
-            let sent = (&*stream).write_all(&bytes).await;
+            let sent = write_message(&stream, &head, &call.body).await;
             written.set(sent.is_ok());
             // A target may respond before it has read the whole request, so a failed write ends
             // nothing; a broken connection shows up when reading.
@@ -262,7 +263,7 @@
         self.pool.release(conn, idle_s);
     }
 
-    fn request_bytes(&self, call: &Call, dispatch: &Dispatch) -> Vec<u8> {
+    fn request_head(&self, call: &Call, dispatch: &Dispatch) -> Vec<u8> {
         let head = &call.head;
         let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
         let forwarded = head.headers.iter().filter(|f| !is_hop(&f.name));
@@ -284,9 +285,7 @@
         }
         text.push_str(&self.dialect.dispatch_headers(dispatch));
         text.push_str("\r\n");
-        let mut bytes = text.into_bytes();
-        bytes.extend_from_slice(&call.body);
-        bytes
+        text.into_bytes()
     }
 }
 
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -9,6 +9,7 @@
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
+    message_writer::write_message,
     notices::Addressee,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::{StreamEnd, StreamedResponse, is_streamed},
@@ -119,7 +120,7 @@
         conn: &mut Connection,
         progress: &mut ResponseProgress,
     ) -> Result<DelegationOutcome, ExchangeError> {
-        conn.write_all(&chunked(&call.body)).await?;
+        write_chunked(conn, &call.body).await?;
         let mut head = read_head(conn, call).await?;
         let mut body = BodyReader::new(head.framing);
         let source = match take_json(&mut head.headers, DELEGATE_HEADER) {
@@ -217,14 +218,12 @@
     text.into_bytes()
 }
 
-/// A body in the chunked transfer coding.
-fn chunked(body: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(body.len() + 16);
+/// Writes a body in the chunked transfer coding.
+async fn write_chunked(conn: &Connection, body: &[u8]) -> io::Result<()> {
     if !body.is_empty() {
-        bytes.extend_from_slice(format!("{:x}\r\n", body.len()).as_bytes());
-        bytes.extend_from_slice(body);
-        bytes.extend_from_slice(b"\r\n");
+        let size = format!("{:x}\r\n", body.len());
+        write_message(&conn.stream(), size.as_bytes(), body).await?;
+        conn.write_all(b"\r\n").await?;
     }
-    bytes.extend_from_slice(LAST_CHUNK);
-    bytes
+    conn.write_all(LAST_CHUNK).await
 }
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod head;
 mod io_error;
 mod membership;
+mod message_writer;
 mod metrics;
 mod named_call;
 mod notices;
--- a/crates/rw-types/src/digest.rs
+++ b/crates/rw-types/src/digest.rs
@@ -3,7 +3,17 @@
 /// First eight bytes of the BLAKE3 hash, to compare values within one fleet.
 #[must_use]
 pub fn fingerprint(bytes: &[u8]) -> u64 {
-    let hash = blake3::hash(bytes);
+    fingerprint_parts([bytes])
+}
+
+/// The fingerprint of all `parts` put together, which are not copied.
+#[must_use]
+pub fn fingerprint_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    let hash = hasher.finalize();
     let mut head = [0; 8];
     head.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(head)
--- a/crates/rw-types/src/lib.rs
+++ b/crates/rw-types/src/lib.rs
@@ -28,7 +28,7 @@
 pub use account::{Account, hash_key};
 pub use change::ConfigChange;
 pub use config::{Config, Model, Role, Service, ServiceKind, WorkKind};
-pub use digest::{fingerprint, prefix_hashes};
+pub use digest::{fingerprint, fingerprint_parts, prefix_hashes};
 pub use ids::{AttemptId, BootId, FencingToken, Millis, RequestId, Version};
 pub use intent::{ConfigError, check_config};
 pub use key_hash::KeyHash;
