A node's memory for bodies of requests has a bound

Nothing bounded the sum of the bodies that a node held.

A node now has a budget for bodies, for callers and other nodes together: the setting body-memory-mb, a quarter of memory-mb by default, which the template takes from the VM's limits. A value of 0 or above memory-mb is one line on standard error and exit code 2. A declared length reserves before the body is read; memory is allocated for that length and doesn't grow by doubling. A body in chunks reserves as it grows, and is refused when it can't. The reservation is a guard that lives as long as the call.

A request without room waits unread, first come, first served, for half of its deadline or of its route's timeout, and for the header timeout at most, so that the other half is left to read and run it; the wait is taken off its deadline. Then it gets 503 no-capacity with Retry-After, the rest of its body is dropped, and the connection closes. Bodies of up to 64 KiB wait apart: large ones leave them a quarter of the budget, and they keep to that quarter while a large one waits, so that neither starves the other. No body is free of the budget: 2,900 connections with 64 KiB each would be 190 MB of 260.

A node that passes a call on names the length of the body in rw-delegation (body_bytes), and the other one refuses it before it asks for the body, without a wait. Nodes of earlier versions ignore the field, and their bodies reserve as they grow.

Metrics: rw_body_bytes, rw_body_waits, rw_body_refusals_total.

--- a/crates/rw-cli/src/relay_settings.rs
+++ b/crates/rw-cli/src/relay_settings.rs
@@ -12,6 +12,13 @@
 /// Minimum limit of caller connections, even if `descriptors` leaves fewer.
 const MIN_CONNECTIONS: usize = 64;
 
+/// Memory that the process may use if the settings don't say, in MB: the limit of the smallest VMs.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Share of the memory for the bodies of requests, unless the settings say otherwise. The rest is for
+/// connections, responses and the state of the fleet.
+const BODY_SHARE: f64 = 0.25;
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Minimum time in which a removed key must stop being accepted: in a shorter one, a node can't ask
 /// the store again before its latest answer is too old.
 const MIN_REVOKE_MS: u64 = 1_000;
@@ -43,6 +50,11 @@
     /// Bandwidth of the VM's link; 0 if it is not known.
     #[serde(default)]
     link_mbps: f64,
+    /// Memory that the process may use; 0 if it is not known.
+    #[serde(default)]
+    memory_mb: f64,
+    /// Part of it for the bodies of requests; a quarter if it is not set.
+    body_memory_mb: Option<f64>,
     /// How calls are placed in large fleets.
     #[serde(default)]
     placement: PlacementName,
@@ -148,6 +160,7 @@
 fn validate(file: &RelayFile) -> Result<(), String> {
     let not_negative = [
         ("link-mbps", file.link_mbps),
+        ("memory-mb", file.memory_mb),
         ("grace-s", file.grace_s),
         ("drain-ms", file.drain_ms),
         ("retry-ratio", file.retry_ratio),
@@ -159,6 +172,14 @@
             return Err(format!("{name} is {value}; give a number of 0 or more"));
         }
     }
+    let memory_mb = memory_mb(file);
+    if let Some(mb) = file.body_memory_mb
+        && !(mb > 0.0 && mb <= memory_mb)
+    {
+        return Err(format!(
+            "body-memory-mb is {mb}; give a number above 0 and up to memory-mb, which is {memory_mb}, or leave it out for a quarter of that"
+        ));
+    }
     if file.fail_closed && file.revoke_ms < MIN_REVOKE_MS {
         return Err(format!(
             "revoke-ms is {}; give {MIN_REVOKE_MS} or more, or set fail-closed to false",
@@ -172,6 +193,7 @@
 }
 
 fn into_settings(file: RelayFile) -> Result<RelayFileSettings, String> {
+    let body_bytes = body_bytes(&file);
     let (platform_api, duties) = file.duties.into_settings()?;
     let control = match file.control.as_str() {
         "" => None,
@@ -215,6 +237,7 @@
         seeds: file.seeds,
         placement: file.placement.into(),
         connections: connections.max(MIN_CONNECTIONS),
+        body_bytes,
         grace: Duration::from_secs_f64(file.grace_s),
     };
     Ok(RelayFileSettings {
@@ -225,6 +248,20 @@
     })
 }
 
+/// Memory that the process may use, in MB.
+fn memory_mb(file: &RelayFile) -> f64 {
+    match file.memory_mb > 0.0 {
+        true => file.memory_mb,
+        false => DEFAULT_MEMORY_MB,
+    }
+}
+
+/// Bytes that the bodies of requests may take up.
+fn body_bytes(file: &RelayFile) -> usize {
+    let default_mb = memory_mb(file) * BODY_SHARE;
+    (file.body_memory_mb.unwrap_or(default_mb) * BYTES_PER_MB) as usize
+}
+
 /// Bytes per second in digests on a link of `link_mbps`.
 fn digest_bytes_per_s(link_mbps: f64) -> u32 {
     match link_mbps > 0.0 {
--- a/crates/rw-relay/src/call.rs
+++ b/crates/rw-relay/src/call.rs
@@ -9,6 +9,8 @@
     pub(crate) id: RequestId,
     pub(crate) head: RequestHead,
     pub(crate) body: Vec<u8>,
+    /// Milliseconds that its body waited for room before it was read.
+    pub(crate) waited_ms: u64,
     /// Identifier that the caller gave the call; empty if it gave none.
     pub(crate) call_id: String,
     /// Whether another node passed it to this one.
--- a/crates/rw-relay/src/delegation/mod.rs
+++ b/crates/rw-relay/src/delegation/mod.rs
@@ -7,10 +7,12 @@
 //! the header `rw-delegate` in front, or the delegate's refusal, which the same header names.
 
 mod headers;
+mod offer;
 mod receive;
 mod send;
 
 pub(crate) use headers::{DELEGATE_HEADER, DelegateNote};
+pub(crate) use offer::Offer;
 pub(crate) use receive::{EXTRA_HEADER_BYTES, restore_framing};
 
 use headers::{DELEGATION_HEADER, take_json, to_value};
--- a/crates/rw-relay/src/delegation/receive.rs
+++ b/crates/rw-relay/src/delegation/receive.rs
@@ -1,11 +1,11 @@
 //! Accepts calls that other nodes pass to this one.
 
-use super::{DELEGATION_HEADER, DelegateNote, take_json};
+use super::{DELEGATION_HEADER, DelegateNote, offer::Offer, take_json};
 use crate::{
     Connection, Dialect, Framing, Relay, RequestHead, ResponseWriter, caller_stream::CallerStream,
     front::CallSource,
 };
-use rw_gate::{DelegatedCall, Refusal, RefusalKind};
+use rw_gate::{Refusal, RefusalKind};
 use smol::{Async, Timer};
 use std::{
     io,
@@ -63,15 +63,15 @@
         &self,
         conn: &Connection,
         head: &mut RequestHead,
-    ) -> Option<DelegatedCall> {
+    ) -> Option<Offer> {
         // One that can't be parsed comes from a node of another build, or from no node.
-        let delegated = take_json(&mut head.headers, DELEGATION_HEADER);
-        let refusal = match &delegated {
+        let offer = take_json(&mut head.headers, DELEGATION_HEADER);
+        let refusal = match &offer {
             Some(_) => self.delegated_refusal(),
             None => Some(not_ready()),
         };
         let Some(refusal) = refusal else {
-            return delegated;
+            return offer;
         };
         self.metrics.delegated(refusal.kind.as_str());
         // The passing node notices a failed connection itself.
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -1,6 +1,6 @@
 //! Passes a call to another node and returns the response to the caller.
 
-use super::{DELEGATE_HEADER, DELEGATION_HEADER, DelegateNote, take_json, to_value};
+use super::{DELEGATE_HEADER, DELEGATION_HEADER, DelegateNote, offer::Offer, take_json, to_value};
 use crate::{
     Connection, Dialect, NamedCall, Relay, ResponseHead, ResponseMetadata,
     attempt::{DEADLINE_GRACE, MAX_BUFFERED_BYTES, MAX_HEAD_BYTES},
@@ -207,7 +207,10 @@
     let head = &call.head;
     let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
     // Writing to a `String` can't fail.
-    let value = to_value(&delegation.call);
+    let value = to_value(&Offer {
+        call: delegation.call.clone(),
+        body_bytes: Some(call.body.len() as u64),
+    });
     let _infallible = write!(text, "{DELEGATION_HEADER}: {value}\r\n");
     for header in head.headers.iter().filter(|f| !is_hop(&f.name)) {
         let _infallible = write!(text, "{}: {}\r\n", header.name, header.value);
--- a/crates/rw-relay/src/endpoint_server.rs
+++ b/crates/rw-relay/src/endpoint_server.rs
@@ -132,6 +132,8 @@
         relay.metrics.set_saturation(limits);
         let unreachable = gate.unreachable_services();
         relay.metrics.set_unreachable(unreachable.len());
+        let bodies = &relay.bodies;
+        relay.metrics.set_bodies(bodies.held(), bodies.waiting());
         let body = relay
             .metrics
             .encode(relay.pool.opened(), relay.log.dropped());
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -29,6 +29,8 @@
     ) -> Result<(), CallerDisconnected> {
         let id = call.id;
         let mut request = self.dialect.call_request(&call.head, &call.body);
+        let waited = call.waited_ms;
+        request.deadline_ms = request.deadline_ms.map(|ms| ms.saturating_sub(waited));
         if let Some(delegated) = delegated {
             self.metrics.delegated("accepted");
             request.deadline_ms = Some(delegated.left_ms);
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -3,9 +3,11 @@
 use crate::{
     BootClock, Connection, Dialect, HeadError, Relay, RequestHead, ResponseWriter,
     body::BodyReader,
+    body_admission::BodyRefusal,
     call::Call,
     caller_stream::CallerStream,
     delegation::{EXTRA_HEADER_BYTES, restore_framing},
+    request_body::{BodyError, read_body},
     response_progress::ResponseProgress,
     timeout::timeout,
 };
@@ -41,7 +43,7 @@
 
 /// What happens to a connection after a request.
 #[derive(Debug, PartialEq, Eq)]
-enum AfterRequest {
+pub(crate) enum AfterRequest {
     Keep,
     /// The response is complete; close gracefully.
     Close,
@@ -134,10 +136,10 @@
             Some(Err(_)) => return AfterRequest::Abort,
             None => return self.reject(conn, 408, "slow-request").await,
         };
-        let delegated = match from {
+        let offer = match from {
             CallSource::Caller => None,
             CallSource::Peer => match self.accept_offer(conn, &mut head).await {
-                Some(delegated) => Some(delegated),
+                Some(offer) => Some(offer),
                 None => return AfterRequest::Close,
             },
         };
@@ -146,6 +148,17 @@
         {
             return self.reject(conn, 413, "body-too-large").await;
         }
+        let mut reader = BodyReader::new(head.framing);
+        let headed = self.clock.now();
+        let reserving = self.reserve_body(&head, offer.as_ref(), &limits);
+        let mut room = match reserving.await {
+            Ok(room) => room,
+            Err(BodyRefusal::TooLarge) => return self.reject(conn, 413, "body-too-large").await,
+            Err(BodyRefusal::NoRoom) => {
+                return self.refuse_body(conn, reader, from, &limits).await;
+            }
+        };
+        let waited_ms = self.clock.now().since(headed);
         if head.header("expect").is_some()
             && conn
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -154,22 +167,28 @@
         {
             return AfterRequest::Abort;
         }
-        let mut body = BodyReader::new(head.framing);
-        let body = match timeout(read_timeout, body.read_all(conn, limits.body_bytes)).await {
+        let reading = read_body(&mut reader, conn, &mut room, limits.body_bytes);
+        let body = match timeout(read_timeout, reading).await {
             Some(Ok(body)) => body,
-            Some(Err(e)) if e.kind() == io::ErrorKind::FileTooLarge => {
+            Some(Err(BodyError::TooLarge)) => {
                 return self.reject(conn, 413, "body-too-large").await;
             }
-            Some(Err(e)) if e.kind() == io::ErrorKind::InvalidData => {
+            Some(Err(BodyError::NoRoom)) => {
+                drop(room);
+                return self.refuse_body(conn, reader, from, &limits).await;
+            }
+            Some(Err(BodyError::Io(e))) if e.kind() == io::ErrorKind::InvalidData => {
                 return self.reject(conn, 400, "malformed-body").await;
             }
-            Some(Err(_)) => return AfterRequest::Abort,
+            Some(Err(BodyError::Io(_))) => return AfterRequest::Abort,
             None => return self.reject(conn, 408, "slow-request").await,
         };
-        if delegated.is_some() {
+        if offer.is_some() {
             restore_framing(&mut head, &body);
         }
-        self.handle_call(conn, (head, body), delegated, previous)
+        let delegated = offer.map(|offer| offer.call);
+        // `room` is freed after the call, with the body.
+        self.handle_call(conn, (head, body, waited_ms), delegated, previous)
             .await
     }
 
@@ -185,7 +204,7 @@
     async fn handle_call(
         &self,
         conn: &mut Connection,
-        (head, body): (RequestHead, Vec<u8>),
+        (head, body, waited_ms): (RequestHead, Vec<u8>, u64),
         delegated: Option<DelegatedCall>,
         previous: &mut Option<RequestId>,
     ) -> AfterRequest {
@@ -201,6 +220,7 @@
             id,
             head,
             body,
+            waited_ms,
             call_id,
             is_delegated: delegated.is_some(),
             previous: previous.replace(id),
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -6,6 +6,10 @@
 
 mod attempt;
 mod body;
+mod body_admission;
+mod body_budget;
+mod body_queue;
+mod body_room;
 mod body_writer;
 mod byte_budget;
 mod call;
@@ -39,6 +43,7 @@
 mod pool;
 mod registry;
 mod relay;
+mod request_body;
 mod response_end;
 mod response_head;
 mod response_progress;
@@ -53,6 +58,8 @@
 mod written;
 
 pub use body::Framing;
+pub use body_budget::BodyBudget;
+pub use body_room::BodyRoom;
 pub use body_writer::BodyWriter;
 pub use byte_budget::ByteBudget;
 pub use clock::BootClock;
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -33,6 +33,9 @@
     target_speeds: GaugeVec,
     target_saturation: IntGaugeVec,
     over_limit: IntCounter,
+    body_bytes: IntGauge,
+    body_waits: IntGauge,
+    body_refusals: IntCounter,
     skipped_rows: IntCounter,
     opened: IntGauge,
     dropped_lines: IntGauge,
@@ -137,6 +140,15 @@
                 "rw_turned_away_total",
                 "caller connections closed at once because the limit was reached",
             )?,
+            body_bytes: gauge("rw_body_bytes", "bytes reserved for the bodies of requests")?,
+            body_waits: gauge(
+                "rw_body_waits",
+                "requests that wait unread for room for their bodies",
+            )?,
+            body_refusals: counter(
+                "rw_body_refusals_total",
+                "requests refused because there was no room for their bodies",
+            )?,
             skipped_rows: counter(
                 "rw_rows_skipped_total",
                 "registry rows that do not describe a target",
@@ -235,6 +247,16 @@
         self.over_limit.inc();
     }
 
+    pub(crate) fn body_refused(&self) {
+        self.body_refusals.inc();
+    }
+
+    /// Sets the bytes reserved for bodies and the number of requests that wait for room.
+    pub(crate) fn set_bodies(&self, bytes: usize, waiting: usize) {
+        self.body_bytes.set(bytes as i64);
+        self.body_waits.set(waiting as i64);
+    }
+
     pub(crate) fn row_skipped(&self) {
         self.skipped_rows.inc();
     }
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -1,7 +1,7 @@
 //! State of a node, and execution of the gate's effects.
 
 use crate::{
-    BootClock, Connection, Dialect, Metrics, Peer, Peers, PlacementMode, RelaySettings,
+    BodyBudget, BootClock, Connection, Dialect, Metrics, Peer, Peers, PlacementMode, RelaySettings,
     ResponseHead, Snapshot,
     attempt::MAX_HEAD_BYTES,
     decision_log::DecisionLog,
@@ -45,6 +45,8 @@
     pub(crate) dialect: D,
     pub(crate) pool: Pool,
     pub(crate) peers: RefCell<Peers>,
+    /// Room for the bodies of requests.
+    pub(crate) bodies: BodyBudget,
     pub(crate) metrics: Metrics,
     pub(crate) log: DecisionLog,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
@@ -116,6 +118,7 @@
             dialect,
             pool: Pool::new(clock),
             peers: RefCell::default(),
+            bodies: BodyBudget::new(settings.body_bytes),
             metrics,
             log: DecisionLog::new(clock),
             executor,
@@ -178,6 +181,7 @@
         let moved = (old.front, old.ready, old.control) != (new.front, new.ready, new.control);
         log::info!(connections = new.connections, grace_ms = new.grace.as_millis() as u64, moved; "settings reloaded; changed addresses need a restart");
         self.max_connections.set(new.connections);
+        self.bodies.set_total(new.body_bytes);
         self.grace.set(new.grace);
         self.max_config_age_ms.set(new.gate.max_config_age_ms());
         self.step(Event::Settings(new.gate));
--- a/crates/rw-relay/src/settings.rs
+++ b/crates/rw-relay/src/settings.rs
@@ -25,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Maximum number of open caller connections.
     pub connections: usize,
+    /// Maximum number of bytes that the bodies of requests take up together.
+    pub body_bytes: usize,
     /// How calls are placed in large fleets.
     pub placement: PlacementMode,
     /// Time from the stop signal until the process is killed.
--- a/tests/duty_settings.rs
+++ b/tests/duty_settings.rs
@@ -18,6 +18,7 @@
     ("platform.address", "127.0.0.1:5"),
     ("limits.file-descriptors", "4096"),
     ("limits.link-mbps", "100"),
+    ("limits.memory-mb", "260"),
     ("bounds.drain-ms", "2000"),
     ("bounds.grace-s", "8"),
     ("bounds.retry-budget-ratio", "0.2"),
@@ -38,7 +39,11 @@
         name: "no API",
         values: &[],
         code: 0,
-        expected: &["usage_window_ms: None", "sizes_fleet: false"],
+        expected: &[
+            "usage_window_ms: None",
+            "sizes_fleet: false",
+            "body_bytes: 65000000",
+        ],
     },
     Case {
         name: "both duties, with the defaults",
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -159,6 +159,30 @@
             to: "fail-closed = true\nrevoke-ms = 500",
             expected: "revoke-ms is 500",
         },
+        Case {
+            name: "no-body-memory.toml",
+            from: "grace-s = 4",
+            to: "body-memory-mb = 0",
+            expected: "body-memory-mb is 0; give a number above 0 and up to memory-mb",
+        },
+        Case {
+            name: "body-memory.toml",
+            from: "grace-s = 4",
+            to: "memory-mb = 260\nbody-memory-mb = 261",
+            expected: "body-memory-mb is 261; give a number above 0 and up to memory-mb, which is 260",
+        },
+        Case {
+            name: "default-memory.toml",
+            from: "grace-s = 4",
+            to: "body-memory-mb = 300",
+            expected: "up to memory-mb, which is 256",
+        },
+        Case {
+            name: "memory.toml",
+            from: "grace-s = 4",
+            to: "memory-mb = -1",
+            expected: "memory-mb is -1",
+        },
         Case {
             name: "typo.toml",
             from: "centre = ",
