--- a/crates/rw-relay/src/target_connection.rs
+++ b/crates/rw-relay/src/target_connection.rs
@@ -3,8 +3,9 @@
 use crate::{
     Connection,
     carried_calls::{CallKey, CarriedCalls},
+    message_writer::write_message,
 };
-use smol::{Async, future, io::AsyncWriteExt as _};
+use smol::{Async, future};
 use std::{
     cell::Cell,
     net::{SocketAddr, TcpStream},
@@ -71,14 +72,19 @@
         self.carried.can_tell(call)
     }
 
-    /// Begins a call, of which the returned future sends the request.
-    pub(crate) fn begin(mut self, call: CallKey, request: Vec<u8>) -> (ActiveConnection, Sending) {
+    /// Begins a call, whose request, a head and a body, is to be sent.
+    pub(crate) fn begin<'a>(
+        mut self,
+        call: CallKey,
+        (head, body): (Vec<u8>, &'a [u8]),
+    ) -> (ActiveConnection, Sending<'a>) {
         let is_first_call = self.carried.is_empty();
         self.carried.add(call);
         let is_sent = Rc::new(Cell::new(false));
         let sending = Sending {
             stream: self.connection.stream(),
-            request,
+            head,
+            body,
             is_sent: is_sent.clone(),
         };
         let active = ActiveConnection {
@@ -93,20 +99,21 @@
 
 /// A request that is being sent.
 #[derive(Debug)]
-pub(crate) struct Sending {
+pub(crate) struct Sending<'a> {
     stream: Rc<Async<TcpStream>>,
-    request: Vec<u8>,
+    head: Vec<u8>,
+    body: &'a [u8],
     is_sent: Rc<Cell<bool>>,
 }
 
-impl Sending {
+impl Sending<'_> {
     /// Sends the request for as long as `receive` runs. A target may respond before it has read the
     /// whole request, so a failed write ends nothing; a broken connection shows up when reading.
     pub(crate) async fn during<T>(self, receive: impl Future<Output = T>) -> T {
         let send = async {
-            let sent = (&*self.stream).write_all(&self.request).await;
+            let sent = write_message(&self.stream, &self.head, self.body).await;
             self.is_sent.set(sent.is_ok());
-            drop(self.request);
+            drop(self.head);
             future::pending().await
         };
         future::or(receive, send).await
