--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -105,7 +105,7 @@
         conn: TargetConnection,
         progress: &mut ResponseProgress,
     ) -> Result<DispatchOutcome, ExchangeError> {
-        let request = self.request_bytes(call, dispatch);
+        let request = (self.request_head(call, dispatch), call.body.as_slice());
         let (conn, sending) = conn.begin(CallKey::of(&call.call_id), request);
         let receive = self.receive(call, dispatch, conn, progress);
         sending.during(receive).await
@@ -261,7 +261,7 @@
         self.pool.release(conn, idle_s);
     }
 
-    fn request_bytes(&self, call: &Call, dispatch: &Dispatch) -> Vec<u8> {
+    fn request_head(&self, call: &Call, dispatch: &Dispatch) -> Vec<u8> {
         let head = &call.head;
         let mut text = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
         let forwarded = head.headers.iter().filter(|f| !is_hop(&f.name));
@@ -283,9 +283,7 @@
         }
         text.push_str(&self.dialect.dispatch_headers(dispatch));
         text.push_str("\r\n");
-        let mut bytes = text.into_bytes();
-        bytes.extend_from_slice(&call.body);
-        bytes
+        text.into_bytes()
     }
 }
 
