--- a/crates/rw-gate/src/call_window.rs
+++ b/crates/rw-gate/src/call_window.rs
@@ -7,7 +7,7 @@
 const SLOTS: u64 = 100;
 
 /// Calls counted by slots of time, so that their number doesn't determine the memory. The calls of a
-/// slot lapse together with its first one.
+/// slot expire together with its first one.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct CallWindow {
     /// Time of the first call of each slot, and number of its calls.
--- a/crates/rw-gate/src/lease.rs
+++ b/crates/rw-gate/src/lease.rs
@@ -13,7 +13,7 @@
 /// The same where usage reports are due. A report is due 10 s after the end of its window, and the
 /// lease of a holder that was killed lasts 8 s of them.
 const REPORTER_RETRY_MS: u64 = 400;
-/// Interval at which the highest token is told to other nodes, in milliseconds.
+/// Interval at which the highest token is sent to other nodes, in milliseconds.
 const TELL_INTERVAL_MS: u64 = 1_000;
 
 /// State of the lease of this node.
@@ -23,9 +23,9 @@
     held: Option<(u64, Millis)>,
     /// Highest token that this node has been granted.
     last_token: u64,
-    /// Highest token that another node has told of.
+    /// Highest token in the digests of other nodes.
     heard_token: u64,
-    /// Time of the latest digest that told of the highest token.
+    /// Time of the latest digest with the highest token.
     told_at: Option<Millis>,
     /// Highest token that was refused because a higher one had been seen.
     refused_token: u64,
@@ -50,7 +50,7 @@
     }
 
     /// Whether a call with this token must not be sent, because a higher one was granted or refused,
-    /// here or at a node that told of it.
+    /// here or at a node that announced it.
     fn is_refused(&self, token: u64) -> bool {
         token <= self.refused_token || token < self.highest_token()
     }
