Placing: long prompts are kept on the fastest prefill engines, not on the last by name

Long prompts went on to an engine that four nodes reported to take three times as long. The rank that says which prefill engine is meant for long prompts was its place by name.

Engines are now ranked from slow to fast, and the rank is the fraction of all capacity for prefills up to the engine. Where no clear difference of speed is known, ranks are what they were.

prefills_avoid_an_engine_that_others_report_to_be_slow failed before and passes; all other tests of rw-gate pass.

--- a/crates/rw-gate/src/engine_scorer.rs
+++ b/crates/rw-gate/src/engine_scorer.rs
@@ -6,14 +6,15 @@
 //!
 //! The expected workload consists of prompts of a few hundred to fifty thousand tokens, and a few
 //! long prompts make up a third of the work. Engines do not preempt a running prefill. Therefore
-//! the longest prompts are kept on some of the prefill engines, and away from engines that decode
-//! prompts prefilled elsewhere.
+//! the longest prompts are kept on some of the prefill engines, the fastest ones, and away from
+//! engines that decode prompts prefilled elsewhere.
 
 use crate::{
     EngineSpec, PrefillSize, Prompt, Target,
     call_state::CallState,
     engine_estimates::{EngineEstimates, prefill_factor},
     placement::{BASE_MS, Placement},
+    prefill_ranks::PrefillRanks,
 };
 use rw_types::{Millis, Role};
 
@@ -45,8 +46,8 @@
     pub(crate) engine: &'a EngineSpec,
     pub(crate) prompt: &'a Prompt,
     pub(crate) estimates: EngineEstimates,
-    /// Names of the prefill engines, sorted.
-    pub(crate) prefill_engines: Vec<&'a str>,
+    /// Which prefill engines are meant for long prompts.
+    pub(crate) prefill_ranks: PrefillRanks<'a>,
     /// The engine that holds the longest cached prefix of the prompt.
     pub(crate) cache_holder: Option<CacheHolder<'a>>,
     /// Whether a prefill engine may prefill the prompt for another engine that decodes it.
@@ -114,20 +115,13 @@
         if t.spec.role == Role::Prefill {
             // The rank of the prompt is the fraction of all work that comes from shorter prompts.
             let fraction = self.estimates.histogram.fraction_below(busy_ms);
-            return busy_ms * SIZE_WEIGHT * (fraction - self.size_rank(t)).max(0.0);
+            let rank = self.prefill_ranks.rank(&t.spec.name);
+            return busy_ms * SIZE_WEIGHT * (fraction - rank).max(0.0);
         }
         // Each stream on this engine waits for the chunks of the prefill, and each call that is to
         // be decoded here waits until the prefill has finished.
         busy_ms * (f64::from(t.running_calls()) * STREAM_WEIGHT + busy_ms * DECODE_ARRIVAL_WEIGHT)
     }
-
-    /// Rank of a prefill engine, greater than 0 and up to 1. Engines with a higher rank are meant
-    /// for longer prompts.
-    fn size_rank(&self, t: &Target) -> f64 {
-        let name = t.spec.name.as_str();
-        let i = self.prefill_engines.partition_point(|other| *other < name);
-        (i + 1) as f64 / self.prefill_engines.len().max(1) as f64
-    }
 }
 
 /// A target whose prefix cache holds the beginning of a prompt.
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -41,6 +41,7 @@
 mod prefill_cost_model;
 mod prefill_histogram;
 mod prefill_queue;
+mod prefill_ranks;
 mod prefill_size;
 mod prefix_cache;
 mod publication;
--- a/crates/rw-gate/src/placer.rs
+++ b/crates/rw-gate/src/placer.rs
@@ -25,6 +25,7 @@
     call_state::CallState,
     engine_scorer::{CacheHolder, EngineScorer},
     placement::{BASE_MS, Placement},
+    prefill_ranks::PrefillRanks,
     scheduling::EngineGroups,
 };
 use rw_types::{Millis, Role};
@@ -117,7 +118,7 @@
             engine,
             prompt,
             estimates: self.gate.estimates(&service.name),
-            prefill_engines: self.prefill_engines(service),
+            prefill_ranks: self.prefill_ranks(service),
             cache_holder: CacheHolder::find(self.now, candidates(), prompt),
             allow_prefill_only: call.resume_after().is_none() && !call.prefilled && has_decode,
         };
@@ -234,17 +235,14 @@
         }
     }
 
-    /// Names of the prefill engines, sorted.
-    fn prefill_engines(&self, service: &Service) -> Vec<&str> {
+    fn prefill_ranks(&self, service: &Service) -> PrefillRanks<'_> {
         let all = self.gate.targets.all().iter();
-        let mut names: Vec<&str> = all
+        let engines = all
             .filter(|t| t.spec.service == service.name && t.spec.role == Role::Prefill)
             .filter(|t| self.is_in_scope(t))
             .filter(|t| t.is_available(self.now))
-            .map(|t| t.spec.name.as_str())
-            .collect();
-        names.sort_unstable();
-        names
+            .map(|t| (t.spec.name.as_str(), t.speed.factor(WorkKind::Prefill)));
+        PrefillRanks::new(engines)
     }
 
     /// Jitter of less than one millisecond that breaks ties, different on each node so that nodes
