Versions: a record replaces only the one that was read

Cause: the record of a service's versions was written whatever its row held by then, by any node that takes itself for the leader. A node that goes on after a suspension does: it hasn't heard the others for 2.5 s. In its first tick it requested the record ["v1"], which replaced the leader's ["v1", "v2"]. If 410 came before the tick, the test passed.

A record now replaces its row only if that has the version that the node has read or written last (compare-and-set, as for usage reports and the lease). Otherwise, or if the end of a write isn't known, the records are read again, the gate adds what they name and requests a record where its own differs. A request says on how many reads it is based and is void after a further one. So no node can take a version from the record that it hasn't read of first.

--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -1,8 +1,8 @@
 //! Effects that the reducer requests from the shell.
 
 use crate::{
-    Delegation, KvHandle, PlacementReply, ProbeTarget, SchedulerMessage, StoredUsage, UsageQuery,
-    VersionRecord,
+    Delegation, KvHandle, PlacementReply, ProbeTarget, RecordRequest, SchedulerMessage,
+    StoredUsage, UsageQuery,
 };
 use rw_types::{Millis, RequestId, Role};
 
@@ -257,8 +257,9 @@
         /// The order must not be sent at or after this time.
         until: Millis,
     },
-    /// Replace the registry's record of the versions of a service.
-    RecordVersions(VersionRecord),
+    /// Replace the registry's record of the versions of a service, unless another node has changed it
+    /// since it was read. Then the records are read again.
+    RecordVersions(RecordRequest),
     /// Release the handle of a prefilled prompt that will not be used.
     ReleaseHandle(KvHandle),
     /// Publish a digest to the other nodes immediately, because a call crashed its target or a role
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -208,7 +208,8 @@
     },
     /// All entries were read; known targets that are not listed were removed.
     TargetsListed(Vec<TargetSpec>),
-    /// All records of software versions were read, when this node started or after an outage.
+    /// All records of software versions were read: when this node started, after an outage, after changes
+    /// were missed, or because a record could not be written.
     VersionsRead(Vec<VersionRecord>),
     /// All entries that another node knows; ignored once any entry is known from the store, whose
     /// data is newer.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -58,8 +58,10 @@
     pub(crate) origin_ttl_ms: u64,
     /// Versions of the targets' software.
     pub(crate) software: SoftwareHistory,
-    /// Records of versions that this node has requested as the leader.
+    /// Records of versions as they were read, or as this node has requested them as the leader since.
     pub(crate) records: Vec<VersionRecord>,
+    /// Number of times that they were read.
+    pub(crate) record_reads: u64,
     pub(crate) nodes: usize,
     /// Estimates of engine speed by service, sorted by name.
     pub(crate) estimates: Vec<(String, EngineEstimates)>,
@@ -118,6 +120,7 @@
             origin_ttl_ms: origin_ttl_ms(&Routing::default()),
             software: SoftwareHistory::default(),
             records: Vec::new(),
+            record_reads: 0,
             nodes: settings.nodes,
             estimates: Vec::new(),
             overrun: Overrun::default(),
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -125,7 +125,7 @@
     StoredUsage, UsageAnswer, UsageCollection, UsageQuery, UsageRecord, UsageReport,
 };
 
-pub use version_record::VersionRecord;
+pub use version_record::{RecordRequest, VersionRecord};
 pub use work_kind::WorkKind;
 
 pub use rw_types::{MAX_PAUSE_MS, RateNotice, RequestRate, Role, TargetNotice};
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -1,8 +1,8 @@
 //! Streams that callers take up again, and where they may go on.
 
 use crate::{
-    CallRequest, Digest, Effect, Gate, OriginReport, RefusalKind, Route, Routing, SoftwareId,
-    StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, software_history::MAX_AGE_MS,
+    CallRequest, Digest, Effect, Gate, OriginReport, RecordRequest, RefusalKind, Route, Routing,
+    SoftwareId, StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, software_history::MAX_AGE_MS,
     stream_origin::ServiceId,
 };
 use rw_types::{Millis, RequestId};
@@ -179,8 +179,8 @@
         }
     }
 
-    /// Requests a new record for each service whose versions have changed, or that this node hasn't
-    /// recorded since it became the leader.
+    /// Requests a new record for each service whose versions differ from those of its record, or whose
+    /// record isn't known as another node was the leader.
     fn update_records(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         let routing = self.routing.clone();
         let routes = routing.routes.iter();
@@ -202,15 +202,19 @@
                 Some(i) => self.records[i] = record.clone(),
                 None => self.records.push(record.clone()),
             }
-            effects.push(Effect::RecordVersions(record));
+            effects.push(Effect::RecordVersions(RecordRequest {
+                record,
+                reads: self.record_reads,
+            }));
         }
     }
 
-    /// Takes over the registry's records of versions. A change that was requested before they were
-    /// read may be missing in them, so that the leader requests them all anew.
+    /// Takes over the registry's records of versions. Requests that were made before don't apply any
+    /// more, so that the leader requests those anew that differ.
     pub(crate) fn merge_records(&mut self, now: Millis, records: &[VersionRecord]) {
         self.software.merge_records(now, records);
-        self.records.clear();
+        self.records = records.to_vec();
+        self.record_reads += 1;
     }
 
     /// Records the versions of all known targets as seen now.
--- a/crates/rw-gate/src/version_record.rs
+++ b/crates/rw-gate/src/version_record.rs
@@ -1,4 +1,4 @@
-//! Record of software versions that the registry keeps.
+//! Records of software versions that the registry keeps.
 
 use serde::{Deserialize, Serialize};
 
@@ -11,3 +11,13 @@
     /// Names of the versions, sorted.
     pub versions: Vec<String>,
 }
+
+/// Request to replace the registry's record of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordRequest {
+    /// The new record.
+    pub record: VersionRecord,
+    /// Number of times that the gate had been told the registry's records when it made this one. The
+    /// request is void once they have been read again, as the new record may lack versions.
+    pub reads: u64,
+}
--- a/crates/rw-gate/tests/roll_outs.rs
+++ b/crates/rw-gate/tests/roll_outs.rs
@@ -304,8 +304,8 @@
             }
         }
         for effect in node.world.step(Event::Tick) {
-            if let Effect::RecordVersions(record) = effect {
-                node.writes.push(record);
+            if let Effect::RecordVersions(request) = effect {
+                node.writes.push(request.record);
             }
         }
         if node.hangs_since.is_none() && !node.is_cut {
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -471,7 +471,9 @@
 fn recorded(world: &mut World) -> Vec<Vec<String>> {
     let effects = world.step(Event::Tick);
     let records = effects.into_iter().filter_map(|e| match e {
-        Effect::RecordVersions(record) if record.service == ENGINES => Some(record.versions),
+        Effect::RecordVersions(request) if request.record.service == ENGINES => {
+            Some(request.record.versions)
+        }
         _ => None,
     });
     records.collect()
@@ -511,6 +513,61 @@
     assert_eq!(recorded(&mut world), [["v2"]]);
 }
 
+/// Guards against two nodes that take turns in recording a version which is gone.
+#[test]
+fn a_version_that_is_gone_leaves_the_record_though_two_nodes_lead() {
+    struct Leader {
+        world: World,
+        reads: u64,
+        known: u64,
+    }
+    let leader = |vm| Leader {
+        world: world(vm, &[("0", "v1")]),
+        reads: 0,
+        known: 0,
+    };
+    let mut leaders = [leader("a"), leader("b")];
+    let mut row = (0, Vec::new());
+    for second in 0..70 {
+        for (i, leader) in leaders.iter_mut().enumerate() {
+            leader.world.now += 1_000;
+            if leader.reads == 0 {
+                leader.read(&row);
+            }
+            if second == 5 + i {
+                list(&mut leader.world, &[("1", "v2")]);
+            }
+            leader.tick(&mut row);
+        }
+    }
+    assert_eq!(row.1, ["v2"]);
+
+    impl Leader {
+        fn read(&mut self, row: &(u64, Vec<String>)) {
+            let versions: Vec<&str> = row.1.iter().map(String::as_str).collect();
+            self.world.step(record(&versions));
+            self.reads += 1;
+            self.known = row.0;
+        }
+
+        /// Writes the record that is requested if the row is as it was read, and reads it otherwise.
+        fn tick(&mut self, row: &mut (u64, Vec<String>)) {
+            for effect in self.world.step(Event::Tick) {
+                let Effect::RecordVersions(request) = effect else {
+                    continue;
+                };
+                let is_meant = request.record.service == ENGINES && request.reads == self.reads;
+                if is_meant && self.known == row.0 {
+                    *row = (row.0 + 1, request.record.versions);
+                    self.known = row.0;
+                } else if is_meant {
+                    self.read(row);
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn after_a_restart_of_all_nodes_the_records_tell_whether_there_is_one_version() {
     struct Case {
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::{BootClock, Peer};
 use async_channel::{Receiver, Sender};
-use rw_gate::{Event, Routing, StoredUsage, TargetSpec, VersionRecord};
+use rw_gate::{Event, RecordRequest, Routing, StoredUsage, TargetSpec};
 use serde::{Deserialize, Serialize};
 use std::{cell::Cell, future::Future, rc::Rc, sync::Arc};
 
@@ -57,8 +57,10 @@
     /// Requests for the lease on the duties of the fleet, each with the highest fencing token that this
     /// node knows. The one that is granted must be higher.
     pub leases: Receiver<u64>,
-    /// Records of software versions to keep; one replaces the one before of the same service.
-    pub records: Receiver<VersionRecord>,
+    /// Records of software versions to keep. One replaces the one before of the same service if the
+    /// registry has told of the records as often as it says, and no other node has written since;
+    /// otherwise, they are to be told again.
+    pub records: Receiver<RecordRequest>,
     /// Requests to read the changes of targets now.
     pub refreshes: Receiver<()>,
     /// Clock of the node, by which the registry dates confirmations of the configuration and of the
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -14,8 +14,8 @@
 };
 use async_channel::Sender;
 use rw_gate::{
-    DutyPacer, Effect, Event, FleetNode, Gate, KvHandle, ProbeTarget, TargetIncarnation,
-    VersionRecord,
+    DutyPacer, Effect, Event, FleetNode, Gate, KvHandle, ProbeTarget, RecordRequest,
+    TargetIncarnation,
 };
 use rw_types::RequestId;
 use smol::LocalExecutor;
@@ -55,7 +55,7 @@
     /// Requests the lease on the duties of the fleet.
     pub(crate) request_lease: Sender<u64>,
     /// Queue of records of software versions.
-    pub(crate) version_records: Sender<VersionRecord>,
+    pub(crate) version_records: Sender<RecordRequest>,
     /// Queue of streams to ask other nodes about.
     pub(crate) origin_asks: Sender<OriginQuery>,
     /// Requests that the registry reads the changes of targets now.
@@ -97,7 +97,7 @@
 pub(crate) struct Senders {
     pub(crate) wake_digests: Sender<()>,
     pub(crate) request_lease: Sender<u64>,
-    pub(crate) version_records: Sender<VersionRecord>,
+    pub(crate) version_records: Sender<RecordRequest>,
     pub(crate) origin_asks: Sender<OriginQuery>,
     pub(crate) refresh_targets: Sender<()>,
     pub(crate) datagrams: Sender<Datagram>,
@@ -162,7 +162,7 @@
                     // A full channel means that a request is already pending.
                     let _already_pending = self.request_lease.try_send(known);
                 }
-                Effect::RecordVersions(record) => self.record_versions(record.clone()),
+                Effect::RecordVersions(request) => self.record_versions(request.clone()),
                 Effect::ProbeTarget(target) => self.probe(target.clone()),
                 Effect::Order { .. } => self.enqueue_order(effect.clone()),
                 Effect::OrderSize { service, .. } => self.log_size_order(service, effect),
@@ -327,8 +327,8 @@
         }
     }
 
-    fn record_versions(&self, record: VersionRecord) {
-        if self.version_records.try_send(record).is_err() {
+    fn record_versions(&self, request: RecordRequest) {
+        if self.version_records.try_send(request).is_err() {
             log::warn!(
                 "record of software versions dropped because the queue is full; it is written with the next change"
             );
