Relay: a response head with bytes behind its end is malformed

A caller got a 200 without the beginning of its body (MIXED), where a runner ended the last line of a head in a line feed alone, CR LF followed, and the body had an empty line. The end of the head is searched as CR LF CR LF, so that what is read reaches to that line of the body; the parser ended the head at its own end, and what stood between the two was dropped.

A head is valid only if the parser ends it where the bytes end.

--- a/crates/rw-relay/src/head.rs
+++ b/crates/rw-relay/src/head.rs
@@ -127,7 +127,8 @@
         let (Some(code), Some(version)) = (response.code, response.version) else {
             return Err(HeadError::Malformed);
         };
-        if status.is_partial() {
+        // Where an empty line ends in a line feed alone, the head ends before `bytes` do.
+        if status != httparse::Status::Complete(bytes.len()) {
             return Err(HeadError::Malformed);
         }
         let headers = headers(response.headers)?;
--- a/crates/rw-relay/tests/head.rs
+++ b/crates/rw-relay/tests/head.rs
@@ -101,6 +101,32 @@
     }
 }
 
+#[test]
+fn a_response_head_with_bytes_behind_its_end_is_rejected() {
+    struct Case {
+        head: &'static str,
+        is_valid: bool,
+    }
+    let cases = [
+        Case {
+            head: "HTTP/1.1 200 OK\r\nContent-Length: 9\n\r\nfirst\r\n\r\n",
+            is_valid: false,
+        },
+        Case {
+            head: "HTTP/1.1 200 OK\n\r\nfirst\r\n\r\n",
+            is_valid: false,
+        },
+        Case {
+            head: "HTTP/1.1 200 OK\nContent-Length: 9\r\n\r\n",
+            is_valid: true,
+        },
+    ];
+    for case in cases {
+        let parsed = ResponseHead::parse(case.head.as_bytes(), "GET");
+        assert_eq!(parsed.is_ok(), case.is_valid, "{}", case.head);
+    }
+}
+
 #[test]
 fn response_without_length_ends_with_its_connection() {
     struct Case {
