Relay: the last identifier of an event counts

An event of a resumed stream was dropped without a trace, and the stream ended as complete (ORDER, a piece is missing), where a runner gave it two identifiers, the first that of the event before: the first line 'id:' was compared with what the caller has. For the caller the last one counts, so that a stream could as well go on after the wrong event.

--- a/crates/rw-relay/src/sse.rs
+++ b/crates/rw-relay/src/sse.rs
@@ -156,8 +156,9 @@
     None
 }
 
+/// Identifier of an event; the last one counts if there are several, as for the caller.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|b| *b == b'\n');
+    let mut lines = event.rsplit(|b| *b == b'\n');
     let id = lines.find_map(|l| l.strip_prefix(b"id:"))?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/rw-relay/tests/sse.rs
+++ b/crates/rw-relay/tests/sse.rs
@@ -86,6 +86,18 @@
             position: None,
             is_unplaced: false,
         },
+        Case {
+            name: "two in one event",
+            text: "id: 2\nid: 3\ndata: d\n\n",
+            position: Some(3),
+            is_unplaced: false,
+        },
+        Case {
+            name: "none by the last one of an event",
+            text: "id: 3\nid: x\ndata: d\n\n",
+            position: None,
+            is_unplaced: true,
+        },
         Case {
             name: "comments",
             text: ": a\n\n: b\r\n\r\n",
