Gate: sum a prompt's tokens in 64 bits

A caller's Redwingweir-Token-Usage near 2^32 ended a debug build; a release build took the wrapped sum, so that such a prompt looked small.

Cause: the prompt's tokens and its output were added as 32-bit numbers, at three places. Prompt::max_tokens adds them as 64-bit ones.

--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CacheInsert, Delivered, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle,
-    RefusalKind, SentPrefill, SoftwareId, TargetLoad, account_usage::Decision,
+    Prompt, RefusalKind, SentPrefill, SoftwareId, TargetLoad, account_usage::Decision,
     call_state::ActiveDispatch, placement::Placement, prefix_cache::prefix_hashes,
     refusal_status::is_refusal_status,
 };
@@ -244,7 +244,7 @@
         };
         let mut first_prefill = None;
         let prompt = call.request.prompt.as_ref();
-        let held_tokens = prompt.map_or(0, |p| u64::from(p.tokens + p.max_output));
+        let held_tokens = prompt.map_or(0, Prompt::max_tokens);
         let running = target.running_calls();
         target.open_calls += 1;
         target.open_tokens += held_tokens;
--- a/crates/rw-gate/src/call_request.rs
+++ b/crates/rw-gate/src/call_request.rs
@@ -25,6 +25,13 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Prompt {
+    /// Maximum number of tokens that the generation holds in the KV cache.
+    pub(crate) fn max_tokens(&self) -> u64 {
+        u64::from(self.tokens) + u64::from(self.max_output)
+    }
+}
+
 /// What a call states about the client account that it belongs to.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Credential {
--- a/crates/rw-gate/src/placer.rs
+++ b/crates/rw-gate/src/placer.rs
@@ -213,7 +213,7 @@
         } else {
             0.0
         };
-        let needed = t.running_tokens() + u64::from(prompt.tokens + prompt.max_output);
+        let needed = t.running_tokens().saturating_add(prompt.max_tokens());
         let usable = engine.kv_tokens as f64 * KV_FRACTION;
         let no_memory = if needed as f64 > usable {
             FULL_COST_MS
--- a/crates/rw-gate/src/scheduling/scheduler_flow.rs
+++ b/crates/rw-gate/src/scheduling/scheduler_flow.rs
@@ -81,7 +81,7 @@
         let reservation = Reservation {
             vm: vm.to_owned(),
             id: call.id.0,
-            tokens: u64::from(prompt.tokens + prompt.max_output),
+            tokens: prompt.max_tokens(),
             until: call.deadline,
             priority: call.priority,
             size: placement.size,
