Gate: bound sums over what other nodes report

Seen: a datagram with "calls" or "tokens" near the limit of its type ended a debug build once two nodes sent one: 14 cases of digests_with_odd_values_stop_no_node failed before, in Target::running_calls and Target::running_tokens. The test puts 23 odd values in the place of each value of a digest that has all fields, from three nodes, and lets the node place, fail, publish and tick. It passes now. Release builds took the wrapped sum, so that a target which others report to be full looked idle.

Fix: these sums, and the one over the targets of a service, saturate.

--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -205,7 +205,8 @@
         let imbalance = decode.abs_diff(wanted);
         let slots = decode as f64 * f64::from(engine.slots);
         let running = engines().filter(|t| t.spec.role != Role::Prefill);
-        let running: u32 = running.map(Target::running_calls).sum();
+        let running = running.map(Target::running_calls);
+        let running = running.fold(0, u32::saturating_add);
         let crowded = decode < wanted && f64::from(running) >= slots * CROWDED_FRACTION;
         let min_imbalance = if idle || crowded {
             1.0
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -128,7 +128,8 @@
             let granted = self.reservations.iter().filter(|r| r.vm == u.0).count();
             u.2.saturating_sub(granted as u32)
         });
-        self.open_calls + remote.sum::<u32>() + self.reservations.len() as u32
+        let local = self.open_calls + self.reservations.len() as u32;
+        remote.fold(local, u32::saturating_add)
     }
 
     /// Tokens held by the running generations of all nodes.
@@ -139,7 +140,7 @@
             u.3.saturating_sub(granted.map(|r| r.tokens).sum())
         });
         let granted: u64 = self.reservations.iter().map(|r| r.tokens).sum();
-        self.open_tokens + remote.sum::<u64>() + granted
+        remote.fold(self.open_tokens + granted, u64::saturating_add)
     }
 
     /// Whether the target may get new work, and if not, why.
--- a/crates/rw-gate/tests/odd_digests.rs
+++ b/crates/rw-gate/tests/odd_digests.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rw_gate::{Event, Prompt, PromptPart, SchedulerMessage};
+use rw_gate::{Digest, Event, Prompt, PromptPart, SchedulerMessage};
 use rw_types::Millis;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -12,6 +12,34 @@
 /// Nodes that report the same odd value, so that it enters sums several times.
 const NODES: usize = 3;
 
+/// A digest that has all fields.
+fn whole_digest(vm: &str) -> Value {
+    json!({
+        "vm": vm, "version": 1, "reach_ms": 60_000, "token": 7, "leaves_duties": false,
+        "unreachable": ["plain"], "lacks_keys": false,
+        "reports": [
+            ["d1", [[9, 20, 1, 300, 100]], 2, 900, { "role": "decode", "left_ms": 50 }],
+            ["d2", [[8, 20, 1, 300, 100]], 2, 900, null],
+            ["f1", [[7, 20, 1, 300, 100]], 1, 900, null]
+        ],
+        "read": [["d1", [[11, 400], [12, 300]]], ["f1", [[11, 400]]]],
+        "suspects": [{ "fingerprint": 5, "targets": ["p1", "p2"], "age_ms": 10 }],
+        "parts": [[4, [1, 2, 3], 10]],
+        "leaving": [["p3", 1]],
+        "limits": [[["p1", 1], 4_000, 10], [["d1", 1], 4_000, 10]],
+        "speeds": [[["d2", 1], 0, 77, 150, 9, 10]],
+        "origins": [[3, [1, 2]]],
+        "asks": [5, 6],
+        "asked_ms": 900,
+        "history": {
+            "observed_ms": 4_000, "age_ms": 10,
+            "seen": [{ "service": "plain", "version": "v1", "age_ms": 10 }]
+        },
+        "shares": [500, 2, [[1, 300], [2, 200]], 30],
+        "demand": [["engines", 3, 200, 2, 800, 1, 2], ["plain", 3, 200, 2, 800, 1, 2]]
+    })
+}
+
 /// A message to a scheduler that has all fields.
 fn whole_message(vm: &str) -> Value {
     json!({
@@ -151,7 +179,19 @@
     decoded
 }
 
-/// Guards against a node that ends by an overflow because of a datagram to a scheduler.
+/// Guards against a node that ends by an overflow, or of deep nesting, because of a datagram.
+#[test]
+fn digests_with_odd_values_stop_no_node() {
+    let decoded = assert_works(whole_digest, |world, digest: Digest| {
+        let now = Millis(world.now);
+        let _answer = world.gate.answer_demand(now, &digest);
+        let _answer = world.gate.answer_origins(now, &digest);
+        world.step(Event::DigestReceived(digest));
+    });
+    assert!(decoded > 500, "{decoded} digests were decoded");
+}
+
+/// The same, for requests of other nodes to a scheduler.
 #[test]
 fn requests_to_a_scheduler_with_odd_values_stop_no_node() {
     let decoded = assert_works(whole_message, |world, message: SchedulerMessage| {
