Gate: accept a usage query for the last window number

Seen: a query for the window 2^64 - 1 ended a debug build ("attempt to add with overflow", usage_counter.rs); usage_queries_with_odd_values_stop_no_node failed before in this case and passes now. The number of the next window saturates.

--- a/crates/rw-gate/src/usage_counter.rs
+++ b/crates/rw-gate/src/usage_counter.rs
@@ -53,7 +53,7 @@
     /// Calls in a window from `start` to before `end`.
     pub(crate) fn count(&mut self, window: u64, start: Millis, end: Millis) -> UsageReport {
         let from = self.fix_start(window, start);
-        let to = self.fix_start(window + 1, end);
+        let to = self.fix_start(window.saturating_add(1), end);
         let mut report = UsageReport {
             window,
             counts: Vec::new(),
--- a/crates/rw-gate/tests/odd_digests.rs
+++ b/crates/rw-gate/tests/odd_digests.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rw_gate::{Digest, Event, Prompt, PromptPart, SchedulerMessage};
+use rw_gate::{Digest, Event, Prompt, PromptPart, SchedulerMessage, UsageQuery};
 use rw_types::Millis;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -200,6 +200,17 @@
     assert!(decoded > 200, "{decoded} messages were decoded");
 }
 
+/// The same, for queries of the calls in a window.
+#[test]
+fn usage_queries_with_odd_values_stop_no_node() {
+    let whole = |_: &str| json!({ "window": 7, "age_ms": 1_200, "length_ms": 1_000 });
+    let decoded = assert_works(whole, |world, query: UsageQuery| {
+        let now = Millis(world.now);
+        let _answer = world.gate.answer_usage(now, &query);
+    });
+    assert!(decoded > 40, "{decoded} queries were decoded");
+}
+
 /// The same, for prompts of callers.
 #[test]
 fn prompts_of_extreme_sizes_stop_no_node() {
