Platform: one odd row or VM takes no other with it

Cause: a response of the table service and the list of VMs were parsed as a whole. With one odd entry in the list, no node learned of new VMs, or of those that leave, any more.

Fix: after a failure, entries are parsed one by one. A VM that can't be parsed is left out. A row keeps its place, since rows are found by their places, with a value that is neither empty nor JSON: an empty one would mean that there is no row, for instance that a request is not claimed. Its version is zero, with which no transaction replaces it.

--- a/crates/rw-platform/src/http.rs
+++ b/crates/rw-platform/src/http.rs
@@ -1,9 +1,9 @@
 //! HTTP client of the platform.
 
-use crate::{Get, PlatformError, Rows, Scan, Table, Txn, TxnResponse, VmList};
+use crate::{Get, PlatformError, Rows, Scan, Table, Txn, TxnResponse, VmList, table::parse_vms};
 use rw_http::{Client, Method, Pooling, Request, SendError, Url, post_json};
 use rw_types::{Version, Vm};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::Serialize;
 use std::time::Duration;
 
 /// Client of the platform at one address, with the same timeout for every call.
@@ -26,17 +26,22 @@
         }
     }
 
-    async fn call<T: Serialize, R: DeserializeOwned>(
+    async fn call<T: Serialize, R>(
         &self,
         path: &str,
         body: &T,
+        parse: fn(&[u8]) -> serde_json::Result<R>,
     ) -> Result<R, PlatformError> {
         let body = serde_json::to_vec(body).map_err(|_| PlatformError::Malformed)?;
         let request = post_json(&self.addr, path, body).map_err(to_platform_error)?;
-        self.send(request).await
+        self.send(request, parse).await
     }
 
-    async fn send<R: DeserializeOwned>(&self, request: Request) -> Result<R, PlatformError> {
+    async fn send<R>(
+        &self,
+        request: Request,
+        parse: fn(&[u8]) -> serde_json::Result<R>,
+    ) -> Result<R, PlatformError> {
         let sent = self
             .client
             .send(&self.addr, request, Pooling::Reuse, self.timeout);
@@ -47,7 +52,7 @@
             .await
             .map_err(to_platform_error)?;
         match status {
-            200 => serde_json::from_slice(&bytes).map_err(|_| PlatformError::Malformed),
+            200 => parse(&bytes).map_err(|_| PlatformError::Malformed),
             // The platform sends these statuses before it executes anything.
             429 | 503 => Err(PlatformError::NotApplied),
             _ => Err(PlatformError::Unknown),
@@ -103,11 +108,12 @@
 
 impl Table for HttpPlatform {
     async fn txn(&self, txn: &Txn) -> Result<TxnResponse, PlatformError> {
-        self.call("/table/txn", txn).await
+        let parse = |bytes: &[u8]| serde_json::from_slice(bytes);
+        self.call("/table/txn", txn, parse).await
     }
 
     async fn get(&self, keys: Vec<String>) -> Result<Rows, PlatformError> {
-        self.call("/table/get", &Get { keys }).await
+        self.call("/table/get", &Get { keys }, Rows::parse).await
     }
 
     async fn scan(&self, prefix: &str, since: Version) -> Result<Rows, PlatformError> {
@@ -115,14 +121,14 @@
             prefix: prefix.to_owned(),
             since,
         };
-        self.call("/table/scan", &scan).await
+        self.call("/table/scan", &scan, Rows::parse).await
     }
 }
 
 impl VmList for HttpPlatform {
     async fn vms(&self) -> Result<Vec<Vm>, PlatformError> {
         let request = self.request(Method::Get, "/vms")?;
-        self.send(request).await
+        self.send(request, parse_vms).await
     }
 }
 
--- a/crates/rw-platform/src/table.rs
+++ b/crates/rw-platform/src/table.rs
@@ -3,6 +3,7 @@
 use crate::PlatformError;
 use rw_types::{Version, Vm};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::future::Future;
 
 /// A row as read. An absent row has version zero and an empty value.
@@ -75,6 +76,58 @@
     pub rows: Vec<Row>,
 }
 
+/// Value of a row that can't be parsed. It is neither empty, which means that there is no row, nor JSON.
+const UNREADABLE_VALUE: &str = "unreadable";
+
+/// A response whose rows are parsed one by one.
+#[derive(Debug, Deserialize)]
+struct RawRows<'a> {
+    #[serde(borrow)]
+    rows: Vec<&'a RawValue>,
+}
+
+/// The part of a row that says which one it is.
+#[derive(Debug, Deserialize)]
+struct RowKey {
+    key: String,
+}
+
+impl Rows {
+    /// Parses a response. A row that can't be parsed keeps its place, as rows are found by their places,
+    /// and has version zero, with which no transaction replaces it.
+    pub(crate) fn parse(bytes: &[u8]) -> serde_json::Result<Self> {
+        if let Ok(rows) = serde_json::from_slice(bytes) {
+            return Ok(rows);
+        }
+        let text = String::from_utf8_lossy(bytes);
+        let raw: RawRows<'_> = serde_json::from_str(&text)?;
+        let rows = raw.rows.iter().map(|raw| {
+            serde_json::from_str(raw.get()).unwrap_or_else(|_| Row {
+                key: serde_json::from_str(raw.get())
+                    .map_or_else(|_| String::new(), |row: RowKey| row.key),
+                value: UNREADABLE_VALUE.to_owned(),
+                version: Version(0),
+            })
+        });
+        Ok(Self {
+            rows: rows.collect(),
+        })
+    }
+}
+
+/// Parses a list of VMs, without those that can't be parsed.
+pub(crate) fn parse_vms(bytes: &[u8]) -> serde_json::Result<Vec<Vm>> {
+    if let Ok(vms) = serde_json::from_slice(bytes) {
+        return Ok(vms);
+    }
+    let text = String::from_utf8_lossy(bytes);
+    let raw: Vec<&RawValue> = serde_json::from_str(&text)?;
+    let vms = raw
+        .iter()
+        .filter_map(|raw| serde_json::from_str(raw.get()).ok());
+    Ok(vms.collect())
+}
+
 /// The transactional table service.
 pub trait Table {
     /// Runs a transaction.
