Platform: bound the versions that rows of the configuration name

Seen: changes_between_extreme_versions_are_read_to_an_end and a_snapshot_is_written_whatever_the_version_of_the_latest_one ended in "attempt to add with overflow" before; an_odd_head_row_is_no_first_version got version 0. All three pass now.

Cause: the numbers in these rows were added and looped over unchecked, and one that could not be read counted as zero. A head row of zero would have let the next configuration begin at version 1.

Fix: versions are compared before they are added. A response must have a row for each key. A head that is no number is malformed.

--- a/crates/rw-platform/src/config_rows.rs
+++ b/crates/rw-platform/src/config_rows.rs
@@ -12,6 +12,9 @@
 pub const SNAPSHOT_INTERVAL: u64 = 64;
 /// Number of changes kept in the table below the latest snapshot, for nodes that lag behind.
 const KEPT_CHANGES: u64 = 256;
+/// Maximum number of changes that one snapshot deletes. It is reached only if the row of the latest
+/// snapshot can't be read; older changes then stay.
+const MAX_DELETED_CHANGES: u64 = 512;
 /// Maximum number of rows read by one call.
 const MAX_BATCH_ROWS: u64 = 64;
 
@@ -29,10 +32,22 @@
 ///
 /// # Errors
 ///
-/// Any [`PlatformError`].
+/// Any [`PlatformError`]; `Malformed` if the row holds no version.
 pub async fn read_head<T: Table>(table: &T) -> Result<(Version, Row), PlatformError> {
     let row = read_row(table, HEAD_KEY).await?;
-    Ok((Version(row.value.parse().unwrap_or(0)), row))
+    Ok((head_version(&row)?, row))
+}
+
+/// Version that the head row holds. One that can't be read must not pass for none: versions would
+/// begin anew.
+fn head_version(row: &Row) -> Result<Version, PlatformError> {
+    match row.value.as_str() {
+        "" => Ok(Version(0)),
+        value => value
+            .parse()
+            .map(Version)
+            .map_err(|_| PlatformError::Malformed),
+    }
 }
 
 async fn read_row<T: Table>(table: &T, key: &str) -> Result<Row, PlatformError> {
@@ -52,17 +67,22 @@
     to: Version,
 ) -> Result<Option<Vec<ConfigChange>>, PlatformError> {
     let mut changes = Vec::new();
-    let mut from = since.0 + 1;
-    while from <= to.0 {
-        let last = to.0.min(from + MAX_BATCH_ROWS - 1);
-        let keys = (from..=last).map(|v| version_key(Version(v))).collect();
-        for row in store.get(keys).await?.rows {
+    let mut read = since.0;
+    while read < to.0 {
+        let last = to.0.min(read.saturating_add(MAX_BATCH_ROWS));
+        let keys: Vec<String> = (read + 1..=last).map(|v| version_key(Version(v))).collect();
+        let count = keys.len();
+        let rows = store.get(keys).await?.rows;
+        if rows.len() != count {
+            return Err(PlatformError::Malformed);
+        }
+        for row in rows {
             if row.value.is_empty() {
                 return Ok(None);
             }
             changes.push(load_value(store, &row.value).await?);
         }
-        from = last + 1;
+        read = last;
     }
     Ok(Some(changes))
 }
@@ -125,7 +145,7 @@
     config: &Config,
     head: &Row,
 ) -> Result<TxnResponse, PlatformError> {
-    let version = Version(head.value.parse().unwrap_or(0));
+    let version = head_version(head)?;
     let old = read_config(store, version).await?;
     let change = ConfigChange::between(&old.ok_or(PlatformError::Malformed)?, config);
     let txn = add_change(store, Txn::new(), &change, head).await?;
@@ -146,8 +166,9 @@
     config: &Config,
 ) -> Result<(), PlatformError> {
     let row = read_row(store, SNAPSHOT_KEY).await?;
-    let latest: u64 = row.value.parse().unwrap_or(0);
-    if config.version.0 < latest + SNAPSHOT_INTERVAL {
+    let version = config.version.0;
+    let latest = latest_snapshot(store, &row, version).await?;
+    if latest.is_some_and(|latest| version.saturating_sub(latest) < SNAPSHOT_INTERVAL) {
         return Ok(());
     }
     let body = serde_json::to_vec(config).map_err(|_| PlatformError::Malformed)?;
@@ -156,10 +177,32 @@
         .check(SNAPSHOT_KEY, row.version)
         .put(SNAPSHOT_KEY, config.version.to_string());
     // Changes below this version were deleted with the previous snapshot.
-    let first = latest.saturating_sub(KEPT_CHANGES).max(1);
-    for version in first..config.version.0.saturating_sub(KEPT_CHANGES) {
+    let end = version.saturating_sub(KEPT_CHANGES);
+    let first = latest.unwrap_or(0).saturating_sub(KEPT_CHANGES);
+    let first = first.max(end.saturating_sub(MAX_DELETED_CHANGES)).max(1);
+    for version in first..end {
         txn = txn.put(version_key(Version(version)), "");
     }
     store.txn(&txn).await?;
     Ok(())
 }
+
+/// Version of the latest snapshot, zero if there is none; `None` if the row doesn't name one. A row
+/// may name a later version than this node has, but only if there is such a snapshot.
+async fn latest_snapshot<P: ObjectStore>(
+    store: &P,
+    row: &Row,
+    version: u64,
+) -> Result<Option<u64>, PlatformError> {
+    if row.value.is_empty() {
+        return Ok(Some(0));
+    }
+    let Ok(latest) = row.value.parse() else {
+        return Ok(None);
+    };
+    let exists = latest <= version || {
+        let object = store.read(&snapshot_object(Version(latest))).await?;
+        object.is_some()
+    };
+    Ok(exists.then_some(latest))
+}
--- a/crates/rw-platform/tests/odd_rows.rs
+++ b/crates/rw-platform/tests/odd_rows.rs
@@ -1,8 +1,180 @@
 //! Rows and responses with values that no node writes.
 
 use rw_http::{Client, Limits, Listener, raw};
-use rw_platform::{HttpPlatform, Table, VmList};
-use std::{net::SocketAddr, time::Duration};
+use rw_platform::{
+    HttpPlatform, ObjectStore, PlatformError, Row, Rows, Table, Txn, TxnResponse, VmList,
+    read_changes, read_head, write_snapshot,
+};
+use rw_types::{Config, Version};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+/// Number of calls from which on a reader would go on without end.
+const MAX_CALLS: u64 = 1_000;
+/// Writes that one transaction may have.
+const MAX_WRITES: usize = 1_000;
+
+/// A table whose rows all have the same value.
+#[derive(Default)]
+struct Fake {
+    value: &'static str,
+    /// Whether a response lacks the rows.
+    is_short: bool,
+    calls: AtomicU64,
+    written: Mutex<Vec<Txn>>,
+}
+
+impl Fake {
+    fn with(value: &'static str) -> Self {
+        Self {
+            value,
+            ..Self::default()
+        }
+    }
+
+    fn written(&self) -> Vec<Txn> {
+        let written = self.written.lock();
+        written.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+impl Table for Fake {
+    async fn txn(&self, txn: &Txn) -> Result<TxnResponse, PlatformError> {
+        let written = self.written.lock();
+        written
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(txn.clone());
+        Ok(TxnResponse {
+            version: Version(9),
+            conflicts: Vec::new(),
+        })
+    }
+
+    async fn get(&self, keys: Vec<String>) -> Result<Rows, PlatformError> {
+        let calls = self.calls.fetch_add(1, Ordering::SeqCst);
+        assert!(calls < MAX_CALLS, "the reader goes on without end");
+        let row = |key| Row {
+            key,
+            value: self.value.to_owned(),
+            version: Version(7),
+        };
+        let rows = keys.into_iter().filter(|_| !self.is_short).map(row);
+        Ok(Rows {
+            rows: rows.collect(),
+        })
+    }
+
+    async fn scan(&self, _prefix: &str, _since: Version) -> Result<Rows, PlatformError> {
+        Ok(Rows::default())
+    }
+}
+
+impl ObjectStore for Fake {
+    async fn read(&self, _key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        Ok(None)
+    }
+
+    async fn write(&self, _key: &str, _bytes: Vec<u8>) -> Result<(), PlatformError> {
+        Ok(())
+    }
+}
+
+/// Guards against a node that ends, or reads on without end, because of a version near the highest
+/// number.
+#[test]
+fn changes_between_extreme_versions_are_read_to_an_end() {
+    struct Case {
+        since: u64,
+        to: u64,
+        is_short: bool,
+        expected: Result<Option<usize>, PlatformError>,
+    }
+    let case = |since, to, is_short, expected| Case {
+        since,
+        to,
+        is_short,
+        expected,
+    };
+    let malformed = Err(PlatformError::Malformed);
+    for case in [
+        case(u64::MAX, u64::MAX, false, Ok(Some(0))),
+        case(u64::MAX, 3, false, Ok(Some(0))),
+        case(u64::MAX - 1, u64::MAX, false, Ok(None)),
+        case(1, u64::MAX, false, Ok(None)),
+        case(1, u64::MAX, true, malformed),
+        case(1, 3, true, malformed),
+    ] {
+        let table = Fake {
+            is_short: case.is_short,
+            ..Fake::default()
+        };
+        let read = smol::block_on(read_changes(&table, Version(case.since), Version(case.to)));
+        let read = read.map(|changes| changes.map(|c| c.len()));
+        assert_eq!(read, case.expected, "{} to {}", case.since, case.to);
+    }
+}
+
+/// Guards against a node that ends, and against a transaction without a bound, because of the version
+/// of the latest snapshot.
+#[test]
+fn a_snapshot_is_written_whatever_the_version_of_the_latest_one() {
+    struct Case {
+        latest: &'static str,
+        version: u64,
+        is_written: bool,
+    }
+    let case = |latest, version, is_written| Case {
+        latest,
+        version,
+        is_written,
+    };
+    for case in [
+        case("", 10, false),
+        case("", 64, true),
+        case("64", 127, false),
+        case("64", 128, true),
+        case("18446744073709551615", 10, true),
+        case("18446744073709551560", 200, true),
+        case("18446744073709551616", 200, true),
+        case("x", 200, true),
+        case("", 1_000_000, true),
+        case("", u64::MAX, true),
+        case("64", u64::MAX, true),
+    ] {
+        let name = format!("{:?} to {}", case.latest, case.version);
+        let table = Fake::with(case.latest);
+        let config = Config {
+            version: Version(case.version),
+            ..Config::default()
+        };
+        let result = smol::block_on(write_snapshot(&table, &config));
+        assert_eq!(result, Ok(()), "{name}");
+        let written = table.written();
+        assert_eq!(written.len(), usize::from(case.is_written), "{name}");
+        for txn in written {
+            assert!(txn.puts.len() <= MAX_WRITES, "{name}: {}", txn.puts.len());
+            assert_eq!(txn.puts[0].value, case.version.to_string(), "{name}");
+            assert_eq!(txn.checks[0].version, Version(7), "{name}");
+        }
+    }
+}
+
+/// Guards against versions that begin anew because the row with the latest one can't be read.
+#[test]
+fn an_odd_head_row_is_no_first_version() {
+    for value in ["x", "-1", "18446744073709551616", "1e3", "{}", " "] {
+        let head = smol::block_on(read_head(&Fake::with(value)));
+        assert_eq!(head.err(), Some(PlatformError::Malformed), "{value}");
+    }
+    let head = smol::block_on(read_head(&Fake::with("")));
+    assert_eq!(head.map(|(version, _)| version), Ok(Version(0)));
+}
 
 /// A platform that answers every call with `body`.
 fn platform(body: &str) -> HttpPlatform {
