Types: no successor of the highest version

Seen: the_highest_version_has_no_successor ended in "attempt to add with overflow" (ConfigChange::between) before, and passes now.

Fix: Config::apply compares with a checked sum, and ConfigChange::between saturates.

--- a/crates/rw-types/src/change.rs
+++ b/crates/rw-types/src/change.rs
@@ -41,7 +41,7 @@
     pub fn between(old: &Config, new: &Config) -> Self {
         let weight = new.change_weight;
         Self {
-            version: Version(old.version.0 + 1),
+            version: Version(old.version.0.saturating_add(1)),
             by: String::new(),
             plan: String::new(),
             models: ListChange::between(&old.models, &new.models),
@@ -91,7 +91,7 @@
     /// Applies a change. Returns false and leaves the configuration as it is if the change does not
     /// follow directly on this version.
     pub fn apply(&mut self, change: &ConfigChange) -> bool {
-        if change.version.0 != self.version.0 + 1 {
+        if self.version.0.checked_add(1) != Some(change.version.0) {
             return false;
         }
         change.models.apply(&mut self.models);
--- a/crates/rw-types/tests/change.rs
+++ b/crates/rw-types/tests/change.rs
@@ -82,3 +82,23 @@
         assert_eq!(old == before, !case.accepted, "{}", case.name);
     }
 }
+
+/// Guards against a process that ends because a configuration has the highest version.
+#[test]
+fn the_highest_version_has_no_successor() {
+    for (version, next) in [
+        (u64::MAX, 0),
+        (u64::MAX, u64::MAX),
+        (u64::MAX - 1, 0),
+        (u64::MAX - 1, u64::MAX - 1),
+    ] {
+        let mut config = Config {
+            version: Version(version),
+            ..Config::default()
+        };
+        let mut change = ConfigChange::between(&config, &config);
+        change.version = Version(next);
+        assert!(!config.apply(&change), "{version} to {next}");
+        assert_eq!(config.version, Version(version));
+    }
+}
