Lease: don't believe a token that no store grants

Each token that it is granted must be higher, so that by reading no node would get the lease again. a_token_that_no_store_grants_is_not_believed failed before at 2^53 and passes now.

Fix: tokens from 2^53 on, which the store's rows never give, are ignored where digests are read.

--- a/crates/rw-gate/src/lease.rs
+++ b/crates/rw-gate/src/lease.rs
@@ -13,6 +13,9 @@
 /// The same where usage reports are due. A report is due 10 s after the end of its window, and the
 /// lease of a holder that was killed lasts 8 s of them.
 const REPORTER_RETRY_MS: u64 = 400;
+/// Tokens that a store grants are lower: it is the limit of whole numbers in JSON. None could be granted
+/// after a higher one.
+const TOKEN_LIMIT: u64 = 1 << 53;
 /// Interval at which the highest token is sent to other nodes, in milliseconds.
 const TELL_INTERVAL_MS: u64 = 1_000;
 
@@ -62,6 +65,9 @@
     /// Another node knows of this token; 0 if it told of none. A lower one of this node is not used any
     /// more.
     pub(crate) fn token_heard(&mut self, token: u64) {
+        if token >= TOKEN_LIMIT {
+            return;
+        }
         self.heard_token = self.heard_token.max(token);
         self.held = self.held.filter(|(held, _)| *held >= token);
     }
--- a/crates/rw-gate/tests/odd_digests.rs
+++ b/crates/rw-gate/tests/odd_digests.rs
@@ -234,3 +234,25 @@
         }
     }
 }
+
+/// Guards against a fleet that has no holder of the lease any more, because no token is higher than one
+/// that was heard of.
+#[test]
+fn a_token_that_no_store_grants_is_not_believed() {
+    const MAX_TOKEN: u64 = 1 << 53;
+    for (token, highest) in [
+        (7, 7),
+        (MAX_TOKEN - 1, MAX_TOKEN - 1),
+        (MAX_TOKEN, 0),
+        (u64::MAX - 1, 0),
+        (u64::MAX, 0),
+    ] {
+        let mut world = World::new();
+        world.step(Event::DigestReceived(Digest {
+            vm: "vm-001".to_owned(),
+            token,
+            ..Digest::default()
+        }));
+        assert_eq!(world.gate.highest_token(), highest, "{token}");
+    }
+}
