HTTP: a stream whose sender is dropped ends without its last chunk

To a caller of the product's own interface the broken answer looked complete at the level of HTTP; only [DONE] was missing.

Cause: event_stream took a closed channel for the regular end, and an error in the channel for the abort, so that each sender had to remember the abort.

Now the channel carries StreamPart. Only StreamPart::End ends the body; a channel that closes before it cuts the stream off. So what is forgotten, or ends early, is cut, and nothing but the end has to be said. abort_stream sends its error event and drops the sender. The fake engine ends its streams in the same way; its fault no-end still ends the body regularly.

--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -1,7 +1,9 @@
 //! The fake engine: continuous batching in real time, with orders and load reports.
 
 use crate::{ArmedFault, Batch, BatchSettings, Fault, Faults, Job, OrderTracker, TokenEvent};
-use rw_http::{Limits, Listener, Method, Request, Response, event_stream, json, raw, read_body};
+use rw_http::{
+    Limits, Listener, Method, Request, Response, StreamPart, event_stream, json, raw, read_body,
+};
 use rw_types::{IterationCosts, LoadReport, Order, OrderKind, Role, prefix_hashes};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -320,7 +322,7 @@
         generate: &Generate,
         faults: &[Fault],
         tokens: &async_channel::Receiver<TokenEvent>,
-        tx: &async_channel::Sender<io::Result<Vec<u8>>>,
+        tx: &async_channel::Sender<StreamPart>,
     ) {
         let offset = u64::from(faults.contains(&Fault::WrongAttempt));
         let attempt = generate.attempt + offset;
@@ -330,10 +332,10 @@
             .any(|f| matches!(f, Fault::TruncateResponse | Fault::DropResponse));
         while let Ok(TokenEvent { n, end, .. }) = tokens.recv().await {
             if truncated && n >= generate.output / 2 {
-                let _ = tx.send(Err(io::ErrorKind::ConnectionReset.into())).await;
                 return;
             }
             if n >= generate.output / 2 && faults.contains(&Fault::NoEnd) {
+                let _ = tx.send(StreamPart::End).await;
                 return;
             }
             if n >= generate.output / 2 && faults.contains(&Fault::Stall) {
@@ -346,7 +348,11 @@
                 let token = seed.wrapping_add(n) % 1_000;
                 format!("data: {{\"attempt\":{attempt},\"n\":{n},\"text\":\"t{token} \"}}\n\n")
             };
-            if tx.send(Ok(event.into_bytes())).await.is_err() || end {
+            if tx.send(StreamPart::Data(event.into_bytes())).await.is_err() {
+                return;
+            }
+            if end {
+                let _ = tx.send(StreamPart::End).await;
                 return;
             }
         }
@@ -449,9 +455,7 @@
 
 /// A response that breaks off before its first byte of body.
 fn broken() -> Response {
-    let (tx, rx) = async_channel::bounded(1);
-    // The channel is new and has room.
-    let _never_full = tx.try_send(Err(io::ErrorKind::ConnectionReset.into()));
+    let (_dropped, rx) = async_channel::bounded(1);
     event_stream(rx)
 }
 
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -29,7 +29,7 @@
 pub use keepalive::set_keepalive;
 pub use limits::Limits;
 pub use listen::{Listener, read_body};
-pub use respond::{event_stream, json, raw, status_code};
+pub use respond::{StreamPart, event_stream, json, raw, status_code};
 pub use retry_after::RetryAfter;
 pub use sse::SseLines;
 pub use traffic::Traffic;
--- a/crates/rw-http/src/respond.rs
+++ b/crates/rw-http/src/respond.rs
@@ -33,35 +33,44 @@
 /// Size from which a batch takes no further messages.
 const BATCH_BYTES: usize = 8 << 10;
 
-/// The messages of a channel; those that are already waiting are joined into one batch, so that
+/// A part of a streamed response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamPart {
+    /// Bytes of the body.
+    Data(Vec<u8>),
+    /// The body is complete.
+    End,
+}
+
+/// The parts of a channel; those that are already waiting are joined into one batch, so that
 /// they are sent in one write.
-fn batches(
-    rx: async_channel::Receiver<io::Result<Vec<u8>>>,
-) -> impl Stream<Item = io::Result<Vec<u8>>> {
-    stream::unfold((rx, None), |(rx, failed)| async move {
-        if let Some(error) = failed {
-            return Some((Err(error), (rx, None)));
+fn batches(rx: async_channel::Receiver<StreamPart>) -> impl Stream<Item = io::Result<Vec<u8>>> {
+    stream::unfold((rx, false), |(rx, is_ended)| async move {
+        if is_ended {
+            return None;
         }
-        let mut batch = match rx.recv().await.ok()? {
-            Ok(first) => first,
-            Err(error) => return Some((Err(error), (rx, None))),
+        let mut batch = match rx.recv().await {
+            Ok(StreamPart::Data(first)) => first,
+            Ok(StreamPart::End) => return None,
+            Err(_) => return Some((Err(io::ErrorKind::ConnectionAborted.into()), (rx, true))),
         };
         while batch.len() < BATCH_BYTES {
             match rx.try_recv() {
-                Ok(Ok(more)) => batch.extend(more),
-                // The data received before the error is sent first.
-                Ok(Err(error)) => return Some((Ok(batch), (rx, Some(error)))),
+                Ok(StreamPart::Data(more)) => batch.extend(more),
+                Ok(StreamPart::End) => return Some((Ok(batch), (rx, true))),
+                // The data received before the channel closed is sent first.
                 Err(_) => break,
             }
         }
-        Some((Ok(batch), (rx, None)))
+        Some((Ok(batch), (rx, false)))
     })
 }
 
-/// A chunked response with server-sent events from a channel. An `Err` cuts the stream off before
-/// its last chunk, so that the reader can distinguish it from a regular end.
+/// A chunked response with server-sent events from a channel. If the channel closes before
+/// [`StreamPart::End`], the stream is cut off before its last chunk, so that the reader can distinguish
+/// it from a regular end.
 #[must_use]
-pub fn event_stream(rx: async_channel::Receiver<io::Result<Vec<u8>>>) -> Response {
+pub fn event_stream(rx: async_channel::Receiver<StreamPart>) -> Response {
     let mut response = Response::new(StatusCode::Ok);
     let reader = Box::pin(batches(rx)).into_async_read();
     response.set_body(Body::from_reader(reader, None));
--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -9,7 +9,7 @@
     watch::Wait,
 };
 use rw_core::{AttemptOutcome, Operation};
-use rw_http::{Pooling, SendError, SseLines, post_json};
+use rw_http::{Pooling, SendError, SseLines, StreamPart, post_json};
 use rw_types::AttemptId;
 use serde::{Deserialize, Serialize};
 
@@ -201,7 +201,7 @@
         return false;
     };
     stream
-        .send(Ok(chunk(state.id, model, *chat, text)))
+        .send(StreamPart::Data(chunk(state.id, model, *chat, text)))
         .await
         .is_ok()
 }
--- a/crates/rw-node/src/drive.rs
+++ b/crates/rw-node/src/drive.rs
@@ -10,7 +10,7 @@
     tickets::outcome_of,
 };
 use rw_core::{Call, Effect, Event, Operation};
-use rw_http::{Response, raw, spawn};
+use rw_http::{Response, StreamPart, raw, spawn};
 use rw_types::{AttemptId, Outcome, Refusal, RequestId};
 use std::sync::Arc;
 
@@ -209,7 +209,9 @@
         state.cause = forwarded.is_none().then_some(BurnCause::Good);
         self.count(&state.kind, outcome);
         if let Some(stream) = caller.stream.take() {
-            let _ = stream.send(Ok(b"data: [DONE]\n\n".to_vec())).await;
+            let done = StreamPart::Data(b"data: [DONE]\n\n".to_vec());
+            let _ = stream.send(done).await;
+            let _ = stream.send(StreamPart::End).await;
             return;
         }
         let response = match (&state.payload, &state.operation) {
--- a/crates/rw-node/src/request_caller.rs
+++ b/crates/rw-node/src/request_caller.rs
@@ -1,9 +1,8 @@
 //! Destination of the response to a request.
 
 use crate::completion::{refusal_body, with_outcome};
-use rw_http::{Response, event_stream};
+use rw_http::{Response, StreamPart, event_stream};
 use rw_types::{Outcome, Refusal};
-use std::io;
 
 /// Number of stream events buffered for a slow caller.
 const STREAM_BUFFER: usize = 64;
@@ -14,7 +13,7 @@
     /// Channel for the response; taken when the response or the head of its stream is sent.
     responder: Option<async_channel::Sender<Response>>,
     /// Channel for the body of a streamed response, once its head is sent.
-    pub(crate) stream: Option<async_channel::Sender<io::Result<Vec<u8>>>>,
+    pub(crate) stream: Option<async_channel::Sender<StreamPart>>,
 }
 
 impl RequestCaller {
@@ -47,10 +46,7 @@
     pub(crate) async fn abort_stream(&mut self, refusal: &Refusal) {
         if let Some(stream) = self.stream.take() {
             let event = format!("event: error\ndata: {}\n\n", refusal_body(refusal));
-            let _ = stream.send(Ok(event.into_bytes())).await;
-            let _ = stream
-                .send(Err(io::ErrorKind::ConnectionAborted.into()))
-                .await;
+            let _ = stream.send(StreamPart::Data(event.into_bytes())).await;
         }
     }
 }
