Node: a refusal of an attempt is believed by its number, not by its place

Shown by a test: an engine wrote an earlier refusal once more on a kept connection, before the response to a generation that it ran. The caller got 503 with the outcome not-run. With a second engine the generation would have been sent there as well.

Cause: a response other than 200 to POST /generate was taken for the current attempt by its place on a connection of the pool, and x-outcome: not-run was believed.

Now the request bears the number of its attempt in x-attempt, as calls of plain services do. A response is believed if it repeats the number (all of them, if it names several), or names none and is the first on its connection. Any other ends the attempt as broken, so that nothing is promised; its pause and its notice of leaving are dropped, and its connection is closed. The fake engine repeats the number.

What it costs: an engine that doesn't repeat the number is believed to have refused only on new connections; on others its refusals count as broken attempts.

--- a/crates/rw-fakes/src/engine.rs
+++ b/crates/rw-fakes/src/engine.rs
@@ -200,6 +200,7 @@
             Err(status) => return raw(status.into(), Vec::new(), "text/plain"),
         };
         let path = request.url().path().to_owned();
+        let attempt = request.header("x-attempt").map(|v| v.last().to_string());
         if path == "/fault" {
             let Ok(armed) = serde_json::from_slice::<Vec<ArmedFault>>(&body) else {
                 return raw(400, Vec::new(), "text/plain");
@@ -222,6 +223,9 @@
             }
         };
         Faults::mark_leaving(&faults, &mut response);
+        if let Some(attempt) = attempt {
+            response.insert_header("x-attempt", attempt);
+        }
         response
     }
 
--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -47,6 +47,8 @@
     pub(crate) stream: TcpStream,
     pub(crate) addr: SocketAddr,
     pub(crate) timer: LazyTimer,
+    /// Whether an earlier response was read from it.
+    pub(crate) is_used: bool,
     opened: Instant,
     idle_since: Instant,
 }
@@ -167,6 +169,7 @@
 
     pub(crate) fn put_back(&self, mut conn: ClientConn) {
         conn.idle_since = Instant::now();
+        conn.is_used = true;
         let mut idle = self.lock();
         let i = match idle.binary_search_by_key(&conn.addr, |e| e.addr) {
             Ok(i) => i,
@@ -224,6 +227,7 @@
         stream,
         addr,
         timer: LazyTimer::new(),
+        is_used: false,
         opened: now,
         idle_since: now,
     })
--- a/crates/rw-http/src/client_response.rs
+++ b/crates/rw-http/src/client_response.rs
@@ -51,6 +51,17 @@
         self.response.header(name).map(|v| v.last().as_str())
     }
 
+    /// Whether the response belongs to the request that bears `id` in the header `name`: the response
+    /// bears the same, or has no such header and is the first on its connection. Any other may be an
+    /// earlier one that the server has written once more.
+    #[must_use]
+    pub fn answers(&self, name: &str, id: &str) -> bool {
+        match self.response.header(name) {
+            Some(values) => values.iter().all(|v| v.as_str() == id),
+            None => !self.conn.is_used,
+        }
+    }
+
     /// Reads the full body and returns the connection to the pool.
     ///
     /// # Errors
--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -13,6 +13,9 @@
 use rw_types::AttemptId;
 use serde::{Deserialize, Serialize};
 
+/// Header with the number of the attempt, in requests and in the responses to them.
+pub(crate) const ATTEMPT_HEADER: &str = "x-attempt";
+
 #[derive(Debug, Serialize)]
 struct Generate<'a> {
     attempt: AttemptId,
@@ -130,15 +133,21 @@
             priority,
         };
         let bytes = serde_json::to_vec(&body).map_err(|_| SendError::InvalidAddr)?;
-        let request = post_json(addr, "/generate", bytes)?;
+        let mut request = post_json(addr, "/generate", bytes)?;
+        let attempt = n.to_string();
+        request.insert_header(ATTEMPT_HEADER, &attempt);
         let sent = self
             .client
             .send(addr, request, Pooling::Reuse, self.settings.read_timeout);
         let response = self.watch(addr, Wait::FirstByte, sent).await?;
-        self.notice(addr, &response);
         if response.status() == 200 {
+            self.notice(addr, &response);
             return Ok(Some(response.lines()));
         }
+        if !response.answers(ATTEMPT_HEADER, &attempt) {
+            return Err(SendError::Broken);
+        }
+        self.notice(addr, &response);
         if response.header("x-outcome") == Some("not-run") {
             return Ok(None);
         }
--- a/crates/rw-node/src/plain.rs
+++ b/crates/rw-node/src/plain.rs
@@ -1,6 +1,6 @@
 //! Dispatches a call to a plain service.
 
-use crate::{Shell, payload::Payload, request_state::RequestState};
+use crate::{Shell, attempt::ATTEMPT_HEADER, payload::Payload, request_state::RequestState};
 use rw_core::{AttemptOutcome, Operation, RecordedResponse};
 use rw_http::{Method, Pooling, Request, SendError, Url, raw};
 use rw_types::AttemptId;
@@ -63,7 +63,7 @@
         let response = sent.await?;
         self.notice(addr, &response);
         // A response to another attempt must not reach this caller and says nothing about this one.
-        let echoed = response.header("x-attempt");
+        let echoed = response.header(ATTEMPT_HEADER);
         if echoed.is_some_and(|echo| echo != n.to_string()) {
             return Err(SendError::Broken);
         }
@@ -111,6 +111,6 @@
     if let Some(key) = &state.key {
         request.insert_header("idempotency-key", key.as_str());
     }
-    request.insert_header("x-attempt", n.to_string());
+    request.insert_header(ATTEMPT_HEADER, n.to_string());
     Ok(request)
 }
