--- a/crates/rw-cli/src/relay_settings.rs
+++ b/crates/rw-cli/src/relay_settings.rs
@@ -2,7 +2,9 @@
 
 use crate::{CliError, duty_fields::DutyFields};
 use rw_gate::{GateSettings, TargetSpeeds};
-use rw_relay::{DEFAULT_DIGEST_BYTES_PER_S, PlacementMode, RelaySettings};
+use rw_relay::{
+    DEFAULT_DIGEST_BYTES_PER_S, DEFAULT_PLACEMENT_TIMEOUT, PlacementMode, RelaySettings,
+};
 use serde::Deserialize;
 use std::{fs, net::SocketAddr, time::Duration};
 
@@ -236,6 +238,7 @@
         metrics: file.metrics,
         seeds: file.seeds,
         placement: file.placement.into(),
+        placement_timeout: DEFAULT_PLACEMENT_TIMEOUT,
         connections: connections.max(MIN_CONNECTIONS),
         body_bytes,
         grace: Duration::from_secs_f64(file.grace_s),
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -75,7 +75,7 @@
 pub use membership::{DEFAULT_DIGEST_BYTES_PER_S, Peer, Peers};
 pub use metrics::Metrics;
 pub use named_call::NamedCall;
-pub use placements::PlacementMode;
+pub use placements::{DEFAULT_PLACEMENT_TIMEOUT, PlacementMode};
 pub use registry::{Registry, RegistryRequests, RegistryUpdate, Snapshot, UsageRequest};
 pub use relay::Relay;
 pub use response_end::ResponseEnd;
--- a/crates/rw-relay/src/placements.rs
+++ b/crates/rw-relay/src/placements.rs
@@ -15,8 +15,8 @@
 pub(crate) const SCHEDULE_METHOD: &str = "schedule";
 /// Method of a scheduler's answer.
 pub(crate) const PLACED_METHOD: &str = "placed";
-/// Time to wait for an answer.
-const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(PLACEMENT_TIMEOUT_MS);
+/// Time to wait for the answer of a scheduler, unless the settings name another.
+pub const DEFAULT_PLACEMENT_TIMEOUT: Duration = Duration::from_millis(PLACEMENT_TIMEOUT_MS);
 
 /// How calls are placed in fleets in which a node hears of only some of the others.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -88,7 +88,7 @@
             }
         };
         let expired = async {
-            Timer::after(PLACEMENT_TIMEOUT).await;
+            Timer::after(self.settings.placement_timeout).await;
             None
         };
         match future::or(answered, expired).await {
--- a/crates/rw-relay/src/settings.rs
+++ b/crates/rw-relay/src/settings.rs
@@ -29,6 +29,8 @@
     pub body_bytes: usize,
     /// How calls are placed in large fleets.
     pub placement: PlacementMode,
+    /// Time to wait for the answer of a scheduler.
+    pub placement_timeout: Duration,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
 }
