--- a/crates/rw-node/src/attempt.rs
+++ b/crates/rw-node/src/attempt.rs
@@ -9,10 +9,13 @@
     watch::Wait,
 };
 use rw_core::{AttemptOutcome, Operation};
-use rw_http::{Pooling, SendError, SseLines, post_json};
+use rw_http::{Pooling, SendError, SseLines, StreamPart, post_json};
 use rw_types::AttemptId;
 use serde::{Deserialize, Serialize};
 
+/// Header with the number of the attempt, in requests and in the responses to them.
+pub(crate) const ATTEMPT_HEADER: &str = "x-attempt";
+
 #[derive(Debug, Serialize)]
 struct Generate<'a> {
     attempt: AttemptId,
@@ -130,15 +133,21 @@
             priority,
         };
         let bytes = serde_json::to_vec(&body).map_err(|_| SendError::InvalidAddr)?;
-        let request = post_json(addr, "/generate", bytes)?;
+        let mut request = post_json(addr, "/generate", bytes)?;
+        let attempt = n.to_string();
+        request.insert_header(ATTEMPT_HEADER, &attempt);
         let sent = self
             .client
             .send(addr, request, Pooling::Reuse, self.settings.read_timeout);
         let response = self.watch(addr, Wait::FirstByte, sent).await?;
-        self.notice(addr, &response);
         if response.status() == 200 {
+            self.notice(addr, &response);
             return Ok(Some(response.lines()));
         }
+        if !response.answers(ATTEMPT_HEADER, &attempt) {
+            return Err(SendError::Broken);
+        }
+        self.notice(addr, &response);
         if response.header("x-outcome") == Some("not-run") {
             return Ok(None);
         }
@@ -201,7 +210,7 @@
         return false;
     };
     stream
-        .send(Ok(chunk(state.id, model, *chat, text)))
+        .send(StreamPart::Data(chunk(state.id, model, *chat, text)))
         .await
         .is_ok()
 }
