Responses to HTTP/1.0 have no chunks, and their cut can be seen

Callers of HTTP/1.0 got a stream in the chunked transfer coding, and read the sizes of the chunks as its body: "10\r\nid: 1\ndata: d1\n\n\r\n0\r\n\r\n". With "Expect: 100-continue" they got an interim response, which they read as the response itself.

Cause: the parser kept the version of a request only to decide whether its connection is kept. The writers never learnt it, so that each body of unknown length went out in chunks.

A request head now says whether its caller reads HTTP/1.1. For others, a writer leaves out the coding and closes the connection, whose end is the end of the body. An orderly close would then make a response that is broken off look whole. The socket is therefore set to be reset when it is closed, before the first byte, and set back once the response is whole; that covers an exit of the process as well. Interim responses go to callers of HTTP/1.1 only. Connections of HTTP/1.0 were closed after each response before, also where the caller asks to keep them, and still are. Requests of HTTP/1.1 take one more comparison.

--- a/crates/rw-relay/src/body_writer.rs
+++ b/crates/rw-relay/src/body_writer.rs
@@ -1,10 +1,6 @@
 //! Writes a response's body as it arrives.
 
-use crate::{
-    Framing, ResponseHead, ResponseWriter,
-    response_head::{LAST_CHUNK, push_chunk},
-    response_state::ResponseState,
-};
+use crate::{Framing, ResponseHead, ResponseWriter, response_state::ResponseState};
 use smol::io::AsyncWrite;
 use std::io;
 
@@ -14,7 +10,7 @@
 pub struct BodyWriter<'a, W> {
     out: &'a mut ResponseWriter<W>,
     head: &'a ResponseHead,
-    /// Bytes of the declared length that are due; `None` if the body is written in chunks.
+    /// Bytes of the declared length that are due; `None` if none is declared.
     due: Option<u64>,
     begun: bool,
 }
@@ -41,7 +37,7 @@
     pub async fn write(&mut self, part: &[u8]) -> io::Result<()> {
         let mut bytes = self.head_if_due()?;
         match &mut self.due {
-            None => push_chunk(&mut bytes, part),
+            None => self.out.push_part(&mut bytes, part),
             Some(due) => {
                 let left = due.checked_sub(part.len() as u64);
                 *due = left.ok_or_else(|| self.out.conflict())?;
@@ -59,7 +55,7 @@
     pub async fn finish(mut self) -> io::Result<()> {
         let mut bytes = self.head_if_due()?;
         match self.due {
-            None => bytes.extend_from_slice(LAST_CHUNK),
+            None => self.out.push_end(&mut bytes),
             Some(0) => {}
             Some(_) => return Err(self.out.conflict()),
         }
@@ -78,7 +74,7 @@
         let mut lines = self.out.lines(self.head.status, &self.head.headers);
         match self.due {
             Some(length) => lines.push_length(length),
-            None => lines.push("transfer-encoding", "chunked"),
+            None => self.out.push_coding(&mut lines),
         }
         Ok(lines.into_bytes())
     }
--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -4,6 +4,7 @@
     HeadError,
     io_error::{malformed, truncated},
 };
+use rustix::net::sockopt::set_socket_linger;
 use rw_http::set_keepalive;
 use smol::{
     Async, Timer, future,
@@ -114,6 +115,12 @@
         let _closed_already = self.stream.get_ref().shutdown(how);
     }
 
+    /// Sets whether the connection is reset when it is closed, rather than closed in an orderly way.
+    pub(crate) fn set_reset_on_close(&self, resets: bool) {
+        let linger = resets.then_some(Duration::ZERO);
+        let _closed_already = set_socket_linger(self.stream.get_ref(), linger);
+    }
+
     /// Waits for data; false if the connection ends instead.
     pub(crate) async fn wait_readable(&mut self) -> io::Result<bool> {
         if !self.unread().is_empty() {
--- a/crates/rw-relay/src/event_writer.rs
+++ b/crates/rw-relay/src/event_writer.rs
@@ -1,16 +1,12 @@
 //! Writes the events of a stream.
 
-use crate::{
-    ResponseHead, ResponseWriter,
-    response_head::{LAST_CHUNK, push_chunk},
-    response_state::ResponseState,
-};
+use crate::{ResponseHead, ResponseWriter, response_state::ResponseState};
 use smol::io::AsyncWrite;
 use std::io;
 
 /// Writes complete events of one run: from the beginning of a stream, or on from the last event of the
-/// run before. They are written in chunks, because a declared length doesn't hold once another run goes
-/// on with the stream.
+/// run before. They are written without a declared length, which doesn't hold once another run goes on
+/// with the stream.
 #[derive(Debug)]
 pub struct EventWriter<'a, W> {
     out: &'a mut ResponseWriter<W>,
@@ -29,7 +25,7 @@
     /// The connection failed.
     pub async fn write(&mut self, events: &[u8], last: Option<u64>) -> io::Result<()> {
         let mut bytes = self.head_if_due()?;
-        push_chunk(&mut bytes, events);
+        self.out.push_part(&mut bytes, events);
         self.out.write(&bytes, events.len()).await?;
         let status = self.head.status;
         self.out.put(ResponseState::Events { status, last });
@@ -43,8 +39,8 @@
     /// The connection failed.
     pub async fn finish(mut self, rest: &[u8]) -> io::Result<()> {
         let mut bytes = self.head_if_due()?;
-        push_chunk(&mut bytes, rest);
-        bytes.extend_from_slice(LAST_CHUNK);
+        self.out.push_part(&mut bytes, rest);
+        self.out.push_end(&mut bytes);
         self.out.write(&bytes, rest.len()).await?;
         self.out.put(ResponseState::Complete);
         Ok(())
@@ -58,7 +54,7 @@
             _ => return Err(self.out.conflict()),
         }
         let mut lines = self.out.lines(self.head.status, &self.head.headers);
-        lines.push("transfer-encoding", "chunked");
+        self.out.push_coding(&mut lines);
         Ok(lines.into_bytes())
     }
 }
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -165,7 +165,8 @@
             }
         };
         let waited_ms = self.clock.now().since(headed);
-        if head.header("expect").is_some()
+        if head.is_http_1_1
+            && head.header("expect").is_some()
             && conn
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
                 .await
@@ -217,7 +218,13 @@
         let id = self.next_id();
         let close = !head.keep_alive || self.stopping.get();
         let keep = head.keep_alive;
-        let out = ResponseWriter::new(CallerStream(conn.stream()), &head.method, close);
+        let resets = !head.is_http_1_1;
+        let mut out = ResponseWriter::new(CallerStream(conn.stream()), &head.method, close);
+        if resets {
+            // An orderly close ends a body without a length, also if this process exits.
+            conn.set_reset_on_close(true);
+            out = out.for_http_1_0();
+        }
         let mut progress = ResponseProgress::new(out);
         let call_id = self.dialect.call_id(&head).to_owned();
         let started = self.clock.now();
@@ -251,7 +258,11 @@
         self.metrics.response_ended(end);
         self.log.response_ended(&call, end, out.written());
         self.metrics.call_finished(self.clock.now().since(started));
-        match (completed && out.is_finished(), keep && !out.close) {
+        let is_whole = completed && out.is_finished();
+        if resets && is_whole {
+            conn.set_reset_on_close(false);
+        }
+        match (is_whole, keep && !out.close) {
             (false, _) => AfterRequest::Abort,
             (true, true) => AfterRequest::Keep,
             (true, false) => AfterRequest::Close,
--- a/crates/rw-relay/src/head.rs
+++ b/crates/rw-relay/src/head.rs
@@ -45,6 +45,8 @@
     pub framing: Framing,
     /// Whether the connection may carry another request.
     pub keep_alive: bool,
+    /// Whether the caller reads HTTP/1.1, with chunks and interim responses.
+    pub is_http_1_1: bool,
 }
 
 impl RequestHead {
@@ -73,7 +75,8 @@
             _ => return Err(HeadError::Host),
         };
         let framing = Framing::from_headers(&headers)?.unwrap_or(Framing::Length(0));
-        let keep_alive = version == 1 && !closes_connection(&headers);
+        let is_http_1_1 = version == 1;
+        let keep_alive = is_http_1_1 && !closes_connection(&headers);
         Ok(Self {
             method: method.to_owned(),
             target: target.to_owned(),
@@ -81,6 +84,7 @@
             headers,
             framing,
             keep_alive,
+            is_http_1_1,
         })
     }
 
--- a/crates/rw-relay/src/response_writer.rs
+++ b/crates/rw-relay/src/response_writer.rs
@@ -3,7 +3,7 @@
 use crate::{
     BodyWriter, EventWriter, HeaderField, ResponseEnd, ResponseHead, Written,
     delegation::DelegateNote,
-    response_head::{HeadLines, is_bodyless},
+    response_head::{HeadLines, LAST_CHUNK, is_bodyless, push_chunk},
     response_state::ResponseState,
 };
 use rw_gate::{Delivered, Refusal};
@@ -25,6 +25,8 @@
     pub(crate) close: bool,
     /// Whether the response must have no body, because the request method is HEAD.
     head_only: bool,
+    /// Whether a body of unknown length is written in chunks rather than ended by the connection.
+    chunked: bool,
     state: ResponseState,
     written: Written,
     /// What another node, to which the response goes, must know of it.
@@ -38,12 +40,21 @@
             stream,
             close,
             head_only: method == "HEAD",
+            chunked: true,
             state: ResponseState::Unsent,
             written: Written::default(),
             note: None,
         }
     }
 
+    /// Writes for a caller of HTTP/1.0: without chunks, and on a connection that is closed afterwards.
+    #[must_use]
+    pub fn for_http_1_0(mut self) -> Self {
+        self.close = true;
+        self.chunked = false;
+        self
+    }
+
     /// Sets what the other node must know of a response to a delegated call.
     pub(crate) fn set_note(&mut self, note: Option<DelegateNote>) {
         self.note = note;
@@ -158,6 +169,28 @@
         may_follow.then(|| EventWriter::new(self, head))
     }
 
+    /// Adds the line that declares a body of unknown length, if it is written in chunks.
+    pub(crate) fn push_coding(&self, lines: &mut HeadLines) {
+        if self.chunked {
+            lines.push("transfer-encoding", "chunked");
+        }
+    }
+
+    /// Adds a part of a body of unknown length.
+    pub(crate) fn push_part(&self, bytes: &mut Vec<u8>, part: &[u8]) {
+        match self.chunked {
+            true => push_chunk(bytes, part),
+            false => bytes.extend_from_slice(part),
+        }
+    }
+
+    /// Adds the end of a body of unknown length.
+    pub(crate) fn push_end(&self, bytes: &mut Vec<u8>) {
+        if self.chunked {
+            bytes.extend_from_slice(LAST_CHUNK);
+        }
+    }
+
     pub(crate) fn lines(&self, status: u16, headers: &[HeaderField]) -> HeadLines {
         HeadLines::new(status, headers, self.note.as_ref(), self.close)
     }
