A stall of the node does not make its targets unreachable

Callers got 503 "unreachable" or "overloaded" while all targets but one were sound (endless_parts_of_a_targets_answer_stop_nothing on a busy machine).

Cause, traced in a trial with prints: the node's thread stood for 494 ms with 31 ms of processor time. Then its attempts to connect over loopback were given up at 639 to 642 ms (limit 400 ms), while others of the same moment were found open. The timer and the event of the socket are due together after a stall; the reactor drops an event that a poll already under way has found (async-io compares its ticks), so that the timer comes first. Three targets that fail so make the whole service unreachable, and a probe that times out makes a target crashed.

A time-out for opening connections now consists of four parts, one after the other, so that a stall costs one part and the reactor is polled again before the rest is over. Targets, probes, other nodes and the API use it.

Time-outs of whole exchanges still count stalls.

--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -13,7 +13,7 @@
     notices::Addressee,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::{StreamedResponse, is_streamed},
-    timeout::{timeout, timeout_at},
+    timeout::{running_timeout, timeout, timeout_at},
 };
 use rw_gate::{Delegation, DelegationOutcome, Event, ResponseSource};
 use std::{
@@ -92,7 +92,7 @@
         addr: SocketAddr,
     ) -> io::Result<(Connection, HeadResponse)> {
         let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
-        let opened = timeout(CONNECT_TIMEOUT, Connection::open(addr)).await;
+        let opened = running_timeout(CONNECT_TIMEOUT, Connection::open(addr)).await;
         let mut conn = opened.ok_or_else(timed_out)??;
         let accepted = timeout(ACCEPT_TIMEOUT, async {
             conn.write_all(&delegated_head(call, delegation)).await?;
--- a/crates/rw-relay/src/duties.rs
+++ b/crates/rw-relay/src/duties.rs
@@ -1,8 +1,9 @@
 //! Sends usage reports and size orders to the platform's API.
 
 use crate::{
-    Connection, Dialect, DutyApi, DutyCall, DutyRequest, OrderRequest, Relay, orders::exchange,
-    timeout::timeout,
+    Connection, Dialect, DutyApi, DutyCall, DutyRequest, OrderRequest, Relay,
+    orders::exchange,
+    timeout::{running_timeout, timeout},
 };
 use async_channel::Receiver;
 use rw_gate::{DutyOutcome, DutySubject, Effect, Event};
@@ -135,7 +136,7 @@
             request.body.len()
         );
         let bytes = [head.as_bytes(), &request.body].concat();
-        let Some(Ok(conn)) = timeout(CALL_TIMEOUT, Connection::open(addr)).await else {
+        let Some(Ok(conn)) = running_timeout(CALL_TIMEOUT, Connection::open(addr)).await else {
             self.step(Event::ApiUnreachable);
             return Err(DutyOutcome::NotSent);
         };
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -84,4 +84,5 @@
 pub use settings::RelaySettings;
 pub use sse::EventSplitter;
 pub use stream_error::StreamError;
+pub use timeout::running_timeout;
 pub use written::Written;
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -4,7 +4,7 @@
     BootClock, Connection,
     carried_calls::CallKey,
     target_connection::{OpenCount, TargetConnection},
-    timeout::timeout,
+    timeout::{running_timeout, timeout},
 };
 use rw_types::Millis;
 use smol::Timer;
@@ -100,7 +100,7 @@
         }
         let count = OpenCount::new(count);
         self.opened.set(self.opened.get() + 1);
-        match timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
+        match running_timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
             Some(Ok(connection)) => {
                 let key = (addr, incarnation);
                 Ok(TargetConnection::new(connection, key, count))
@@ -163,7 +163,8 @@
     /// runs.
     pub(crate) async fn is_down(&self, addr: SocketAddr) -> bool {
         for _ in 0..MAX_PROBES {
-            let Some(Ok(mut probe)) = timeout(PROBE_TIMEOUT, Connection::open(addr)).await else {
+            let opened = running_timeout(PROBE_TIMEOUT, Connection::open(addr)).await;
+            let Some(Ok(mut probe)) = opened else {
                 return true;
             };
             if timeout(PROBE_OPEN_TIME, probe.closed()).await.is_none() {
