Orders open connections with a time-out

A target that neither accepted nor refused the connection of an order held the queue of orders for as long as the system tries to connect: no other engine changed its role. The report before it had a time-out, the order's own connection had none. It now has the time-out of the report.

an_order_whose_connection_hangs_does_not_hold_up_the_next_one failed before (no further order in 5 s) and passed in 4 of 4 runs afterwards, in 1.2 s.

--- a/crates/rw-relay/src/orders.rs
+++ b/crates/rw-relay/src/orders.rs
@@ -1,15 +1,19 @@
 //! Sends orders to targets.
 
 use crate::{
-    Connection, Dialect, Relay, RoleOrder, TargetReport, body::BodyReader, head::ResponseHead,
-    io_error::malformed, notices::Addressee, timeout::timeout,
+    Connection, Dialect, Relay, RoleOrder, TargetReport,
+    body::BodyReader,
+    head::ResponseHead,
+    io_error::malformed,
+    notices::Addressee,
+    timeout::{running_timeout, timeout},
 };
 use async_channel::Receiver;
 use rw_gate::{Effect, Event, OrderOutcome, Role};
 use rw_types::Millis;
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-/// Timeout for a target's report, and for its response to an order.
+/// Timeout for a target's report, for the connection of an order, and for the response to it.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of a response head, and of a response body.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
@@ -107,7 +111,8 @@
             request.body.len()
         );
         let bytes = [head.as_bytes(), &request.body].concat();
-        let Ok(conn) = Connection::open(queued.addr).await else {
+        let opened = running_timeout(REQUEST_TIMEOUT, Connection::open(queued.addr)).await;
+        let Some(Ok(conn)) = opened else {
             return OrderOutcome::Refused;
         };
         // Checked directly before sending, because a process that was suspended past `until` must
