Revert "Plain responses of over 256 KiB without a length are passed on"

The two wishes, to pass on long bodies without a length and to give up endless ones at once, need a bound on what is passed on; that is a decision of its own. The test stays as it is.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -12,7 +12,7 @@
     notices::Addressee,
     pool::ConnectError,
     response_progress::{BufferedResponse, ResponseProgress},
-    streaming::{StreamedResponse, hold_body},
+    streaming::{StreamedResponse, is_streamed},
     target_connection::{ActiveConnection, TargetConnection},
     timeout::timeout_at,
 };
@@ -26,7 +26,8 @@
 
 /// Maximum size of a response head.
 pub(crate) const MAX_HEAD_BYTES: usize = 32 << 10;
-/// Maximum response body that is buffered in full. A longer one is streamed.
+/// Maximum response body that is buffered in full. A body with a larger declared length is
+/// streamed.
 pub(crate) const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 /// Maximum number of bytes that are read and dropped before the response to a call: interim responses
 /// and responses to other calls, together.
@@ -140,8 +141,7 @@
         if !metadata.signed {
             return Err(malformed().into());
         }
-        let held = hold_body(conn.connection(), &head, &mut body, dispatch.stream);
-        let Some(full_body) = held.await? else {
+        if is_streamed(&head, dispatch.stream) {
             progress.out.set_note(self.source_note(call));
             let streamed = StreamedResponse {
                 conn: conn.connection(),
@@ -156,7 +156,10 @@
             self.stream_response(call, streamed, progress).await?;
             self.release(conn, &head);
             return Ok(DispatchOutcome::Delivered);
-        };
+        }
+        let full_body = body
+            .read_all(conn.connection(), MAX_BUFFERED_BYTES as usize)
+            .await?;
         let status = head.status;
         self.release(conn, &head);
         progress.buffered = Some(BufferedResponse {
--- a/crates/rw-relay/src/body.rs
+++ b/crates/rw-relay/src/body.rs
@@ -4,7 +4,7 @@
     Connection, HeadError, HeaderField,
     io_error::{malformed, truncated},
 };
-use std::{io, mem};
+use std::io;
 
 /// Maximum length of a chunk-size or trailer line.
 const MAX_LINE_BYTES: usize = 1_024;
@@ -63,8 +63,6 @@
     /// Bytes left for what is neither content nor the digits of chunk sizes.
     extra: usize,
     finished: bool,
-    /// Bytes that were read, and are returned once more.
-    unread: Vec<u8>,
 }
 
 impl BodyReader {
@@ -78,7 +76,6 @@
             remaining,
             extra: MAX_EXTRA_BYTES,
             finished: framing == Framing::Length(0),
-            unread: Vec::new(),
         }
     }
 
@@ -88,9 +85,6 @@
     ///
     /// The connection closed or failed before the body was complete, or the chunks are malformed.
     pub(crate) async fn next(&mut self, conn: &mut Connection) -> io::Result<Option<Vec<u8>>> {
-        if !self.unread.is_empty() {
-            return Ok(Some(mem::take(&mut self.unread)));
-        }
         if self.finished {
             return Ok(None);
         }
@@ -111,31 +105,14 @@
         conn: &mut Connection,
         max: usize,
     ) -> io::Result<Vec<u8>> {
-        let all = self.read_start(conn, max).await?;
-        match all.len() > max {
-            true => Err(io::ErrorKind::FileTooLarge.into()),
-            false => Ok(all),
-        }
-    }
-
-    /// Reads until the end of the body, or until more than `max` bytes are read.
-    pub(crate) async fn read_start(
-        &mut self,
-        conn: &mut Connection,
-        max: usize,
-    ) -> io::Result<Vec<u8>> {
-        let mut start = Vec::new();
-        while start.len() <= max
-            && let Some(bytes) = self.next(conn).await?
-        {
-            start.extend_from_slice(&bytes);
+        let mut all = Vec::new();
+        while let Some(bytes) = self.next(conn).await? {
+            all.extend_from_slice(&bytes);
+            if all.len() > max {
+                return Err(io::ErrorKind::FileTooLarge.into());
+            }
         }
-        Ok(start)
-    }
-
-    /// Takes back bytes that were read last, so that they are returned once more.
-    pub(crate) fn unread(&mut self, bytes: Vec<u8>) {
-        self.unread = bytes;
+        Ok(all)
     }
 
     async fn read_part(&mut self, conn: &mut Connection) -> io::Result<Vec<u8>> {
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -3,7 +3,7 @@
 use super::{DELEGATE_HEADER, DELEGATION_HEADER, DelegateNote, offer::Offer, take_json, to_value};
 use crate::{
     Connection, Dialect, NamedCall, Relay, ResponseHead, ResponseMetadata,
-    attempt::{DEADLINE_GRACE, MAX_HEAD_BYTES},
+    attempt::{DEADLINE_GRACE, MAX_BUFFERED_BYTES, MAX_HEAD_BYTES},
     body::BodyReader,
     call::Call,
     exchange_error::{CallerDisconnected, ExchangeError},
@@ -12,7 +12,7 @@
     message_writer::write_message,
     notices::Addressee,
     response_progress::{BufferedResponse, ResponseProgress},
-    streaming::{StreamedResponse, hold_body},
+    streaming::{StreamedResponse, is_streamed},
     timeout::{running_timeout, timeout, timeout_at},
 };
 use rw_gate::{Delegation, DelegationOutcome, Event, ResponseSource};
@@ -149,8 +149,7 @@
                 status: head.status,
             });
         }
-        let held = hold_body(conn, &head, &mut body, delegation.stream).await?;
-        let Some(full_body) = held else {
+        if is_streamed(&head, delegation.stream) {
             let streamed = StreamedResponse {
                 conn,
                 head,
@@ -166,10 +165,11 @@
             };
             self.stream_response(call, streamed, progress).await?;
             return Ok(DelegationOutcome::Delivered);
-        };
+        }
+        let bytes = body.read_all(conn, MAX_BUFFERED_BYTES as usize).await?;
         progress.buffered = Some(BufferedResponse {
             head,
-            body: full_body,
+            body: bytes,
             note: None,
         });
         Ok(DelegationOutcome::Complete)
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -9,7 +9,6 @@
     response_progress::ResponseProgress,
 };
 use rw_gate::{Event, is_refusal_status};
-use std::io;
 
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -104,34 +103,8 @@
     }
 }
 
-/// Reads a body that is held until it is complete. `None` if it is forwarded as it arrives, because events
-/// are expected or because it is too long to be held.
-///
-/// # Errors
-///
-/// The body broke off, or it is too long and the status promises that the call has not run.
-pub(crate) async fn hold_body(
-    conn: &mut Connection,
-    head: &ResponseHead,
-    body: &mut BodyReader,
-    expects_events: bool,
-) -> io::Result<Option<Vec<u8>>> {
-    if is_streamed(head, expects_events) {
-        return Ok(None);
-    }
-    let start = body.read_start(conn, MAX_BUFFERED_BYTES as usize).await?;
-    if start.len() <= MAX_BUFFERED_BYTES as usize {
-        return Ok(Some(start));
-    }
-    if is_refusal_status(head.status) {
-        return Err(io::ErrorKind::FileTooLarge.into());
-    }
-    body.unread(start);
-    Ok(None)
-}
-
-/// Whether a response is forwarded from its first byte on.
-fn is_streamed(head: &ResponseHead, expects_events: bool) -> bool {
+/// Whether a response is forwarded as it arrives rather than held until it is complete.
+pub(crate) fn is_streamed(head: &ResponseHead, expects_events: bool) -> bool {
     let is_success = (200..300).contains(&head.status);
     match head.framing {
         Framing::Length(0) => false,
