--- a/crates/rw-gate/src/version_record.rs
+++ b/crates/rw-gate/src/version_record.rs
@@ -17,7 +17,7 @@
 pub struct RecordRequest {
     /// The new record.
     pub record: VersionRecord,
-    /// Number of times that the gate had been told the registry's records when it made this one. The
-    /// request is void once they have been read again, as the new record may lack versions.
+    /// Number of reads of the registry's records on which this request is based. The request is void
+    /// after a later read, as the new record may lack versions.
     pub reads: u64,
 }
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -57,9 +57,9 @@
     /// Requests for the lease on the duties of the fleet, each with the highest fencing token that this
     /// node knows. The one that is granted must be higher.
     pub leases: Receiver<u64>,
-    /// Records of software versions to keep. One replaces the one before of the same service if the
-    /// registry has told of the records as often as it says, and no other node has written since;
-    /// otherwise, they are to be told again.
+    /// Records of software versions to keep. Each replaces the previous record of its service if the
+    /// latest read of the records is the one on which the request is based, and no other node has
+    /// written since. Otherwise, the registry reads the records again.
     pub records: Receiver<RecordRequest>,
     /// Requests to read the changes of targets now.
     pub refreshes: Receiver<()>,
