A planned stop leaves no call that it took without an answer

Other operators saw calls that were taken late in the grace of a planned stop, passed on, and cut at its end with no answer, calls that may not be repeated among them.

Cause: the gate learned of the stop only 2.8 s after the signal, when the load balancer has had time to act. Until then a call was admitted however long it may take, and a grace of less than 3.2 s was over before. At the end the process exited with whatever was open.

Change: the gate is told of the stop at the signal, with the time of the exit and that by which the load balancer has acted. Plain calls are admitted by their own time-out from the signal on. A stream, whose length isn't known, begins while the load balancer still sends and most of the time until the exit is left. When the time is over, each open call gets its final answer: the kept response of a target, 503 if no target can have run it, 502 otherwise; a stream that has begun is cut as before. A response that is being written is written on. Duties of the leader end where they did.

planned_stop (platform): 36 callers on kept and new connections, nine kinds of calls, graces of 1.5, 3 and 5 s at a time.

--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -10,11 +10,9 @@
 const DEADLINE_FRACTION: f64 = 0.9;
 /// Safety factor on the wait ahead of a call, in addition to the measured overrun.
 const WAIT_SAFETY_FACTOR: f64 = 2.0;
-/// Time that a response may still take after the deadline of its call, in milliseconds.
-const RESPONSE_MARGIN_MS: u64 = 100;
 /// Retry time in a refusal for a reason that concerns this node alone, in milliseconds. It is short,
 /// because another node can serve the call.
-const OTHER_NODE_RETRY_MS: u64 = 50;
+pub(crate) const OTHER_NODE_RETRY_MS: u64 = 50;
 /// Minimum interval over which callers return after a pause, in milliseconds.
 const MIN_RETURN_SPREAD_MS: u64 = 100;
 /// Maximum retry time named in a refusal, in milliseconds.
@@ -127,14 +125,6 @@
         whole.max(self.part_suspects.refused_ms(now, parts, ttl_ms))
     }
 
-    /// Whether this process may exit before a call on `route` ends, which has `timeout_ms`
-    /// milliseconds. Another node has the time for a stream.
-    fn stops_before(&self, now: Millis, route: &Route, timeout_ms: u64) -> bool {
-        let needed_ms = timeout_ms.saturating_add(RESPONSE_MARGIN_MS);
-        let left_ms = self.shutdown_at.map(|end| end.since(now));
-        left_ms.is_some_and(|left_ms| route.retry_policy.is_stream() || left_ms < needed_ms)
-    }
-
     fn pick_service(&mut self, route: &Route) -> Option<String> {
         let sum: u32 = route.traffic_split.iter().map(|s| s.weight).sum();
         if sum == 0 {
--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -330,7 +330,7 @@
         (local as u32).max(MIN_CONNECTIONS)
     }
 
-    fn release(&mut self, now: Millis, id: RequestId, current: &ActiveDispatch) {
+    pub(crate) fn release(&mut self, now: Millis, id: RequestId, current: &ActiveDispatch) {
         self.report_end(now, id, current, false);
         if let Some(target) = self
             .targets
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -232,11 +232,20 @@
         /// How it ended.
         outcome: OrderOutcome,
     },
-    /// The process shuts down; the load balancer has had time to take it out of rotation.
+    /// The process was told to stop.
     ShuttingDown {
+        /// Time by which the load balancer has taken it out of rotation.
+        drained: Millis,
         /// Time at which the process exits.
         end: Millis,
     },
+    /// The process exits before a call has its final response.
+    CallInterrupted {
+        /// Identifier of the call.
+        id: RequestId,
+        /// What the caller has got by now.
+        delivered: Delivered,
+    },
     /// The settings were reloaded.
     Settings(GateSettings),
     /// A request that belongs to no call was sent to the target at this `ip:port`.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -20,6 +20,7 @@
     rate_limits::Sharers,
     roles::{PEER_TIMEOUT_MS, PeerConnection, Roles},
     scheduling::Scheduling,
+    shutdown::Shutdown,
     sizing::Sizing,
     software_history::SoftwareHistory,
     stream_origins::StreamOrigins,
@@ -99,8 +100,8 @@
     pub(crate) pace_reported: bool,
     /// Placement of calls by schedulers.
     pub(crate) scheduling: Scheduling,
-    /// Time at which this process exits, once it is shutting down.
-    pub(crate) shutdown_at: Option<Millis>,
+    /// The stop of this process, once it was told to.
+    pub(crate) shutdown: Option<Shutdown>,
 }
 
 impl Gate {
@@ -143,7 +144,7 @@
             speeds_due: Millis(0),
             pace_reported: false,
             scheduling: Scheduling::default(),
-            shutdown_at: None,
+            shutdown: None,
             settings,
         }
     }
@@ -231,7 +232,16 @@
             }
             Event::LeaseResult(token) => self.lease_result(now, token, &mut effects),
             Event::OrderEnded { target, outcome } => self.order_ended(now, &target, outcome),
-            Event::ShuttingDown { end } => self.shutdown_at = Some(end),
+            Event::ShuttingDown { drained, end } => {
+                self.shutdown = Some(Shutdown {
+                    begun: now,
+                    drained,
+                    end,
+                });
+            }
+            Event::CallInterrupted { id, delivered } => {
+                self.interrupt_call(now, id, delivered, &mut effects);
+            }
             Event::Settings(settings) => {
                 self.settings = settings;
                 self.reset_fixed_speeds();
@@ -268,6 +278,12 @@
         self.calls.len()
     }
 
+    /// Whether a call has no final response yet.
+    #[must_use]
+    pub fn is_open(&self, id: RequestId) -> bool {
+        self.call_index(id).is_some()
+    }
+
     /// Target and mode of the open dispatch of a call.
     #[must_use]
     pub fn open_dispatch(&self, id: RequestId) -> Option<(&str, &DispatchMode)> {
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -55,6 +55,7 @@
 mod send_window;
 mod served_rates;
 mod settings;
+mod shutdown;
 mod size_plan;
 mod sizing;
 mod software_history;
--- a/crates/rw-gate/src/roles.rs
+++ b/crates/rw-gate/src/roles.rs
@@ -82,7 +82,7 @@
     pub(crate) fn check_roles(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         self.targets.remove_expired(now);
         self.targets.iter_mut().for_each(|t| t.expire_reports(now));
-        if now < self.roles.next_check || self.shutdown_at.is_some() {
+        if now < self.roles.next_check || self.is_drained(now) {
             return;
         }
         self.roles.next_check = now.plus(CHECK_INTERVAL_MS);
--- a/crates/rw-gate/src/sizing.rs
+++ b/crates/rw-gate/src/sizing.rs
@@ -217,7 +217,7 @@
         let own = self.demand_reports(now);
         let vm = self.settings.vm.clone();
         self.fleet_demand.receive(now, &vm, &own);
-        if !self.is_leader(now) || self.shutdown_at.is_some() {
+        if !self.is_leader(now) || self.is_drained(now) {
             return;
         }
         let led_at = self.sizing.led_at.replace(now);
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -11,14 +11,20 @@
 enum NextStep {
     Dispatch(Box<Dispatch>),
     Delegate(Box<Delegation>),
-    Deliver,
-    Refuse(Refusal),
+    Final(FinalResponse),
     /// Wait for a scheduler's answer to the request with this number.
     AwaitPlacement(u32),
     /// The response has been sent to the caller.
     Complete,
 }
 
+/// The response that ends a call.
+enum FinalResponse {
+    /// The complete one of a target that is held.
+    Target,
+    Refusal(Refusal),
+}
+
 impl<D: Dialect> Relay<D> {
     /// Dispatches a call until the gate has a final response to it.
     pub(crate) async fn forward(
@@ -62,31 +68,60 @@
                     self.metrics.delegation_ended(&outcome);
                     next = self.next_step(Event::DelegationEnded { id, outcome });
                 }
-                NextStep::Deliver => {
-                    let Some(full) = progress.buffered.take() else {
-                        return Ok(());
-                    };
-                    progress.out.set_note(full.note);
-                    let sent = progress.out.write_full(&full.head, &full.body).await;
-                    return sent.map_err(|_| CallerDisconnected);
-                }
-                NextStep::Refuse(refusal) => {
-                    self.log.refused(call, &refusal);
-                    self.metrics.refused(refusal.kind);
-                    if call.is_delegated && !progress.out.is_started() {
-                        progress.out.set_note(Some(DelegateNote::refused(&refusal)));
-                    }
-                    return self.refuse(&refusal, &mut progress.out).await;
-                }
                 NextStep::AwaitPlacement(number) => {
                     let event = self.await_placement(id, number).await;
                     next = self.next_step(event);
                 }
+                NextStep::Final(response) => return self.respond(call, response, progress).await,
                 NextStep::Complete => return Ok(()),
             }
         }
     }
 
+    /// Ends a call without waiting for its target, because this process exits.
+    pub(crate) async fn interrupt(
+        &self,
+        call: &Call,
+        progress: &mut ResponseProgress,
+    ) -> Result<(), CallerDisconnected> {
+        progress.out.close = true;
+        let next = self.next_step(Event::CallInterrupted {
+            id: call.id,
+            delivered: progress.out.delivered(),
+        });
+        match next {
+            NextStep::Final(response) => self.respond(call, response, progress).await,
+            _ => Ok(()),
+        }
+    }
+
+    /// Sends the final response to a call.
+    async fn respond(
+        &self,
+        call: &Call,
+        response: FinalResponse,
+        progress: &mut ResponseProgress,
+    ) -> Result<(), CallerDisconnected> {
+        match response {
+            FinalResponse::Target => {
+                let Some(full) = progress.buffered.take() else {
+                    return Ok(());
+                };
+                progress.out.set_note(full.note);
+                let sent = progress.out.write_full(&full.head, &full.body).await;
+                sent.map_err(|_| CallerDisconnected)
+            }
+            FinalResponse::Refusal(refusal) => {
+                self.log.refused(call, &refusal);
+                self.metrics.refused(refusal.kind);
+                if call.is_delegated && !progress.out.is_started() {
+                    progress.out.set_note(Some(DelegateNote::refused(&refusal)));
+                }
+                self.refuse(&refusal, &mut progress.out).await
+            }
+        }
+    }
+
     async fn refuse(
         &self,
         refusal: &Refusal,
@@ -108,8 +143,8 @@
             next = match effect {
                 Effect::Dispatch { dispatch, .. } => NextStep::Dispatch(Box::new(dispatch)),
                 Effect::Delegate { delegation, .. } => NextStep::Delegate(Box::new(delegation)),
-                Effect::Deliver { .. } => NextStep::Deliver,
-                Effect::Refuse { refusal, .. } => NextStep::Refuse(refusal),
+                Effect::Deliver { .. } => NextStep::Final(FinalResponse::Target),
+                Effect::Refuse { refusal, .. } => NextStep::Final(FinalResponse::Refusal(refusal)),
                 Effect::RequestPlacement { number, .. } => NextStep::AwaitPlacement(number),
                 Effect::ReleaseHandle(_)
                 | Effect::PublishDigest
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -7,6 +7,7 @@
     call::Call,
     caller_stream::CallerStream,
     delegation::{EXTRA_HEADER_BYTES, restore_framing},
+    exchange_error::CallerDisconnected,
     request_body::{BodyError, read_body},
     response_progress::ResponseProgress,
     timeout::timeout,
@@ -53,6 +54,14 @@
     Abort,
 }
 
+/// How the work on a call ends.
+enum CallEnd {
+    Answered,
+    Disconnected,
+    /// By the exit of this process.
+    Interrupted,
+}
+
 /// Binds `addr` with a backlog for bursts of connections.
 pub(crate) fn listen(addr: std::net::SocketAddr) -> io::Result<Async<TcpListener>> {
     let listener = Async::<TcpListener>::bind(addr)?;
@@ -239,12 +248,7 @@
             previous: previous.replace(id),
         };
         self.metrics.call_received();
-        let disconnected = async {
-            conn.closed().await;
-            false
-        };
-        let forwarded = async { self.forward(&call, delegated, &mut progress).await.is_ok() };
-        let completed = future::or(forwarded, disconnected).await;
+        let completed = self.answer(conn, &call, delegated, &mut progress).await;
         let out = &progress.out;
         if !completed {
             let gate = self.gate.borrow();
@@ -269,6 +273,39 @@
         }
     }
 
+    /// Answers a call; false if its caller disconnected.
+    async fn answer(
+        &self,
+        conn: &mut Connection,
+        call: &Call,
+        delegated: Option<DelegatedCall>,
+        progress: &mut ResponseProgress,
+    ) -> bool {
+        let disconnected = async {
+            conn.closed().await;
+            CallEnd::Disconnected
+        };
+        let exiting = async {
+            self.exit.raised().await;
+            // A final response is still written.
+            if !self.gate.borrow().is_open(call.id) {
+                future::pending::<()>().await;
+            }
+            CallEnd::Interrupted
+        };
+        let forwarded = async {
+            match self.forward(call, delegated, progress).await {
+                Ok(()) => CallEnd::Answered,
+                Err(CallerDisconnected) => CallEnd::Disconnected,
+            }
+        };
+        match future::or(forwarded, future::or(disconnected, exiting)).await {
+            CallEnd::Answered => true,
+            CallEnd::Disconnected => false,
+            CallEnd::Interrupted => self.interrupt(call, progress).await.is_ok(),
+        }
+    }
+
     async fn reject_head(&self, conn: &Connection, error: HeadError) -> AfterRequest {
         let (status, kind) = match error {
             HeadError::TooLarge => (431, "head-too-large"),
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod event_run;
 mod event_writer;
 mod exchange_error;
+mod exit_signal;
 mod forward;
 mod front;
 mod head;
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -6,6 +6,7 @@
     attempt::MAX_HEAD_BYTES,
     decision_log::DecisionLog,
     duty_queues::DutySenders,
+    exit_signal::ExitSignal,
     io_error::malformed,
     origin_query::OriginQuery,
     placements::{Datagram, PLACED_METHOD, PlacementWaiters, SCHEDULE_METHOD, scheduler_nodes},
@@ -73,6 +74,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Whether idle connections are to be closed.
     pub(crate) close_idle: Cell<bool>,
+    /// Ends the open calls before the process exits.
+    pub(crate) exit: ExitSignal,
     /// Requests whose response is not complete.
     pub(crate) in_flight: Cell<usize>,
     /// Open connections of other nodes that pass on calls.
@@ -137,6 +140,7 @@
             duty_pacer: RefCell::default(),
             stopping: Cell::new(false),
             close_idle: Cell::new(false),
+            exit: ExitSignal::default(),
             in_flight: Cell::new(0),
             delegated: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/rw-relay/src/serve.rs
+++ b/crates/rw-relay/src/serve.rs
@@ -24,8 +24,10 @@
 /// How long after the stop signal new connections may still arrive: the load balancer checks
 /// readiness once a second and acts on the second failed check.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_800);
-/// How long before the end of the grace period the process exits by itself.
+/// How long before the end of the grace period the process ends its work.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// How long calls that are open then may take to be answered.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Interval between checks during shutdown whether all responses are complete.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Interval between prunings of the connection pool.
@@ -239,26 +241,40 @@
 }
 
 /// Reports not ready, serves calls that still arrive, and returns once every response is complete
-/// and every call is collected for a usage report, or the grace period ends.
+/// and every call is collected for a usage report, or the grace period ends. Calls without a response
+/// then get one that says what is known of them.
 async fn drain<D: Dialect>(relay: Rc<Relay<D>>, stop: impl Future<Output = ()>) {
     stop.await;
-    let stop_time = Instant::now();
+    let stopped = Instant::now();
+    let grace = relay.grace.get();
     relay.stopping.set(true);
-    log::info!(busy = relay.in_flight.get(), grace_ms = relay.grace.get().as_millis() as u64; "stopping: not ready, calls in flight continue");
-    Timer::after(DRAIN_DELAY).await;
+    log::info!(busy = relay.in_flight.get(), grace_ms = grace.as_millis() as u64; "stopping: not ready, calls in flight continue");
+    let working = grace.saturating_sub(EXIT_MARGIN);
+    let draining = DRAIN_DELAY.min(working);
+    let now = relay.clock.now();
+    relay.step(Event::ShuttingDown {
+        drained: now.plus(draining.as_millis() as u64),
+        end: now.plus(working.as_millis() as u64),
+    });
+    Timer::after(draining).await;
     relay.close_idle.set(true);
-    let stop_by = stop_time + relay.grace.get().saturating_sub(EXIT_MARGIN);
-    let left = stop_by.saturating_duration_since(Instant::now());
-    let end = relay.clock.now().plus(left.as_millis() as u64);
-    relay.step(Event::ShuttingDown { end });
-    while Instant::now() < stop_by {
+    wait_idle(&relay, stopped + working).await;
+    let unfinished = relay.in_flight.get();
+    relay.exit.raise();
+    wait_idle(&relay, stopped + working + ANSWER_TIME).await;
+    let unanswered = relay.in_flight.get();
+    log::info!(unfinished, unanswered; "stopped");
+    future::yield_now().await;
+}
+
+/// Waits until every response is complete and every call is collected for a usage report, or until
+/// `deadline`.
+async fn wait_idle<D: Dialect>(relay: &Relay<D>, deadline: Instant) {
+    while Instant::now() < deadline {
         let is_idle = relay.in_flight.get() == 0 && relay.connections.get() == 0;
         if is_idle && !relay.gate.borrow().has_uncollected_usage() {
-            break;
+            return;
         }
         Timer::after(DRAIN_POLL).await;
     }
-    let left = relay.in_flight.get();
-    log::info!(unanswered = left; "stopped");
-    future::yield_now().await;
 }
