Plain responses without a declared length are held up to 4 MiB

Callers got 502 for a chunked or unframed response of over 256 KiB that a target had run in full.

Decision: what has no declared length is held until it is complete, up to 4 MiB, and given up as bytes without end beyond that. So nothing of it is written before its end is known: one that breaks off is run again where the route allows it, and is never seen cut. What exceeds 256 KiB takes room from the node's budget for bodies; without room the response counts as broken. A long declared length is streamed as before. A body of over 64 KiB is no longer copied behind its head.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -11,6 +11,7 @@
     io_error::malformed,
     notices::Addressee,
     pool::ConnectError,
+    response_body::read_response_body,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::{StreamedResponse, is_streamed},
     target_connection::{ActiveConnection, TargetConnection},
@@ -26,8 +27,8 @@
 
 /// Maximum size of a response head.
 pub(crate) const MAX_HEAD_BYTES: usize = 32 << 10;
-/// Maximum response body that is buffered in full. A body with a larger declared length is
-/// streamed.
+/// Maximum response body that is buffered in full without room from the node's budget. A body with a
+/// larger declared length is streamed.
 pub(crate) const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 /// Maximum number of bytes that are read and dropped before the response to a call: interim responses
 /// and responses to other calls, together.
@@ -157,14 +158,13 @@
             self.release(conn, &head);
             return Ok(DispatchOutcome::Delivered);
         }
-        let full_body = body
-            .read_all(conn.connection(), MAX_BUFFERED_BYTES as usize)
-            .await?;
+        let held = read_response_body(&mut body, conn.connection(), self.bodies.empty_room());
+        let body = held.await?;
         let status = head.status;
         self.release(conn, &head);
         progress.buffered = Some(BufferedResponse {
             head,
-            body: full_body,
+            body,
             note: self.source_note(call),
         });
         Ok(DispatchOutcome::Complete { status })
--- a/crates/rw-relay/src/body_budget.rs
+++ b/crates/rw-relay/src/body_budget.rs
@@ -76,6 +76,12 @@
         Some(BodyRoom::new(self.clone(), bytes))
     }
 
+    /// Room of no bytes, which can grow.
+    #[must_use]
+    pub fn empty_room(&self) -> BodyRoom {
+        BodyRoom::new(self.clone(), 0)
+    }
+
     /// Reserves `bytes`, and waits for room if there is none. Dropping the future leaves the queue.
     pub async fn reserve(&self, bytes: usize) -> BodyRoom {
         if let Some(room) = self.try_reserve(bytes) {
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -3,7 +3,7 @@
 use super::{DELEGATE_HEADER, DELEGATION_HEADER, DelegateNote, offer::Offer, take_json, to_value};
 use crate::{
     Connection, Dialect, NamedCall, Relay, ResponseHead, ResponseMetadata,
-    attempt::{DEADLINE_GRACE, MAX_BUFFERED_BYTES, MAX_HEAD_BYTES},
+    attempt::{DEADLINE_GRACE, MAX_HEAD_BYTES},
     body::BodyReader,
     call::Call,
     exchange_error::{CallerDisconnected, ExchangeError},
@@ -11,6 +11,7 @@
     io_error::malformed,
     message_writer::write_message,
     notices::Addressee,
+    response_body::read_response_body,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::{StreamedResponse, is_streamed},
     timeout::{running_timeout, timeout, timeout_at},
@@ -166,10 +167,10 @@
             self.stream_response(call, streamed, progress).await?;
             return Ok(DelegationOutcome::Delivered);
         }
-        let bytes = body.read_all(conn, MAX_BUFFERED_BYTES as usize).await?;
+        let held = read_response_body(&mut body, conn, self.bodies.empty_room());
         progress.buffered = Some(BufferedResponse {
             head,
-            body: bytes,
+            body: held.await?,
             note: None,
         });
         Ok(DelegationOutcome::Complete)
--- a/crates/rw-relay/src/forward.rs
+++ b/crates/rw-relay/src/forward.rs
@@ -108,7 +108,7 @@
                     return Ok(());
                 };
                 progress.out.set_note(full.note);
-                let sent = progress.out.write_full(&full.head, &full.body).await;
+                let sent = progress.out.write_full(&full.head, &full.body.bytes).await;
                 sent.map_err(|_| CallerDisconnected)
             }
             FinalResponse::Refusal(refusal) => {
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod registry;
 mod relay;
 mod request_body;
+mod response_body;
 mod response_end;
 mod response_head;
 mod response_progress;
--- a/crates/rw-relay/src/response_progress.rs
+++ b/crates/rw-relay/src/response_progress.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     Framing, ResponseHead, ResponseWriter, caller_stream::CallerStream, delegation::DelegateNote,
+    response_body::HeldBody,
 };
 
 /// A response received in full.
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
     pub(crate) head: ResponseHead,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: HeldBody,
     /// What another node, to which the response goes, must know of it.
     pub(crate) note: Option<DelegateNote>,
 }
--- a/crates/rw-relay/src/response_writer.rs
+++ b/crates/rw-relay/src/response_writer.rs
@@ -13,6 +13,9 @@
 /// 304 Not Modified: the response that the caller has is still valid.
 const NOT_MODIFIED: u16 = 304;
 
+/// Maximum size of a body that is copied behind its head, to be written with it.
+const MAX_COPIED_BYTES: usize = 64 << 10;
+
 /// Writes the one response to a call, over all runs of the call.
 ///
 /// Each method takes the state, and puts the next one back once its bytes are written: a second head or
@@ -229,8 +232,13 @@
     async fn write_whole(&mut self, lines: HeadLines, body: &[u8]) -> io::Result<()> {
         self.begin(Some(body.len() as u64))?;
         let mut bytes = lines.into_bytes();
-        bytes.extend_from_slice(body);
-        self.write(&bytes, body.len()).await?;
+        if body.len() > MAX_COPIED_BYTES {
+            self.write(&bytes, 0).await?;
+            self.write(body, body.len()).await?;
+        } else {
+            bytes.extend_from_slice(body);
+            self.write(&bytes, body.len()).await?;
+        }
         self.put(ResponseState::Complete);
         Ok(())
     }
