--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -232,7 +232,7 @@
         /// How it ended.
         outcome: OrderOutcome,
     },
-    /// The process was told to stop.
+    /// A stop of the process was requested.
     ShuttingDown {
         /// Time by which the load balancer has taken it out of rotation.
         drained: Millis,
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -100,7 +100,7 @@
     pub(crate) pace_reported: bool,
     /// Placement of calls by schedulers.
     pub(crate) scheduling: Scheduling,
-    /// The stop of this process, once it was told to.
+    /// The stop of this process, once it was requested.
     pub(crate) shutdown: Option<Shutdown>,
 }
 
--- a/crates/rw-gate/src/shutdown.rs
+++ b/crates/rw-gate/src/shutdown.rs
@@ -12,9 +12,9 @@
 /// Times of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Shutdown {
-    /// Time at which the process was told to stop.
+    /// Time at which the stop was requested.
     pub(crate) begun: Millis,
-    /// Time by which the load balancer has taken it out of rotation.
+    /// Time by which the load balancer has taken the process out of rotation.
     pub(crate) drained: Millis,
     /// Time at which it exits.
     pub(crate) end: Millis,
