--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -57,6 +57,7 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -123,20 +124,33 @@
             );
             let path = self.folder.join(format!("{name}.toml"));
             std::fs::write(&path, settings).map_err(|e| e.to_string())?;
-            let log = File::create(self.folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
-            let errors = log.try_clone().map_err(|e| e.to_string())?;
-            let child = Command::new("target/release/redwingweir")
-                .args(["relay", "--settings"])
-                .arg(&path)
-                .stdin(Stdio::null())
-                .stdout(log)
-                .stderr(errors)
-                .spawn()
-                .map_err(|e| format!("target/release/redwingweir doesn't start: {e}"))?;
+            let child = spawn(&path)?;
             self.record.note(&format!("{name} starts, front {front}, store at {store}"));
             let parse = |text: &str| text.parse().expect("an address");
-            self.machines.push(Machine { name, front: parse(&front), ready: parse(&ready), child });
+            self.machines.push(Machine { name, front: parse(&front), ready: parse(&ready), settings: path, child });
         }
+        self.wait_ready()
+    }
+
+    /// Kills all machines.
+    pub fn kill_all(&mut self) {
+        for machine in &mut self.machines {
+            let _ = machine.child.kill();
+            let _ = machine.child.wait();
+        }
+        self.record.note("all machines lose power");
+    }
+
+    /// Starts all machines again.
+    pub fn restart_all(&mut self) -> Result<(), String> {
+        for machine in &mut self.machines {
+            machine.child = spawn(&machine.settings)?;
+        }
+        self.record.note("all machines start again");
+        self.wait_ready()
+    }
+
+    fn wait_ready(&self) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(20);
         while !self.machines.iter().all(|m| is_ready(m.ready)) {
             if Instant::now() > until {
@@ -155,6 +169,21 @@
     }
 }
 
+/// Starts the program as the deploy file does, with its log beside its settings.
+fn spawn(settings: &Path) -> Result<Child, String> {
+    let path = settings.with_extension("log");
+    let log = File::options().create(true).append(true).open(path).map_err(|e| e.to_string())?;
+    let errors = log.try_clone().map_err(|e| e.to_string())?;
+    Command::new("target/release/redwingweir")
+        .args(["relay", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn()
+        .map_err(|e| format!("target/release/redwingweir doesn't start: {e}"))
+}
+
 fn is_ready(addr: SocketAddr) -> bool {
     let answered = || -> Option<u16> {
         let mut conn = http::Conn::open(addr, Duration::from_millis(500)).ok()?;
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -85,6 +85,20 @@
         Copy { version: state.version, rows: state.rows.clone() }
     }
 
+    /// The number of its first era.
+    pub fn begin_in_era(&self, era: u64) {
+        self.lock().era = era;
+    }
+
+    /// Other writers' transactions, which concern no table of these cases, use up versions.
+    pub fn use_versions(&self, count: u64) {
+        self.lock().version += count;
+    }
+
+    pub fn version(&self) -> u64 {
+        self.lock().version
+    }
+
     /// The store goes away: its connections end.
     pub fn leave(&self) {
         self.lock().is_away = true;
