--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The store comes back from a copy from before a runner left.
+# The store loses one answer, which tells a machine of a new configuration.
 # From the repository's root, after the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/lab drill-brings-back-a-leaver "review/8"
+exec target/review-2/lab lost-config-answer "review/8"
