--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -24,6 +24,7 @@
         "drill-brings-back-a-leaver" => drill_brings_back_a_leaver(lab),
         "slow-reader" => slow_reader(lab),
         "era-from-zero" => era_from_zero(lab),
+        "memory-of-slow-readers" => memory_of_slow_readers(lab),
         "streams-of-a-lost-machine" => streams_of_a_lost_machine(lab),
         _ => Err(format!("there is no case {case}")),
     }
@@ -662,3 +663,37 @@
         }
     }
 }
+
+/// Many clients read streams slowly at one machine; the platform ends a process over its memory.
+fn memory_of_slow_readers(lab: &mut Lab) -> Result<bool, String> {
+    const CLIENTS: usize = 1_400;
+    let record = lab.record.clone();
+    for i in 1..=8 {
+        Runner::start(&record, &lab.store, &format!("i-llm-{i}"), "scores");
+    }
+    let text = config(7, &[("/score/", "streaming", "scores"), ("/stock/", "idempotent", "scores")], &["scores"]);
+    let text = text.replace(
+        "\"timeout-ms\":1000,\"target-latency-ms\":100",
+        "\"timeout-ms\":8000,\"target-latency-ms\":500,\"target-gap-ms\":250",
+    );
+    let text = text.replace("\"max-connections\":110", "\"max-connections\":580");
+    lab.store.put("op", "config", &text);
+    lab.sheet = UBT;
+    lab.start(1)?;
+    thread::sleep(Duration::from_millis(500));
+    let (front, trouble) = (lab.machines[0].front, lab.trouble);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let record = record.clone();
+            thread::spawn(move || slow_client(&record, front, trouble))
+        })
+        .collect();
+    let ends: Vec<Option<usize>> = clients.into_iter().map(|c| c.join().unwrap_or(None)).collect();
+    let status = std::fs::read_to_string(format!("/proc/{}/status", lab.machines[0].pid()));
+    let status = status.map_err(|e| e.to_string())?;
+    let peak = status.lines().find(|l| l.starts_with("VmHWM")).unwrap_or_default().to_owned();
+    let began = ends.iter().flatten().count();
+    record.note(&format!("{began} of {CLIENTS} streams began; peak memory of the node: {peak}"));
+    let kb: u64 = peak.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0);
+    Ok(kb > 160_000)
+}
