--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 use crate::{
-    Lab, Record, UBT,
+    KHABAR, Lab, Record, UBT,
     http::{self, Conn, Message, response},
     json::Json,
     store::Store,
@@ -547,13 +547,14 @@
         "\"timeout-ms\":10000,\"target-latency-ms\":300,\"target-gap-ms\":200,\"resumable\":true",
     );
     lab.store.put("op", "config", &text);
-    lab.start(3)?;
+    lab.sheet = KHABAR;
+    lab.start(6)?;
     thread::sleep(Duration::from_millis(4_000));
     let fronts: Vec<SocketAddr> = lab.machines.iter().map(|m| m.front).collect();
     let clients: Vec<_> = (0..16)
         .map(|i| {
-            let (record, first, second) = (record.clone(), fronts[0], fronts[1 + i % 2]);
-            let third = fronts[2 - i % 2];
+            let (record, first, second) = (record.clone(), fronts[0], fronts[1 + i % 5]);
+            let third = fronts[1 + (i + 1) % 5];
             thread::spawn(move || take_stream(&record, [first, second, third]))
         })
         .collect();
@@ -571,7 +572,7 @@
     // New streams, at the machines that stay.
     let fresh: Vec<_> = (0..16)
         .map(|i| {
-            let (record, front) = (record.clone(), fronts[1 + i % 2]);
+            let (record, front) = (record.clone(), fronts[1 + i % 5]);
             thread::sleep(Duration::from_millis(100));
             thread::spawn(move || take_stream(&record, [front; 3]))
         })
--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -47,6 +47,9 @@
 /// Settings of `sites/nilebell-hq.toml`.
 pub const NILEBELL: &str = "descriptors = 4100\nlink-mbps = 1000.0\nmemory-mb = 260\ngrace-s = 8\n\
     drain-ms = 2000\nretry-ratio = 0.2\nretry-slack = 56\nretry-window-s = 10\n";
+/// Settings of `sites/khabar-saar.toml`.
+pub const KHABAR: &str = "descriptors = 4200\nlink-mbps = 1000.0\nmemory-mb = 260\ngrace-s = 8\n\
+    drain-ms = 2000\nretry-ratio = 0.2\nretry-slack = 52\nretry-window-s = 10\n";
 /// Settings of `demands/ubt-lending-grown.toml`.
 pub const UBT: &str = "descriptors = 4100\nlink-mbps = 200.0\nmemory-mb = 160\ngrace-s = 8\n\
     drain-ms = 3000\nretry-ratio = 0.2\nretry-slack = 196\nretry-window-s = 10\n\
