--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -95,9 +95,9 @@
         return 0;
     };
     let _ = out.set_nodelay(true);
-    let _ = out.set_read_timeout(Some(Duration::from_secs(6)));
+    let _ = out.set_read_timeout(Some(Duration::from_secs(10)));
     let request = format!(
-        "POST /brief/{name} HTTP/1.1\r\nHost: a.example\r\nRedwingweir-Attempt-Id: {call}\r\nRedwingweir-Deadline-Ms: 6000\r\n{resumes}Content-Length: {}\r\n\r\n{name}",
+        "POST /brief/{name} HTTP/1.1\r\nHost: a.example\r\nRedwingweir-Attempt-Id: {call}\r\nRedwingweir-Deadline-Ms: 10000\r\n{resumes}Content-Length: {}\r\n\r\n{name}",
         name.len()
     );
     if out.write_all(request.as_bytes()).is_err() {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,7 +5,6 @@
 mod ends;
 mod http;
 mod node;
-mod readers;
 mod record;
 mod runner;
 mod stalls;
@@ -26,7 +25,6 @@
     let play = match case.as_str() {
         "outage" => upgrades::play_outage,
         "copy" => upgrades::play_copy,
-        "readers" => readers::play,
         "stalls" => stalls::play,
         "ends" => ends::play,
         _ => exit(2),
--- a/review/standins-3/node.rs
+++ b/review/standins-3/node.rs
@@ -43,7 +43,7 @@
     let start = |(n, a): (usize, &[SocketAddr; 5])| {
         let name = format!("frontend-a-{}", n + 1);
         let text = format!(
-            "vm = \"{name}\"\ncentre = \"zone-a\"\nfront = \"{}\"\nready = \"{}\"\ncontrol = \"{}\"\ndigests = \"{}\"\nmetrics = \"{}\"\nseeds = [{}]\nstore = \"{store}\"\ndescriptors = 4100\nlink-mbps = 1000.0\nmemory-mb = 260\ngrace-s = 8\ndrain-ms = 2000\nretry-ratio = 0.2\nretry-slack = 56\nretry-window-s = 10\n",
+            "vm = \"{name}\"\ncentre = \"zone-a\"\nfront = \"{}\"\nready = \"{}\"\ncontrol = \"{}\"\ndigests = \"{}\"\nmetrics = \"{}\"\nseeds = [{}]\nstore = \"{store}\"\ndescriptors = 4200\nlink-mbps = 1000.0\nmemory-mb = 260\ngrace-s = 8\ndrain-ms = 2000\nretry-ratio = 0.2\nretry-slack = 52\nretry-window-s = 10\n",
             a[0],
             a[1],
             a[2],
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -17,9 +17,6 @@
 pub const EVENTS: u64 = 60;
 pub const GAP: Duration = Duration::from_millis(50);
 
-/// Bytes of a large answer.
-const LARGE: usize = 240_000;
-
 #[derive(Debug)]
 struct Life {
     /// Number of the incarnation; none is running if it is odd.
@@ -179,19 +176,13 @@
             return respond(out, "421 Misdirected Request", &headers, b"");
         }
         if !request.word(1).starts_with("/brief/") {
-            let size = if request.word(1).ends_with("large") {
-                LARGE
-            } else {
-                800
-            };
-            self.record
-                .note(&format!("runner {} runs {call}, {size} bytes", self.id));
+            self.record.note(&format!("runner {} runs {call}", self.id));
             thread::sleep(Duration::from_millis(15));
             let headers = format!(
                 "Redwingweir-Attempt-Id: {call}\r\nRedwingweir-Server-Signature: {}.{call}\r\n",
                 self.id
             );
-            return respond(out, "200 OK", &headers, &vec![b'x'; size]);
+            return respond(out, "200 OK", &headers, &[b'x'; 800]);
         }
         let after = request.header("last-event-id").unwrap_or("0");
         let after: u64 = after.parse().unwrap_or(0);
--- a/review/standins-3/stalls.rs
+++ b/review/standins-3/stalls.rs
@@ -14,14 +14,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-brief","hostname":"a.example","prefix":"/brief/","kind":"streaming","timeout-ms":6000,"target-latency-ms":250,"priority":1,"service":"writer","max-attempts":2,"resumable":true,"target-gap-ms":250},{"name":"r-trade","hostname":"a.example","prefix":"/trade/","kind":"non_idempotent","timeout-ms":1000,"target-latency-ms":100,"priority":2,"service":"trades","max-attempts":1}],"services":[{"name":"writer","health-check-path":"/health","max-connections":300,"protocol":"h1","tls":false},{"name":"trades","health-check-path":"/health","max-connections":110,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
-/// Time-out of the route of trades.
-const TIMEOUT: Duration = Duration::from_millis(1_000);
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-brief","hostname":"a.example","prefix":"/brief/","kind":"streaming","timeout-ms":10000,"target-latency-ms":300,"priority":1,"service":"writer","max-attempts":2,"resumable":true,"target-gap-ms":200},{"name":"r-alert","hostname":"a.example","prefix":"/alert/","kind":"non_idempotent","timeout-ms":1500,"target-latency-ms":100,"priority":2,"service":"alerts","max-attempts":1}],"services":[{"name":"writer","health-check-path":"/health","max-connections":360,"protocol":"h1","tls":false},{"name":"alerts","health-check-path":"/health","max-connections":96,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+/// Time-out of the route of alerts.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which an answer that is still due breaks the rule.
 const SLACK: Duration = Duration::from_millis(500);
-/// Clients that read streams, and clients that trade.
-const CLIENTS: usize = 120;
-const TRADERS: usize = 10;
+/// Clients that read streams, and clients that send alerts.
+const CLIENTS: usize = 140;
+const SENDERS: usize = 10;
 /// Share of the answers that are spoiled, in percent, and number of runners of four that do it.
 const SPOILED: u64 = 5;
 const SPOILERS: usize = 2;
@@ -37,7 +37,7 @@
     store.write("op", "config", Some(CONFIG));
     let start = |n: usize, service| Runner::start(&format!("i-{n}"), service, &store, record);
     let writers: Vec<Runner> = (1..=4).map(|n| start(n, "writer")).collect();
-    let _traders: Vec<Runner> = (5..=7).map(|n| start(n, "trades")).collect();
+    let _alerters: Vec<Runner> = (5..=7).map(|n| start(n, "alerts")).collect();
     let Some(nodes) = start_ready(2, store.addr, work) else {
         record.note("the nodes are not ready");
         return 2;
@@ -47,14 +47,14 @@
     let took = Arc::new(Mutex::new(Vec::<(Duration, bool)>::new()));
     let mut clients = Vec::new();
     let crowd = Crowd::start(CLIENTS, Duration::from_millis(25), &nodes, record);
-    for c in 0..TRADERS {
+    for c in 0..SENDERS {
         let (ending, record) = (ending.clone(), record.clone());
         let (front, took) = (fronts[c % 2], took.clone());
         clients.push(thread::spawn(move || {
             let mut n = 0;
             while !ending.load(Ordering::Relaxed) {
                 n += 1;
-                let result = trade(&format!("{:04x}{n:04x}", 0xf000 + c), front, &record);
+                let result = alert(&format!("{:04x}{n:04x}", 0xf000 + c), front, &record);
                 took.lock().unwrap().push(result);
                 thread::sleep(Duration::from_millis(250));
             }
@@ -82,7 +82,7 @@
         .count();
     let longest = took.iter().map(|(t, _)| *t).max().unwrap_or_default();
     record.note(&format!(
-        "{} trades, {} unanswered at their time-out, {unanswered} of them half a second later; the longest took {} ms",
+        "{} alerts, {} unanswered at their time-out, {unanswered} of them half a second later; the longest took {} ms",
         took.len(), late.len(), longest.as_millis()
     ));
     i32::from(unanswered >= MIN_UNANSWERED && unanswered * 4 > late.len())
@@ -96,13 +96,13 @@
     }
 }
 
-/// Sends a trade; returns how long it took, and whether an answer came at all.
-fn trade(call: &str, front: SocketAddr, record: &Record) -> (Duration, bool) {
+/// Sends an alert; returns how long it took, and whether an answer came at all.
+fn alert(call: &str, front: SocketAddr, record: &Record) -> (Duration, bool) {
     let begun = Instant::now();
     let status = ask(call, front).unwrap_or(0);
     let took = begun.elapsed();
     record.note(&format!(
-        "trade {call} to {front}: status {status} after {} ms",
+        "alert {call} to {front}: status {status} after {} ms",
         took.as_millis()
     ));
     (took, status > 0)
@@ -111,9 +111,9 @@
 fn ask(call: &str, front: SocketAddr) -> Option<u16> {
     let mut out = TcpStream::connect(front).ok()?;
     out.set_nodelay(true).ok()?;
-    out.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
+    out.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
     let request = format!(
-        "POST /trade/{call} HTTP/1.1\r\nHost: a.example\r\nRedwingweir-Attempt-Id: {call}\r\nRedwingweir-Deadline-Ms: 1000\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{call}",
+        "POST /alert/{call} HTTP/1.1\r\nHost: a.example\r\nRedwingweir-Attempt-Id: {call}\r\nRedwingweir-Deadline-Ms: 1500\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{call}",
         call.len()
     );
     out.write_all(request.as_bytes()).ok()?;
--- a/review/standins-3/upgrades.rs
+++ b/review/standins-3/upgrades.rs
@@ -13,7 +13,7 @@
 /// Streams that hold events of two software versions, above which the rule is broken.
 const ALLOWED: usize = 2;
 const CLIENTS: usize = 60;
-pub const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-brief","hostname":"a.example","prefix":"/brief/","kind":"streaming","timeout-ms":6000,"target-latency-ms":250,"priority":1,"service":"writer","max-attempts":2,"resumable":true,"target-gap-ms":250}],"services":[{"name":"writer","health-check-path":"/health","max-connections":300,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+pub const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-brief","hostname":"a.example","prefix":"/brief/","kind":"streaming","timeout-ms":10000,"target-latency-ms":300,"priority":1,"service":"writer","max-attempts":2,"resumable":true,"target-gap-ms":200}],"services":[{"name":"writer","health-check-path":"/health","max-connections":360,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
 
 /// Two of four runners get the new software while the store is busy.
 pub fn play_outage(work: &Path, has_trouble: bool, record: &Record) -> i32 {
