--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -14,7 +14,11 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex, mpsc},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+        mpsc,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -89,8 +93,20 @@
     }
 }
 
+/// A free port below those that the system gives to outgoing connections, so that none of them takes it
+/// before the machine does.
 fn free_port() -> u16 {
-    http::listen().1.port()
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    loop {
+        let n = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = (FIRST + n % COUNT) as u16;
+        if std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// A port that is free for TCP and UDP.
--- a/review/standins-3/node.rs
+++ b/review/standins-3/node.rs
@@ -6,6 +6,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -113,9 +114,20 @@
     Path::new(&root).join("target/release/redwingweir")
 }
 
+/// A free port below those that the system gives to outgoing connections, so that none of them takes it
+/// before the node does.
 fn tcp_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    loop {
+        let n = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = (FIRST + n % COUNT) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 /// A port that is free for TCP and UDP.
