Look at each byte of an event and of a chunked body once

Cause: all tasks of a node share one thread. EventSplitter searched an event from its start for each chunk (34 GB looked at for 256 KiB), and copied the rest of its buffer for each event. A chunk was returned alone and passed on with a system call of its own, 5,461 of them in one turn of 32 KiB.

Change: the splitter goes on where it stopped; ChunkDecoder replaces read_line in BodyReader, sees each byte once and returns together what has arrived in small chunks; a connection gives way after 32 KiB or a millisecond, with one ReadTurn for rw-http and rw-relay.

Seen to fail before: the splitter's test took 137 s (bound 2 s, debug build); in single_bytes, other calls beside endless events had no answer.

--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -29,6 +29,7 @@
 pub use keepalive::set_keepalive;
 pub use limits::Limits;
 pub use listen::{Listener, read_body};
+pub use read_turn::ReadTurn;
 pub use respond::{StreamPart, event_stream, json, raw, status_code};
 pub use retry_after::RetryAfter;
 pub use sse::SseLines;
--- a/crates/rw-relay/src/body.rs
+++ b/crates/rw-relay/src/body.rs
@@ -1,20 +1,13 @@
 //! Reads message bodies incrementally.
 
 use crate::{
-    Connection, HeadError, HeaderField,
+    ChunkDecoder, Connection, HeadError, HeaderField,
     io_error::{malformed, truncated},
 };
 use std::io;
 
-/// Maximum length of a chunk-size or trailer line.
-const MAX_LINE_BYTES: usize = 1_024;
-/// Length of a chunk-size line that doesn't count towards [`MAX_EXTRA_BYTES`]: the digits of the highest
-/// size.
-const SIZE_DIGITS: usize = 16;
-const LINE_END: &[u8] = b"\r\n";
-/// Maximum number of bytes of a chunked body that are neither its content nor the digits of chunk sizes:
-/// extensions, leading zeros and trailers together.
-const MAX_EXTRA_BYTES: usize = 16 << 10;
+/// Maximum number of bytes of a chunked body that are decoded at once.
+const DECODED_BYTES: usize = 4 << 10;
 
 /// How the end of a message body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,47 +49,59 @@
 
 /// Reads one body from a connection.
 #[derive(Debug)]
-pub(crate) struct BodyReader {
-    framing: Framing,
-    /// Bytes left of the declared length or of the current chunk.
-    remaining: u64,
-    /// Bytes left for what is neither content nor the digits of chunk sizes.
-    extra: usize,
-    finished: bool,
+pub(crate) struct BodyReader(BodyState);
+
+#[derive(Debug)]
+enum BodyState {
+    /// Bytes left of the declared length.
+    Length(u64),
+    Chunked(ChunkDecoder),
+    Close,
+    Ended,
 }
 
 impl BodyReader {
     pub(crate) fn new(framing: Framing) -> Self {
-        let remaining = match framing {
-            Framing::Length(n) => n,
-            _ => 0,
-        };
-        Self {
-            framing,
-            remaining,
-            extra: MAX_EXTRA_BYTES,
-            finished: framing == Framing::Length(0),
-        }
+        Self(match framing {
+            Framing::Length(0) => BodyState::Ended,
+            Framing::Length(n) => BodyState::Length(n),
+            Framing::Chunked => BodyState::Chunked(ChunkDecoder::default()),
+            Framing::Close => BodyState::Close,
+        })
     }
 
-    /// Returns the next bytes, or `None` at the end of a complete body.
+    /// Returns the next bytes, or `None` at the end of a complete body. Small chunks that have
+    /// arrived together are returned together.
     ///
     /// # Errors
     ///
     /// The connection closed or failed before the body was complete, or the chunks are malformed.
     pub(crate) async fn next(&mut self, conn: &mut Connection) -> io::Result<Option<Vec<u8>>> {
-        if self.finished {
-            return Ok(None);
-        }
-        match self.framing {
-            Framing::Length(_) => self.read_part(conn).await.map(Some),
-            Framing::Chunked => self.next_chunk(conn).await,
-            Framing::Close => {
+        let (bytes, has_ended) = match &mut self.0 {
+            BodyState::Ended => (Vec::new(), true),
+            BodyState::Length(left) => {
+                let max = usize::try_from(*left).unwrap_or(usize::MAX);
+                let bytes = conn.read_some(max).await?;
+                if bytes.is_empty() {
+                    return Err(truncated());
+                }
+                *left -= bytes.len() as u64;
+                (bytes, *left == 0)
+            }
+            BodyState::Chunked(decoder) => {
+                let bytes = next_chunks(decoder, conn).await?;
+                (bytes.unwrap_or_default(), decoder.has_ended())
+            }
+            BodyState::Close => {
                 let bytes = conn.read_some(usize::MAX).await?;
-                self.finished = bytes.is_empty();
-                Ok((!self.finished).then_some(bytes))
+                let has_ended = bytes.is_empty();
+                (bytes, has_ended)
             }
+        };
+        if has_ended {
+            self.0 = BodyState::Ended;
         }
+        Ok((!bytes.is_empty()).then_some(bytes))
     }
 
     /// Reads the full body; one over `max` bytes fails with `FileTooLarge`.
@@ -114,53 +119,29 @@
         }
         Ok(all)
     }
+}
 
-    async fn read_part(&mut self, conn: &mut Connection) -> io::Result<Vec<u8>> {
-        let max = usize::try_from(self.remaining).unwrap_or(usize::MAX);
-        let bytes = conn.read_some(max).await?;
-        if bytes.is_empty() {
-            return Err(truncated());
-        }
-        self.remaining -= bytes.len() as u64;
-        if self.framing != Framing::Chunked {
-            self.finished = self.remaining == 0;
+/// Returns the content of the next chunks, or `None` at the end of the body.
+async fn next_chunks(
+    decoder: &mut ChunkDecoder,
+    conn: &mut Connection,
+) -> io::Result<Option<Vec<u8>>> {
+    loop {
+        if let Some(bytes) = decoder.take() {
+            return Ok(Some(bytes));
         }
-        Ok(bytes)
-    }
-
-    async fn next_chunk(&mut self, conn: &mut Connection) -> io::Result<Option<Vec<u8>>> {
-        if self.remaining == 0 {
-            let line = conn.read_line(MAX_LINE_BYTES).await?;
-            self.spend_extra(line.len().saturating_sub(SIZE_DIGITS))?;
-            let size = line.split(|b| *b == b';').next().unwrap_or_default();
-            let size = std::str::from_utf8(size).map_err(|_| malformed())?.trim();
-            let is_hex = !size.is_empty() && size.bytes().all(|b| b.is_ascii_hexdigit());
-            if !is_hex {
-                return Err(malformed());
-            }
-            self.remaining = u64::from_str_radix(size, 16).map_err(|_| malformed())?;
-            if self.remaining == 0 {
-                // Trailers are read and not forwarded.
-                loop {
-                    let line = conn.read_line(MAX_LINE_BYTES).await?;
-                    if line.is_empty() {
-                        break;
-                    }
-                    self.spend_extra(line.len() + LINE_END.len())?;
-                }
-                self.finished = true;
-                return Ok(None);
-            }
+        if decoder.has_ended() {
+            return Ok(None);
         }
-        let bytes = self.read_part(conn).await?;
-        if self.remaining == 0 && !conn.read_line(MAX_LINE_BYTES).await?.is_empty() {
+        if decoder.is_malformed() {
             return Err(malformed());
         }
-        Ok(Some(bytes))
-    }
-
-    fn spend_extra(&mut self, bytes: usize) -> io::Result<()> {
-        self.extra = self.extra.checked_sub(bytes).ok_or_else(malformed)?;
-        Ok(())
+        if !conn.wait_readable().await? {
+            return Err(truncated());
+        }
+        conn.give_way().await;
+        let unread = conn.unread();
+        let n = decoder.decode(&unread[..unread.len().min(DECODED_BYTES)]);
+        conn.consume(n);
     }
 }
--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -1,13 +1,10 @@
 //! Buffered TCP connection.
 
-use crate::{
-    HeadError,
-    io_error::{malformed, truncated},
-};
+use crate::{HeadError, io_error::truncated};
 use rustix::net::sockopt::set_socket_linger;
-use rw_http::set_keepalive;
+use rw_http::{ReadTurn, set_keepalive};
 use smol::{
-    Async, Timer, future,
+    Async, Timer,
     io::{AsyncRead as _, AsyncWriteExt as _},
 };
 use std::{
@@ -25,9 +22,6 @@
 /// Number of bytes of further requests that are read while a caller waits for a response. An orderly
 /// close behind more than these is noticed only after the response.
 const READ_AHEAD_BYTES: usize = 64 << 10;
-/// Number of bytes that a connection may read without waiting before other tasks get a turn: all of them
-/// share one thread.
-const TURN_BYTES: usize = 32 << 10;
 /// Interval between checks for a failed connection while that many bytes are waiting.
 const DISCONNECT_POLL: Duration = Duration::from_millis(100);
 
@@ -37,8 +31,7 @@
     stream: Rc<Async<TcpStream>>,
     buffer: Vec<u8>,
     position: usize,
-    /// Bytes read since the connection last waited for data, or gave way to others.
-    turn: usize,
+    turn: ReadTurn,
 }
 
 impl Connection {
@@ -56,7 +49,7 @@
             stream: Rc::new(stream),
             buffer: Vec::new(),
             position: 0,
-            turn: 0,
+            turn: ReadTurn::default(),
         })
     }
 
@@ -171,62 +164,47 @@
         Ok(self.take(n))
     }
 
-    /// Reads a line and strips its CR LF.
-    pub(crate) async fn read_line(&mut self, max: usize) -> io::Result<Vec<u8>> {
-        loop {
-            if let Some(end) = find(self.unread(), b"\n") {
-                let mut line = self.take(end + 1);
-                line.pop();
-                if line.pop() != Some(b'\r') {
-                    return Err(malformed());
-                }
-                return Ok(line);
-            }
-            if self.unread().len() > max {
-                return Err(malformed());
-            }
-            if self.fill_buffer().await? == 0 {
-                return Err(truncated());
-            }
-        }
-    }
-
-    fn unread(&self) -> &[u8] {
+    /// Data that has arrived and was not taken yet.
+    pub(crate) fn unread(&self) -> &[u8] {
         &self.buffer[self.position..]
     }
 
-    fn take(&mut self, n: usize) -> Vec<u8> {
-        let bytes = self.buffer[self.position..self.position + n].to_vec();
+    /// Takes `n` bytes of the unread data.
+    pub(crate) fn consume(&mut self, n: usize) {
         self.position += n;
         if self.position == self.buffer.len() {
             // Frees the buffer, so that an idle connection holds none.
             self.buffer = Vec::new();
             self.position = 0;
         }
+    }
+
+    fn take(&mut self, n: usize) -> Vec<u8> {
+        let bytes = self.unread()[..n].to_vec();
+        self.consume(n);
         bytes
     }
 
+    /// Gives way to other tasks if this connection has used up its turn.
+    pub(crate) async fn give_way(&mut self) {
+        poll_fn(|cx| self.turn.poll(cx)).await;
+    }
+
     async fn fill_buffer(&mut self) -> io::Result<usize> {
-        if self.turn >= TURN_BYTES {
-            self.turn = 0;
-            future::yield_now().await;
-        }
+        self.give_way().await;
         // What was taken would otherwise stay in memory for as long as each read ends inside a line.
         self.buffer.drain(..self.position);
         self.position = 0;
-        let mut has_waited = false;
         // This buffer lives for one poll only, so that a waiting connection holds none.
         let read = poll_fn(|cx| {
             let mut buf = [0; READ_BYTES];
             let polled = Pin::new(&mut &*self.stream).poll_read(cx, &mut buf);
-            has_waited |= polled.is_pending();
+            self.turn.record(&polled);
             let n = ready!(polled)?;
             self.buffer.extend_from_slice(&buf[..n]);
             Poll::Ready(io::Result::Ok(n))
         });
-        let n = read.await?;
-        self.turn = n + if has_waited { 0 } else { self.turn };
-        Ok(n)
+        read.await
     }
 }
 
--- a/crates/rw-relay/src/sse.rs
+++ b/crates/rw-relay/src/sse.rs
@@ -1,12 +1,50 @@
 //! Splits a server-sent event stream into complete events.
 
+use std::mem;
+
 /// A stream may begin with it.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
+/// Finds the end of an event, wherever its bytes are split into reads.
+#[derive(Debug, Default)]
+struct EndFinder {
+    /// Bytes of the event that were looked at.
+    searched: usize,
+    /// Whether a line with content was found.
+    has_content: bool,
+    /// Whether the current line has content.
+    in_line: bool,
+}
+
+impl EndFinder {
+    /// Length of the event that `bytes` begin with: up to the first empty line that follows a line with
+    /// content. Looks at each byte once, over all calls for one event.
+    fn find(&mut self, bytes: &[u8]) -> Option<usize> {
+        while let Some(byte) = bytes.get(self.searched) {
+            self.searched += 1;
+            match byte {
+                b'\n' if self.has_content && !self.in_line => {
+                    let end = self.searched;
+                    *self = Self::default();
+                    return Some(end);
+                }
+                b'\n' => self.in_line = false,
+                b'\r' => {}
+                _ => {
+                    self.in_line = true;
+                    self.has_content = true;
+                }
+            }
+        }
+        None
+    }
+}
+
 /// Buffers bytes until an event is complete.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
+    end: EndFinder,
     /// Identifier of the last complete event.
     last_id: Option<u64>,
     /// Whether events are returned although an earlier one had the same or a higher identifier.
@@ -70,23 +108,36 @@
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.buffer.extend_from_slice(bytes);
         let mut out = Vec::new();
-        while let Some(end) = event_end(&self.buffer).filter(|_| !self.has_foreign) {
-            let event: Vec<u8> = self.buffer.drain(..end).collect();
-            if self.checks_lines && !is_event(&event) {
+        if self.has_foreign {
+            return out;
+        }
+        let buffer = mem::take(&mut self.buffer);
+        let mut rest = buffer.as_slice();
+        while let Some(end) = self.end.find(rest) {
+            let event;
+            (event, rest) = rest.split_at(end);
+            if self.checks_lines && !is_event(event) {
                 self.has_foreign = true;
                 break;
             }
-            let id = event_id(&event);
-            // Drops an event that the target repeats, so that the caller doesn't receive it twice.
-            if id.is_some() && id <= self.last_id && !self.keeps_repeats {
-                continue;
-            }
-            self.record(id, &event);
-            out.extend_from_slice(&event);
+            self.pass(event, &mut out);
         }
+        let taken = buffer.len() - rest.len();
+        self.buffer = buffer;
+        self.buffer.drain(..taken);
         out
     }
 
+    /// Adds an event to `out`, unless the target repeats it.
+    fn pass(&mut self, event: &[u8], out: &mut Vec<u8>) {
+        let id = event_id(event);
+        let is_repeat = id.is_some() && id <= self.last_id && !self.keeps_repeats;
+        if !is_repeat {
+            self.record(id, event);
+            out.extend_from_slice(event);
+        }
+    }
+
     fn record(&mut self, id: Option<u64>, event: &[u8]) {
         self.has_events = true;
         self.last_id = id.or(self.last_id);
@@ -138,24 +189,6 @@
     }
 }
 
-/// End of the first event: the first empty line that follows a line with content.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_empty = true;
-    let mut no_content = true;
-    for (i, byte) in bytes.iter().enumerate() {
-        match byte {
-            b'\n' if line_empty && !no_content => return Some(i + 1),
-            b'\n' => line_empty = true,
-            b'\r' => {}
-            _ => {
-                line_empty = false;
-                no_content = false;
-            }
-        }
-    }
-    None
-}
-
 /// Identifier of an event; the last one counts if there are several, as for the caller.
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.rsplit(|b| *b == b'\n');
--- a/crates/rw-relay/tests/sse.rs
+++ b/crates/rw-relay/tests/sse.rs
@@ -2,6 +2,11 @@
 
 use proptest::prelude::*;
 use rw_relay::EventSplitter;
+use std::time::{Duration, Instant};
+
+/// Time that the bytes of an event of [`LONG_EVENT_BYTES`] may take, one at a time.
+const LONG_EVENT_TIME: Duration = Duration::from_secs(2);
+const LONG_EVENT_BYTES: usize = 256 << 10;
 
 /// A stream of events 1 to `n` whose lines end in `end`.
 fn stream(n: u64, end: &str) -> Vec<u8> {
@@ -112,3 +117,16 @@
         assert_eq!(seen, (case.position, case.is_unplaced), "{}", case.name);
     }
 }
+
+/// Guards against a search of the whole event for each of its chunks.
+#[test]
+fn a_long_event_in_single_bytes_is_not_searched_again_for_each() {
+    let mut splitter = EventSplitter::default();
+    let started = Instant::now();
+    for _ in 0..LONG_EVENT_BYTES {
+        assert!(splitter.push(b"x").is_empty());
+    }
+    assert_eq!(splitter.push(b"\n\n").len(), LONG_EVENT_BYTES + 2);
+    let took = started.elapsed();
+    assert!(took < LONG_EVENT_TIME, "{took:?}");
+}
