Let callers and targets pause while they read

Cause: TCP_USER_TIMEOUT of 1.5 s on every connection. Linux also applies it to a peer that acknowledges each window probe but keeps its window closed. Ruled out: keeping it with a longer time, which would also decide when keep-alive probes give up; TCP_INFO, which has no safe interface in rustix or nix.

Change: accepted connections have keep-alive probes only; a write fails once its caller has taken nothing for the configured idle time, 10 s at least (CallerStream). Opened connections keep the limit for messages of up to 32 KiB (UnackedLimit); for longer ones, on plain and delegated calls, the node checks at 1.5 s and doubled intervals whether the address responds to a new connection. The same holds for rw-http's client.

Seen to fail before: slow_readers, the tests of callers ("reset by peer after 4096 bytes") and of uploads (502 answer-lost). Not shown by a run: a peer that vanishes from the network while it has unacknowledged data.

--- a/crates/rw-http/src/client.rs
+++ b/crates/rw-http/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP client with a pool of idle connections per address.
 
 use crate::{
-    ClientResponse, SendError,
+    ClientResponse, SendError, UnackedLimit,
     expiring_stream::ExpiringStream,
     head_limit::{HeadBudget, HeadLimited},
     keepalive::set_keepalive,
@@ -16,6 +16,7 @@
 };
 use std::{
     future::Future,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -47,6 +48,7 @@
     pub(crate) stream: TcpStream,
     pub(crate) addr: SocketAddr,
     pub(crate) timer: LazyTimer,
+    unacked: UnackedLimit,
     /// Whether an earlier response was read from it.
     pub(crate) is_used: bool,
     opened: Instant,
@@ -54,6 +56,10 @@
 }
 
 impl ClientConn {
+    fn begin_message(&mut self, bytes: usize) {
+        self.unacked.begin_message(&self.stream, bytes);
+    }
+
     fn is_reusable(&self) -> bool {
         self.opened.elapsed() < MAX_AGE && self.idle_since.elapsed() < MAX_IDLE
     }
@@ -99,7 +105,9 @@
             Some(conn) => conn,
             None => connect(addr, timeout.min(CONNECT_TIMEOUT)).await?,
         };
-        let result = exchange(conn.stream.clone(), request);
+        let message = encode(request).await.map_err(|_| SendError::NotSent)?;
+        conn.begin_message(message.len());
+        let result = exchange(conn.stream.clone(), &message);
         let result = conn.timer.within(timeout, result).await;
         let result = result.and_then(|r| r.map_err(|_| SendError::Broken));
         let Ok((response, budget)) = result else {
@@ -140,7 +148,8 @@
         timeout: Duration,
     ) -> Result<ClientResponse, SendError> {
         let addr: SocketAddr = addr.parse().map_err(|_| SendError::InvalidAddr)?;
-        let conn = connect(addr, timeout.min(CONNECT_TIMEOUT)).await?;
+        let mut conn = connect(addr, timeout.min(CONNECT_TIMEOUT)).await?;
+        conn.begin_message(request.len().unwrap_or(usize::MAX));
         let stream = ExpiringStream::new(conn.stream.clone(), deadline);
         let stream = HeadLimited::new(stream);
         let budget = stream.budget();
@@ -197,16 +206,21 @@
     }
 }
 
+/// The bytes of a request.
+async fn encode(request: Request) -> io::Result<Vec<u8>> {
+    let mut encoder = Encoder::new(request);
+    let mut bytes = Vec::with_capacity(512);
+    encoder.read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
+
 /// Sends a request in one write and reads the header of the response. Returns it with the budget for the
 /// body.
 async fn exchange(
     mut stream: TcpStream,
-    request: Request,
+    message: &[u8],
 ) -> http_types::Result<(Response, HeadBudget)> {
-    let mut encoder = Encoder::new(request);
-    let mut bytes = Vec::with_capacity(512);
-    encoder.read_to_end(&mut bytes).await?;
-    stream.write_all(&bytes).await?;
+    stream.write_all(message).await?;
     let stream = HeadLimited::new(stream);
     let budget = stream.budget();
     let response = decode(stream).await?;
@@ -222,11 +236,13 @@
     // Delaying small segments (Nagle's algorithm) costs more than this system call.
     stream.set_nodelay(true).map_err(|_| SendError::NotSent)?;
     set_keepalive(&stream).map_err(|_| SendError::NotSent)?;
+    let unacked = UnackedLimit::new(&stream).map_err(|_| SendError::NotSent)?;
     let now = Instant::now();
     Ok(ClientConn {
         stream,
         addr,
         timer: LazyTimer::new(),
+        unacked,
         is_used: false,
         opened: now,
         idle_since: now,
--- a/crates/rw-http/src/keepalive.rs
+++ b/crates/rw-http/src/keepalive.rs
@@ -3,20 +3,18 @@
 use rustix::net::sockopt;
 use std::{io, os::fd::AsFd, time::Duration};
 
-/// Time after which unacknowledged data breaks a connection.
-const UNACKED_TIMEOUT_MS: u32 = 1_500;
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes that break a connection.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Makes the operating system break a connection whose peer stopped responding.
+/// Makes the operating system break an idle connection whose peer stopped responding: one on which the
+/// peer has acknowledged everything. For the others see [`UnackedLimit`](crate::UnackedLimit).
 ///
 /// # Errors
 ///
 /// The error of the operating system.
 pub fn set_keepalive(socket: impl AsFd) -> io::Result<()> {
-    sockopt::set_tcp_user_timeout(&socket, UNACKED_TIMEOUT_MS)?;
     sockopt::set_socket_keepalive(&socket, true)?;
     sockopt::set_tcp_keepidle(&socket, KEEPALIVE_INTERVAL)?;
     sockopt::set_tcp_keepintvl(&socket, KEEPALIVE_INTERVAL)?;
--- a/crates/rw-http/src/lib.rs
+++ b/crates/rw-http/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry_after;
 mod sse;
 mod traffic;
+mod unacked_limit;
 mod workers;
 
 pub use client::{Client, Pooling, post_json};
@@ -34,6 +35,7 @@
 pub use retry_after::RetryAfter;
 pub use sse::SseLines;
 pub use traffic::Traffic;
+pub use unacked_limit::UnackedLimit;
 pub use workers::{Workers, spawn};
 
 pub use http_types::{Body, Method, Request, Response, StatusCode, Url};
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -18,6 +18,7 @@
     timeout::timeout_at,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
+use smol::future;
 use std::{
     fmt::Write as _,
     io,
@@ -120,7 +121,10 @@
         mut conn: ActiveConnection,
         progress: &mut ResponseProgress,
     ) -> Result<DispatchOutcome, ExchangeError> {
-        let (head, metadata) = self.read_response_head(call, dispatch, &mut conn).await?;
+        let is_watched = !conn.connection().is_unacked_limited();
+        let lost = self.pool.contact_lost(conn.addr(), is_watched);
+        let reading = self.read_response_head(call, dispatch, &mut conn);
+        let (head, metadata) = future::or(reading, lost).await?;
         let event = Event::ResponseStarted {
             id: call.id,
             load: metadata.load,
--- a/crates/rw-relay/src/body_admission.rs
+++ b/crates/rw-relay/src/body_admission.rs
@@ -3,7 +3,6 @@
 use crate::{
     BodyRoom, Connection, Dialect, Framing, Relay, RequestHead, ResponseWriter,
     body::BodyReader,
-    caller_stream::CallerStream,
     delegation::{DelegateNote, Offer},
     front::{AfterRequest, CallSource},
     request_body::first_bytes,
@@ -97,7 +96,7 @@
         self.log.rejected(NO_ROOM, kind);
         self.metrics.body_refused();
         self.metrics.rejected(kind);
-        let mut out = ResponseWriter::new(CallerStream(conn.stream()), "", true);
+        let mut out = ResponseWriter::new(self.caller_stream(conn), "", true);
         if from == CallSource::Peer {
             self.metrics.delegated(kind);
             out.set_note(Some(DelegateNote::refused(&refusal)));
--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::{HeadError, io_error::truncated};
 use rustix::net::sockopt::set_socket_linger;
-use rw_http::{ReadTurn, set_keepalive};
+use rw_http::{ReadTurn, UnackedLimit, set_keepalive};
 use smol::{
     Async, Timer,
     io::{AsyncRead as _, AsyncWriteExt as _},
@@ -32,16 +32,19 @@
     buffer: Vec<u8>,
     position: usize,
     turn: ReadTurn,
+    /// Set on connections that this process has opened. Those that others open take up messages as
+    /// slowly as callers read.
+    unacked: Option<UnackedLimit>,
 }
 
 impl Connection {
-    /// Takes over an open connection, and sets its options so that it breaks when the other side
-    /// stops responding.
+    /// Takes over a connection that another process has opened. It breaks when it is idle and the other
+    /// side stops responding.
     ///
     /// # Errors
     ///
     /// The error of the operating system.
-    pub fn new(stream: Async<TcpStream>) -> io::Result<Self> {
+    pub fn accepted(stream: Async<TcpStream>) -> io::Result<Self> {
         let tcp = stream.get_ref();
         tcp.set_nodelay(true)?;
         set_keepalive(tcp)?;
@@ -50,16 +53,33 @@
             buffer: Vec::new(),
             position: 0,
             turn: ReadTurn::default(),
+            unacked: None,
         })
     }
 
-    /// Opens a connection to `addr`.
+    /// Opens a connection to `addr`. It also breaks when a message is not acknowledged, unless
+    /// [`Self::begin_message`] lifts that limit.
     ///
     /// # Errors
     ///
     /// The error of the operating system.
     pub async fn open(addr: SocketAddr) -> io::Result<Self> {
-        Self::new(Async::<TcpStream>::connect(addr).await?)
+        let mut conn = Self::accepted(Async::<TcpStream>::connect(addr).await?)?;
+        conn.unacked = Some(UnackedLimit::new(conn.stream.get_ref())?);
+        Ok(conn)
+    }
+
+    /// Prepares for a message of `bytes` bytes; it is not to break off while the other side reads a long
+    /// one slowly.
+    pub(crate) fn begin_message(&mut self, bytes: usize) {
+        if let Some(unacked) = &mut self.unacked {
+            unacked.begin_message(self.stream.get_ref(), bytes);
+        }
+    }
+
+    /// Whether the connection breaks if the latest message is not acknowledged.
+    pub(crate) fn is_unacked_limited(&self) -> bool {
+        self.unacked.as_ref().is_some_and(UnackedLimit::is_set)
     }
 
     /// Whether there is no unread data and the other side has not closed the connection.
@@ -94,6 +114,11 @@
         !self.unread().is_empty()
     }
 
+    /// Address of the other side.
+    pub(crate) fn peer_addr(&self) -> io::Result<SocketAddr> {
+        self.stream.get_ref().peer_addr()
+    }
+
     /// The underlying socket.
     pub(crate) fn stream(&self) -> Rc<Async<TcpStream>> {
         self.stream.clone()
--- a/crates/rw-relay/src/delegation/receive.rs
+++ b/crates/rw-relay/src/delegation/receive.rs
@@ -75,7 +75,8 @@
         };
         self.metrics.delegated(refusal.kind.as_str());
         // The passing node notices a failed connection itself.
-        let _closed_already = refuse_offer(conn, &refusal).await;
+        let out = self.caller_stream(conn);
+        let _closed_already = refuse_offer(out, &refusal).await;
         None
     }
 
@@ -116,9 +117,9 @@
 }
 
 /// Refuses a delegated call whose body hasn't been read.
-async fn refuse_offer(conn: &Connection, refusal: &Refusal) -> io::Result<()> {
+async fn refuse_offer(out: CallerStream, refusal: &Refusal) -> io::Result<()> {
     let status = refusal.kind.status().unwrap_or(503);
-    let mut out = ResponseWriter::new(CallerStream(conn.stream()), "", true);
+    let mut out = ResponseWriter::new(out, "", true);
     out.set_note(Some(DelegateNote::refused(refusal)));
     out.write_refusal(status, refusal).await
 }
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -17,6 +17,7 @@
     timeout::{running_timeout, timeout, timeout_at},
 };
 use rw_gate::{Delegation, DelegationOutcome, Event, ResponseSource};
+use smol::future;
 use std::{
     fmt::Write as _,
     io,
@@ -122,8 +123,14 @@
         conn: &mut Connection,
         progress: &mut ResponseProgress,
     ) -> Result<DelegationOutcome, ExchangeError> {
-        write_chunked(conn, &call.body).await?;
-        let mut head = read_head(conn, call).await?;
+        conn.begin_message(call.body.len());
+        let is_watched = !conn.is_unacked_limited();
+        let lost = self.pool.contact_lost(conn.peer_addr()?, is_watched);
+        let responded = async {
+            write_chunked(conn, &call.body).await?;
+            read_head(conn, call).await
+        };
+        let mut head = future::or(responded, lost).await?;
         let mut body = BodyReader::new(head.framing);
         let source = match take_json(&mut head.headers, DELEGATE_HEADER) {
             Some(DelegateNote::Target(source)) => source,
--- a/crates/rw-relay/src/endpoint_server.rs
+++ b/crates/rw-relay/src/endpoint_server.rs
@@ -60,7 +60,7 @@
         stream: Async<TcpStream>,
         handler: &H,
     ) {
-        let Ok(mut conn) = Connection::new(stream) else {
+        let Ok(mut conn) = Connection::accepted(stream) else {
             return;
         };
         while let Some(Ok(true)) = timeout(REQUEST_TIMEOUT, conn.wait_readable()).await {
@@ -68,8 +68,11 @@
                 return;
             };
             let response = handler.handle(self, &head, &body);
-            let mut writer =
-                ResponseWriter::new(CallerStream(conn.stream()), &head.method, !head.keep_alive);
+            let mut writer = ResponseWriter::new(
+                CallerStream::new(conn.stream(), REQUEST_TIMEOUT),
+                &head.method,
+                !head.keep_alive,
+            );
             let written = writer.write_endpoint(response.status, &response.body).await;
             if written.is_err() || !head.keep_alive {
                 return;
--- a/crates/rw-relay/src/front.rs
+++ b/crates/rw-relay/src/front.rs
@@ -33,6 +33,8 @@
 const MAX_LINGER_BYTES: usize = 8 << 20;
 /// Interval between checks whether an idle connection is to be closed.
 const IDLE_POLL: Duration = Duration::from_millis(500);
+/// Minimum time for which a caller may take nothing of a response.
+const MIN_PATIENCE: Duration = Duration::from_secs(10);
 /// Time by which an idle connection outlives the configured idle timeout, in milliseconds.
 const IDLE_GRACE_MS: u64 = 500;
 
@@ -98,7 +100,7 @@
 
     /// Serves the requests on a connection until it ends.
     pub(crate) async fn serve_connection(&self, stream: Async<TcpStream>, from: CallSource) {
-        let Ok(mut conn) = Connection::new(stream) else {
+        let Ok(mut conn) = Connection::accepted(stream) else {
             return;
         };
         let mut previous = None;
@@ -228,7 +230,7 @@
         let close = !head.keep_alive || self.stopping.get();
         let keep = head.keep_alive;
         let resets = !head.is_http_1_1;
-        let mut out = ResponseWriter::new(CallerStream(conn.stream()), &head.method, close);
+        let mut out = ResponseWriter::new(self.caller_stream(conn), &head.method, close);
         if resets {
             // An orderly close ends a body without a length, also if this process exits.
             conn.set_reset_on_close(true);
@@ -324,13 +326,20 @@
     ) -> AfterRequest {
         self.log.rejected(status, kind);
         self.metrics.rejected(kind);
-        let mut out = ResponseWriter::new(CallerStream(conn.stream()), method, true);
+        let mut out = ResponseWriter::new(self.caller_stream(conn), method, true);
         match out.write_error(status, kind, 0).await {
             Ok(()) => AfterRequest::Close,
             Err(_) => AfterRequest::Abort,
         }
     }
 
+    /// A caller's connection to write a response to. The caller may pause for as long as it may stay
+    /// idle, or a little longer.
+    pub(crate) fn caller_stream(&self, conn: &Connection) -> CallerStream {
+        let idle = Duration::from_millis(self.limits().idle_ms);
+        CallerStream::new(conn.stream(), idle.max(MIN_PATIENCE))
+    }
+
     fn limits(&self) -> CallLimits {
         self.gate.borrow().routing().limits
     }
--- a/crates/rw-relay/src/orders.rs
+++ b/crates/rw-relay/src/orders.rs
@@ -154,6 +154,7 @@
     mut conn: Connection,
     bytes: &[u8],
 ) -> io::Result<(ResponseHead, Vec<u8>)> {
+    conn.begin_message(bytes.len());
     conn.write_all(bytes).await?;
     let head = conn
         .read_head(MAX_RESPONSE_BYTES)
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -7,9 +7,10 @@
     timeout::{running_timeout, timeout},
 };
 use rw_types::Millis;
-use smol::Timer;
+use smol::{Timer, future};
 use std::{
     cell::{Cell, RefCell},
+    io::{self, ErrorKind},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -25,6 +26,8 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(20);
 /// Time after which a connection that stays open shows that the target runs.
 const PROBE_OPEN_TIME: Duration = Duration::from_millis(20);
+/// Time until it is checked first whether an address still responds; it doubles with each check.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Idle timeout of a connection whose target announces none.
 const IDLE_TIMEOUT_MS: u64 = 2_000;
 /// A connection expires this much before the idle timeout that its target announces.
@@ -175,6 +178,26 @@
         false
     }
 
+    /// Completes with an error once nothing at `addr` responds to new connections; never if `is_watched`
+    /// is false. For a message without a limit on the time for which it may stay unacknowledged.
+    pub(crate) async fn contact_lost<T>(
+        &self,
+        addr: SocketAddr,
+        is_watched: bool,
+    ) -> io::Result<T> {
+        if !is_watched {
+            return future::pending().await;
+        }
+        let mut pause = CONTACT_INTERVAL;
+        loop {
+            Timer::after(pause).await;
+            if !responds(addr).await && !responds(addr).await {
+                return Err(ErrorKind::TimedOut.into());
+            }
+            pause *= 2;
+        }
+    }
+
     fn take_idle(
         &self,
         addr: SocketAddr,
@@ -206,3 +229,15 @@
         }
     }
 }
+
+/// Whether the system at `addr` responds to a new connection, if only by refusing it.
+async fn responds(addr: SocketAddr) -> bool {
+    match running_timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
+        Some(Ok(_)) => true,
+        Some(Err(e)) => matches!(
+            e.kind(),
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+        ),
+        None => false,
+    }
+}
--- a/crates/rw-relay/src/target_connection.rs
+++ b/crates/rw-relay/src/target_connection.rs
@@ -80,6 +80,7 @@
     ) -> (ActiveConnection, Sending<'a>) {
         let is_first_call = self.carried.is_empty();
         self.carried.add(call);
+        self.connection.begin_message(head.len() + body.len());
         let is_sent = Rc::new(Cell::new(false));
         let sending = Sending {
             stream: self.connection.stream(),
