Publish where each stream began at once

Cause: a node published origins only where a service had had several versions; a second version makes the older streams need theirs too, and the only node that knew them was gone. Ruled out: inferring the version from when the node was last heard of; a node cut off from the others may begin newer streams.

Change: origins go out with the next digest, the oldest first. StreamOrigins is a tree with a queue of what is due, as it now holds the streams of all nodes that it hears; it evicts an eighth at once.

Seen to fail before: a_stream_whose_node_is_lost_goes_on_at_its_version, case "lost before the second version".

--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -1,9 +1,8 @@
 //! Streams that callers take up again, and where they may go on.
 
 use crate::{
-    CallRequest, Digest, Effect, Gate, OriginReport, RecordRequest, RefusalKind, Route, Routing,
-    SoftwareId, StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, software_history::MAX_AGE_MS,
-    stream_origin::ServiceId,
+    CallRequest, Digest, Effect, Gate, RecordRequest, RefusalKind, Route, Routing, SoftwareId,
+    StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, software_history::MAX_AGE_MS,
 };
 use rw_types::{Millis, RequestId};
 
@@ -118,8 +117,7 @@
         let request = &call.request;
         let began = request.resumes.as_ref().unwrap_or(&request.call_id);
         let stream = StreamId::of_call(began);
-        let service = ServiceId::of_name(&call.service);
-        self.origins.record(now, stream, software, service);
+        self.origins.record(now, stream, software);
     }
 
     /// The digest that queries other nodes for the origins of streams.
@@ -143,16 +141,6 @@
         }
     }
 
-    /// Origins of this node's streams that are due to be published, at most `max`. Where a service
-    /// is known to have had one version, no node needs them.
-    pub(crate) fn take_origins(&mut self, now: Millis, max: usize) -> Vec<OriginReport> {
-        let ttl_ms = self.origin_ttl_ms;
-        let mixed = self.software.mixed_services(now, ttl_ms);
-        let is_complete = self.software.is_complete(now, ttl_ms);
-        let services = is_complete.then_some(mixed.as_slice());
-        self.origins.take_reports(max, services)
-    }
-
     pub(crate) fn merge_origins(&mut self, now: Millis, digest: &Digest) {
         for report in &digest.origins {
             self.origins.merge(now, report);
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -217,7 +217,7 @@
         let parts = self.part_suspects.take_reports(now, MAX_PARTS);
         let leaving = self.targets.take_leaving(MAX_LEAVING);
         let limits = self.targets.take_limits(now, MAX_LIMITS);
-        let origins = self.take_origins(now, MAX_ORIGINS);
+        let origins = self.origins.take_reports(MAX_ORIGINS);
         let history = self.software.take_news(now, self.origin_ttl_ms);
         let speeds = self.due_speeds(now);
         let has_news = !reports.is_empty()
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -1,6 +1,6 @@
 //! Software versions that the targets of each service have had lately.
 
-use crate::{SoftwareId, VersionRecord, known_span::KnownSpan, stream_origin::ServiceId};
+use crate::{SoftwareId, VersionRecord, known_span::KnownSpan};
 use rw_types::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -193,21 +193,6 @@
         versions.filter(|s| s.service == service).count() > 1
     }
 
-    /// Whether all versions are known that there were within `ttl_ms`.
-    pub(crate) fn is_complete(&self, now: Millis, ttl_ms: u64) -> bool {
-        self.observed_ms(now) >= ttl_ms
-    }
-
-    /// The services whose targets have had several versions within `ttl_ms`.
-    pub(crate) fn mixed_services(&self, now: Millis, ttl_ms: u64) -> Vec<ServiceId> {
-        let names: Vec<&str> = self
-            .recent(now, ttl_ms)
-            .map(|s| s.service.as_str())
-            .collect();
-        let repeated = names.windows(2).filter(|pair| pair[0] == pair[1]);
-        repeated.map(|pair| ServiceId::of_name(pair[0])).collect()
-    }
-
     /// Whether the versions of all targets are to be recorded again.
     pub(crate) fn is_due(&mut self, now: Millis) -> bool {
         let is_due = now >= self.next_observation;
@@ -230,8 +215,7 @@
     /// The versions of the services that have had several within `ttl_ms`, if other nodes are to be told
     /// now. They count as told.
     pub(crate) fn take_news(&mut self, now: Millis, ttl_ms: u64) -> Option<HistoryReport> {
-        let mixed = self.mixed_services(now, ttl_ms);
-        let is_mixed = |s: &&SeenSoftware| mixed.contains(&ServiceId::of_name(&s.service));
+        let is_mixed = |s: &&SeenSoftware| self.is_mixed(now, &s.service, ttl_ms);
         let told = self.recent(now, ttl_ms).filter(is_mixed);
         let newest = told.clone().map(|s| s.first_seen).max()?;
         let is_told = |at: Millis| at > newest && now.since(at) < TELL_INTERVAL_MS;
--- a/crates/rw-gate/src/stream_origin.rs
+++ b/crates/rw-gate/src/stream_origin.rs
@@ -44,16 +44,6 @@
     }
 }
 
-/// Identifier of a service: hash of its name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct ServiceId(u32);
-
-impl ServiceId {
-    pub(crate) fn of_name(name: &str) -> Self {
-        Self(short_hash(name))
-    }
-}
-
 /// Serialized form of an [`OriginReport`], its fields in order.
 type OriginFields = (SoftwareId, Vec<StreamId>);
 
--- a/crates/rw-gate/src/stream_origins.rs
+++ b/crates/rw-gate/src/stream_origins.rs
@@ -1,84 +1,75 @@
 //! Memory of the software versions at which resumable streams began.
 //!
 //! Targets of several versions may serve side by side, and what they write doesn't fit together, so
-//! that a stream may go on only at the version that began it. A caller may take it up at any node.
+//! that a stream may go on only at the version that began it. A caller may take it up at any node, also
+//! after the node where it began is gone and another version has come. So each node publishes the
+//! origins of its streams at once, whether or not there are several versions.
 
-use crate::{OriginReport, SoftwareId, StreamId, stream_origin::ServiceId};
+use crate::{OriginReport, SoftwareId, StreamId};
 use rw_types::Millis;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Maximum number of streams remembered; those updated longest ago go first.
 const MAX_STREAMS: usize = 32_768;
+/// Maximum number of streams that wait to be published.
+const MAX_DUE: usize = 1_024;
+/// Number of streams that go at once.
+const EVICTED_STREAMS: usize = MAX_STREAMS / 8;
 
 /// Where one stream began.
 #[derive(Debug, Clone, Copy)]
-struct OriginEntry {
-    stream: StreamId,
+struct Origin {
     software: SoftwareId,
-    /// Set until it is published: the service of a stream of this node.
-    unpublished: Option<ServiceId>,
     updated_at: Millis,
 }
 
-/// Origins of recent streams, sorted by identifier.
+/// Origins of recent streams. A tree, as streams come by the hundred a second, in no order.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct StreamOrigins {
-    entries: Vec<OriginEntry>,
+    origins: BTreeMap<StreamId, Origin>,
+    /// Streams of this node that are to be published, the oldest first.
+    due: VecDeque<StreamId>,
 }
 
 impl StreamOrigins {
     /// Records a stream that began or went on at this node.
-    pub(crate) fn record(
-        &mut self,
-        now: Millis,
-        stream: StreamId,
-        software: SoftwareId,
-        service: ServiceId,
-    ) {
-        self.insert(OriginEntry {
-            stream,
+    pub(crate) fn record(&mut self, now: Millis, stream: StreamId, software: SoftwareId) {
+        let origin = Origin {
             software,
-            unpublished: Some(service),
             updated_at: now,
-        });
+        };
+        self.insert(stream, origin);
+        if !self.due.contains(&stream) {
+            self.due.push_back(stream);
+        }
+        if self.due.len() > MAX_DUE {
+            self.due.pop_front();
+        }
     }
 
     /// Records what another node knows.
     pub(crate) fn merge(&mut self, now: Millis, report: &OriginReport) {
-        for stream in &report.streams {
-            self.insert(OriginEntry {
-                stream: *stream,
-                software: report.software,
-                unpublished: None,
-                updated_at: now,
-            });
-        }
+        let origin = Origin {
+            software: report.software,
+            updated_at: now,
+        };
+        report.streams.iter().for_each(|s| self.insert(*s, origin));
     }
 
     /// The version at which a stream began, if it is known.
     pub(crate) fn find(&self, stream: StreamId) -> Option<SoftwareId> {
-        Some(self.entries[self.index(stream).ok()?].software)
+        Some(self.origins.get(&stream)?.software)
     }
 
     /// Forgets streams that began or were resumed longer than `ttl_ms` ago.
     pub(crate) fn prune(&mut self, now: Millis, ttl_ms: u64) {
-        self.entries.retain(|e| now.since(e.updated_at) < ttl_ms);
+        self.origins.retain(|_, o| now.since(o.updated_at) < ttl_ms);
     }
 
-    /// The streams of this node that are not published yet, at most `max`, of `services` or of all
-    /// services.
-    pub(crate) fn take_reports(
-        &mut self,
-        max: usize,
-        services: Option<&[ServiceId]>,
-    ) -> Vec<OriginReport> {
-        let due = self.entries.iter_mut();
-        let is_wanted = |service| services.is_none_or(|all| all.contains(&service));
-        let due = due.filter(|e| e.unpublished.is_some_and(is_wanted));
-        let taken = due.take(max).map(|e| {
-            e.unpublished = None;
-            (e.software, e.stream)
-        });
-        group(taken)
+    /// The streams of this node that are not published yet, at most `max`.
+    pub(crate) fn take_reports(&mut self, max: usize) -> Vec<OriginReport> {
+        let taken: Vec<StreamId> = self.due.drain(..self.due.len().min(max)).collect();
+        self.answer(&taken)
     }
 
     /// What is known of `streams`.
@@ -87,27 +78,18 @@
         group(known)
     }
 
-    fn insert(&mut self, entry: OriginEntry) {
-        match self.index(entry.stream) {
-            Ok(i) => self.entries[i] = entry,
-            Err(i) => {
-                self.entries.insert(i, entry);
-                self.evict();
-            }
+    fn insert(&mut self, stream: StreamId, origin: Origin) {
+        self.origins.insert(stream, origin);
+        if self.origins.len() > MAX_STREAMS {
+            self.evict();
         }
     }
 
     fn evict(&mut self) {
-        if self.entries.len() <= MAX_STREAMS {
-            return;
-        }
-        let entries = self.entries.iter().enumerate();
-        let oldest = entries.min_by_key(|(_, e)| e.updated_at).map(|(i, _)| i);
-        oldest.map(|i| self.entries.remove(i));
-    }
-
-    fn index(&self, stream: StreamId) -> Result<usize, usize> {
-        self.entries.binary_search_by_key(&stream, |e| e.stream)
+        let mut times: Vec<Millis> = self.origins.values().map(|o| o.updated_at).collect();
+        let (_, last, _) = times.select_nth_unstable(EVICTED_STREAMS);
+        let last = *last;
+        self.origins.retain(|_, o| o.updated_at > last);
     }
 }
 
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -404,30 +404,71 @@
     }
 }
 
+/// Guards against origins that are published only once a service has several versions.
 #[test]
-fn streams_that_began_before_a_second_version_came_are_published_when_it_comes() {
-    let mut first = world("a", &[("0", "v1")]);
-    let mut second = world("b", &[("0", "v1")]);
-    for world in [&mut first, &mut second] {
-        world.now += 60_000;
-        world.step(Event::Tick);
-        confirm(world);
+fn a_stream_whose_node_is_lost_goes_on_at_its_version() {
+    struct Case {
+        name: &'static str,
+        /// Engines when the stream begins, as the node knows them that begins it.
+        before: &'static [(&'static str, &'static str)],
+        /// Engines that the other node learns of after that, one list a second.
+        after: &'static [&'static [(&'static str, &'static str)]],
+        /// Engine that gets the stream.
+        next: &'static str,
     }
-    begin(&mut first, "c");
-    tell(&mut first, &mut second);
-    let request = resumed(Some("c"));
-    let now = Millis(second.now);
-    assert!(second.gate.missing_origin(now, &request).is_none());
-    for world in [&mut first, &mut second] {
-        world.now += 1_000;
-        world.step(Event::TargetUpdated(spec("1", "v2")));
+    let cases = [
+        Case {
+            name: "lost before the second version",
+            before: &[("0", "v1")],
+            after: &[&[("0", "v1")], &[("0", "v1"), ("1", "v2")]],
+            next: "0",
+        },
+        Case {
+            name: "lost as it comes",
+            before: &[("0", "v1"), ("1", "v2")],
+            after: &[&[("0", "v1"), ("1", "v2")]],
+            next: "0",
+        },
+        Case {
+            name: "lost after it has come",
+            before: &[("1", "v2")],
+            after: &[&[("0", "v1"), ("1", "v2")]],
+            next: "1",
+        },
+        Case {
+            name: "lost before a release and its way back",
+            before: &[("0", "v1")],
+            after: &[
+                &[("0", "v1"), ("1", "v2")],
+                &[("1", "v2")],
+                &[("1", "v2"), ("2", "v1")],
+            ],
+            next: "2",
+        },
+    ];
+    for case in cases {
+        let [mut first, mut second] = ["a", "b"].map(|vm| world(vm, &[("0", "v1")]));
+        for world in [&mut first, &mut second] {
+            world.now += 60_000;
+            world.step(Event::Tick);
+            confirm(world);
+        }
+        list(&mut first, case.before);
+        begin(&mut first, "c");
+        tell(&mut first, &mut second);
+        drop(first);
+        for engines in case.after {
+            second.now += 1_000;
+            list(&mut second, engines);
+            second.step(Event::Tick);
+        }
+        let request = resumed(Some("c"));
+        let now = Millis(second.now);
+        let is_known = second.gate.missing_origin(now, &request).is_none();
+        assert!(is_known, "{}", case.name);
+        let (_, effects) = second.arrive(request);
+        assert_eq!(sent_to(&effects), case.next, "{}", case.name);
     }
-    let now = Millis(second.now);
-    assert!(second.gate.missing_origin(now, &request).is_some());
-    tell(&mut first, &mut second);
-    assert!(second.gate.missing_origin(now, &request).is_none());
-    let (_, effects) = second.arrive(request);
-    assert_eq!(sent_to(&effects), "0");
 }
 
 #[test]
