Don't take a reset that a write has found for the end of an answer

Cause: the system reports a reset to one call only; when that was the write of the request, which drops its error, the read saw an end, which completes a body without a length.

Change: ConnectionWriter notes a reset on its connection, whose end then counts as a reset.

--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -1,13 +1,11 @@
 //! Buffered TCP connection.
 
-use crate::{HeadError, io_error::truncated};
+use crate::{HeadError, connection_writer::ConnectionWriter, io_error::truncated};
 use rustix::net::sockopt::set_socket_linger;
 use rw_http::{ReadTurn, UnackedLimit, set_keepalive};
-use smol::{
-    Async, Timer,
-    io::{AsyncRead as _, AsyncWriteExt as _},
-};
+use smol::{Async, Timer, io::AsyncRead as _};
 use std::{
+    cell::Cell,
     future::poll_fn,
     io,
     net::{Shutdown, SocketAddr, TcpStream},
@@ -35,6 +33,9 @@
     /// Set on connections that this process has opened. Those that others open take up messages as
     /// slowly as callers read.
     unacked: Option<UnackedLimit>,
+    /// Whether a write has found that the other side has reset the connection. The system reports a reset
+    /// once, and an end to those who read after that.
+    was_reset: Rc<Cell<bool>>,
 }
 
 impl Connection {
@@ -54,6 +55,7 @@
             position: 0,
             turn: ReadTurn::default(),
             unacked: None,
+            was_reset: Rc::default(),
         })
     }
 
@@ -124,8 +126,13 @@
         self.stream.clone()
     }
 
+    /// Writes to the connection while it is read from.
+    pub(crate) fn writer(&self) -> ConnectionWriter {
+        ConnectionWriter::new(self.stream.clone(), self.was_reset.clone())
+    }
+
     pub(crate) async fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
-        (&*self.stream).write_all(bytes).await
+        self.writer().write_message(bytes, &[]).await
     }
 
     /// Shuts down one or both directions; it is no error if the connection is already closed.
@@ -226,6 +233,9 @@
             let polled = Pin::new(&mut &*self.stream).poll_read(cx, &mut buf);
             self.turn.record(&polled);
             let n = ready!(polled)?;
+            if n == 0 && self.was_reset.get() {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
             self.buffer.extend_from_slice(&buf[..n]);
             Poll::Ready(io::Result::Ok(n))
         });
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -9,7 +9,6 @@
     exchange_error::{CallerDisconnected, ExchangeError},
     head::is_hop,
     io_error::malformed,
-    message_writer::write_message,
     notices::Addressee,
     response_body::read_response_body,
     response_progress::{BufferedResponse, ResponseProgress},
@@ -236,7 +235,7 @@
 async fn write_chunked(conn: &Connection, body: &[u8]) -> io::Result<()> {
     if !body.is_empty() {
         let size = format!("{:x}\r\n", body.len());
-        write_message(&conn.stream(), size.as_bytes(), body).await?;
+        conn.writer().write_message(size.as_bytes(), body).await?;
         conn.write_all(b"\r\n").await?;
     }
     conn.write_all(LAST_CHUNK).await
--- a/crates/rw-relay/src/target_connection.rs
+++ b/crates/rw-relay/src/target_connection.rs
@@ -3,14 +3,10 @@
 use crate::{
     Connection,
     carried_calls::{CallKey, CarriedCalls},
-    message_writer::write_message,
-};
-use smol::{Async, future};
-use std::{
-    cell::Cell,
-    net::{SocketAddr, TcpStream},
-    rc::Rc,
+    connection_writer::ConnectionWriter,
 };
+use smol::future;
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 /// Counts an open connection towards the limit of its address until it is dropped.
 #[derive(Debug)]
@@ -83,7 +79,7 @@
         self.connection.begin_message(head.len() + body.len());
         let is_sent = Rc::new(Cell::new(false));
         let sending = Sending {
-            stream: self.connection.stream(),
+            writer: self.connection.writer(),
             head,
             body,
             is_sent: is_sent.clone(),
@@ -101,7 +97,7 @@
 /// A request that is being sent.
 #[derive(Debug)]
 pub(crate) struct Sending<'a> {
-    stream: Rc<Async<TcpStream>>,
+    writer: ConnectionWriter,
     head: Vec<u8>,
     body: &'a [u8],
     is_sent: Rc<Cell<bool>>,
@@ -112,7 +108,7 @@
     /// whole request, so a failed write ends nothing; a broken connection shows up when reading.
     pub(crate) async fn during<T>(self, receive: impl Future<Output = T>) -> T {
         let send = async {
-            let sent = write_message(&self.stream, &self.head, self.body).await;
+            let sent = self.writer.write_message(&self.head, self.body).await;
             self.is_sent.set(sent.is_ok());
             drop(self.head);
             future::pending().await
