Give answers of unknown length a budget of their own

Cause: held answers shared the requests' budget, and 256 KiB of each answer and each event weren't counted.

Change: a quarter of body-memory-mb on top of it is for answers of unknown length; 64 KiB of each take no room. Events beyond 64 KiB take room as well, and a stream holds no buffer between two events. New metric rw_answer_bytes.

Seen to fail before: answers_without_end_leave_the_room_for_uploads, reading the former metric (1,048,576 bytes of the uploads' 2,000,000 held; bound 500,000). After: held bodies and events stay below it, uploads are served. The process's peak was not measured again.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -162,7 +162,8 @@
             self.release(conn, &head);
             return Ok(DispatchOutcome::Delivered);
         }
-        let held = read_response_body(&mut body, conn.connection(), self.bodies.empty_room());
+        let body = (&mut body, head.framing);
+        let held = read_response_body(body, conn.connection(), self.answers.empty_room());
         let body = held.await?;
         let status = head.status;
         self.release(conn, &head);
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -173,7 +173,8 @@
             self.stream_response(call, streamed, progress).await?;
             return Ok(DelegationOutcome::Delivered);
         }
-        let held = read_response_body(&mut body, conn, self.bodies.empty_room());
+        let body = (&mut body, head.framing);
+        let held = read_response_body(body, conn, self.answers.empty_room());
         progress.buffered = Some(BufferedResponse {
             head,
             body: held.await?,
--- a/crates/rw-relay/src/endpoint_server.rs
+++ b/crates/rw-relay/src/endpoint_server.rs
@@ -137,6 +137,7 @@
         relay.metrics.set_unreachable(unreachable.len());
         let bodies = &relay.bodies;
         relay.metrics.set_bodies(bodies.held(), bodies.waiting());
+        relay.metrics.set_answers(relay.answers.held());
         let body = relay
             .metrics
             .encode(relay.pool.opened(), relay.log.dropped());
--- a/crates/rw-relay/src/event_run.rs
+++ b/crates/rw-relay/src/event_run.rs
@@ -1,6 +1,9 @@
 //! The events of one run, as they are passed on.
 
-use crate::{EventSplitter, EventWriter, Framing, ResponseHead, ResponseWriter, StreamError};
+use crate::{
+    BodyRoom, EventSplitter, EventWriter, Framing, ResponseHead, ResponseWriter, StreamError,
+    response_body::FREE_BYTES,
+};
 use smol::io::AsyncWrite;
 use std::mem;
 
@@ -22,6 +25,8 @@
     /// Comments before the first event of a stream that may be resumed. Once written, they would keep
     /// another run from beginning the response.
     held: Vec<u8>,
+    /// Room for what is held beyond [`FREE_BYTES`], if it is limited.
+    room: Option<BodyRoom>,
 }
 
 impl<'a, W: AsyncWrite + Unpin> EventRun<'a, W> {
@@ -51,17 +56,28 @@
             after,
             goes_on,
             held: Vec::new(),
+            room: None,
         })
     }
 
+    /// Limits what is held of long events to `room` as far as that can grow.
+    #[must_use]
+    pub fn within(self, room: BodyRoom) -> Self {
+        Self {
+            room: Some(room),
+            ..self
+        }
+    }
+
     /// Takes bytes of the body, and returns the events to be written next.
     ///
     /// # Errors
     ///
-    /// [`StreamError::Malformed`] if an event is too long; [`StreamError::Unrelated`].
+    /// [`StreamError::Malformed`] if an event is too long, or there is no room for it;
+    /// [`StreamError::Unrelated`].
     pub fn take(&mut self, bytes: &[u8]) -> Result<Vec<u8>, StreamError> {
         let events = self.splitter.push(bytes);
-        if self.splitter.incomplete().len() > MAX_EVENT_BYTES {
+        if self.splitter.incomplete().len() > MAX_EVENT_BYTES || !self.has_room() {
             return Err(StreamError::Malformed);
         }
         if self.splitter.has_foreign() && events.is_empty() {
@@ -73,6 +89,12 @@
         self.hold_comments(events)
     }
 
+    fn has_room(&mut self) -> bool {
+        let memory = self.splitter.memory() + self.held.capacity();
+        let room = self.room.as_mut().filter(|_| memory > FREE_BYTES);
+        room.is_none_or(|room| room.grow_to(memory))
+    }
+
     /// Adds to what is held, and returns all of it unless it must be held on.
     fn hold_comments(&mut self, events: Vec<u8>) -> Result<Vec<u8>, StreamError> {
         let is_first = self.is_resumable && !self.goes_on;
--- a/crates/rw-relay/src/metrics.rs
+++ b/crates/rw-relay/src/metrics.rs
@@ -33,6 +33,7 @@
     target_speeds: GaugeVec,
     target_saturation: IntGaugeVec,
     over_limit: IntCounter,
+    answer_bytes: IntGauge,
     body_bytes: IntGauge,
     body_waits: IntGauge,
     body_refusals: IntCounter,
@@ -140,6 +141,10 @@
                 "rw_turned_away_total",
                 "caller connections closed at once because the limit was reached",
             )?,
+            answer_bytes: gauge(
+                "rw_answer_bytes",
+                "bytes reserved for responses of unknown length that are held",
+            )?,
             body_bytes: gauge("rw_body_bytes", "bytes reserved for the bodies of requests")?,
             body_waits: gauge(
                 "rw_body_waits",
@@ -257,6 +262,11 @@
         self.body_waits.set(waiting as i64);
     }
 
+    /// Sets the bytes reserved for responses that are held.
+    pub(crate) fn set_answers(&self, bytes: usize) {
+        self.answer_bytes.set(bytes as i64);
+    }
+
     pub(crate) fn row_skipped(&self) {
         self.skipped_rows.inc();
     }
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -30,6 +30,8 @@
 
 /// Maximum number of other targets that are connected to before one counts as crashed.
 const MAX_WITNESSES: usize = 2;
+/// Room for held responses, as a divisor of that for the bodies of requests.
+const ANSWER_SHARE: usize = 4;
 /// Timeout for releasing a handle; a handle that is not released expires by itself.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -48,6 +50,9 @@
     pub(crate) peers: RefCell<Peers>,
     /// Room for the bodies of requests.
     pub(crate) bodies: BodyBudget,
+    /// Room for responses of unknown length that are held, apart from that for requests: neither may
+    /// use up that of the other.
+    pub(crate) answers: BodyBudget,
     pub(crate) metrics: Metrics,
     pub(crate) log: DecisionLog,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
@@ -125,6 +130,7 @@
             pool: Pool::new(clock),
             peers: RefCell::default(),
             bodies: BodyBudget::new(settings.body_bytes),
+            answers: BodyBudget::new(settings.body_bytes / ANSWER_SHARE),
             metrics,
             log: DecisionLog::new(clock),
             executor,
@@ -193,6 +199,7 @@
         log::info!(connections = new.connections, grace_ms = new.grace.as_millis() as u64, moved; "settings reloaded; changed addresses need a restart");
         self.max_connections.set(new.connections);
         self.bodies.set_total(new.body_bytes);
+        self.answers.set_total(new.body_bytes / ANSWER_SHARE);
         self.grace.set(new.grace);
         self.max_config_age_ms.set(new.gate.max_config_age_ms());
         self.step(Event::Settings(new.gate));
--- a/crates/rw-relay/src/sse.rs
+++ b/crates/rw-relay/src/sse.rs
@@ -123,8 +123,11 @@
             self.pass(event, &mut out);
         }
         let taken = buffer.len() - rest.len();
-        self.buffer = buffer;
-        self.buffer.drain(..taken);
+        // Between two events, a stream holds no memory.
+        if taken < buffer.len() {
+            self.buffer = buffer;
+            self.buffer.drain(..taken);
+        }
         out
     }
 
@@ -182,6 +185,12 @@
         self.buffer.iter().any(|b| !matches!(b, b'\r' | b'\n'))
     }
 
+    /// Bytes of memory for what is buffered.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Buffered bytes of an event that is not complete, or empty lines after the last event.
     #[must_use]
     pub fn incomplete(&self) -> &[u8] {
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -76,7 +76,8 @@
         let (head, after) = (&streamed.head, streamed.resume_after);
         let failed = |error| ExchangeError::of_stream(error, head.status);
         let run = EventRun::new(&mut progress.out, head, streamed.is_resumable, after);
-        let mut run = run.ok_or(failed(StreamError::Unrelated))?;
+        let run = run.ok_or(failed(StreamError::Unrelated))?;
+        let mut run = run.within(self.answers.empty_room());
         let mut begun = Some(streamed.begun);
         let mut is_first = true;
         while let Some(bytes) = body.next(conn).await? {
