Check the end of a body that only its connection ends

Cause: the system closes the connections of a terminated process in an orderly way.

Change: before such an end is passed on, the node looks whether a process still listens at the target's address; refused means cut, a time-out proves nothing, a leaving target is exempt. Pool::is_down and the new has_exited share one probe.

Seen to fail before: broken_streams ("crashed, /chat/1: 200").

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -16,6 +16,7 @@
     streaming::{StreamedResponse, is_streamed},
     target_connection::{ActiveConnection, TargetConnection},
     timeout::timeout_at,
+    unframed_body::UnframedBody,
 };
 use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
 use smol::future;
@@ -146,6 +147,7 @@
         if !metadata.signed {
             return Err(malformed().into());
         }
+        let unframed = UnframedBody::new(head.framing, &dispatch.target, conn.addr());
         if is_streamed(&head, dispatch.stream) {
             progress.out.set_note(self.source_note(call));
             let streamed = StreamedResponse {
@@ -156,6 +158,7 @@
                 is_resumable: dispatch.resumable,
                 resume_after: dispatch.resume_after,
                 from: &dispatch.target,
+                unframed,
                 begun: Event::StreamBegun { id: call.id },
             };
             self.stream_response(call, streamed, progress).await?;
@@ -165,6 +168,7 @@
         let body = (&mut body, head.framing);
         let held = read_response_body(body, conn.connection(), self.answers.empty_room());
         let body = held.await?;
+        self.check_end(unframed).await?;
         let status = head.status;
         self.release(conn, &head);
         progress.buffered = Some(BufferedResponse {
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -165,6 +165,8 @@
                 is_resumable: delegation.resumable,
                 resume_after: delegation.call.resume_after,
                 from: &delegation.vm,
+                // The other node marks the end of each body, and checks that of its target.
+                unframed: None,
                 begun: Event::DelegatedStreamBegun {
                     id: call.id,
                     software: source.software,
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -60,6 +60,7 @@
 mod streaming;
 mod target_connection;
 mod timeout;
+mod unframed_body;
 mod usage;
 mod written;
 
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -48,6 +48,16 @@
     Failed,
 }
 
+/// What a probe of an address has found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Listener {
+    Open,
+    /// New connections are refused.
+    None,
+    /// New connections fail in another way, or time out.
+    Silent,
+}
+
 /// Idle connections, and the number of open connections of each address.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -159,23 +169,14 @@
         self.open_counts.borrow_mut().retain(|(_, n)| n.get() > 0);
     }
 
-    /// Whether nothing listens at `addr` any more.
-    ///
-    /// A process that terminates closes its connections before its listener, and the system accepts
-    /// new ones until then. So a connection that is closed at once doesn't show that the target
-    /// runs.
+    /// Whether nothing listens at `addr` any more, or nothing responds there.
     pub(crate) async fn is_down(&self, addr: SocketAddr) -> bool {
-        for _ in 0..MAX_PROBES {
-            let opened = running_timeout(PROBE_TIMEOUT, Connection::open(addr)).await;
-            let Some(Ok(mut probe)) = opened else {
-                return true;
-            };
-            if timeout(PROBE_OPEN_TIME, probe.closed()).await.is_none() {
-                return false;
-            }
-            Timer::after(PROBE_PAUSE).await;
-        }
-        false
+        matches!(listener(addr).await, Listener::None | Listener::Silent)
+    }
+
+    /// Whether the process at `addr` has terminated, on a system that responds.
+    pub(crate) async fn has_exited(&self, addr: SocketAddr) -> bool {
+        listener(addr).await == Listener::None
     }
 
     /// Completes with an error once nothing at `addr` responds to new connections; never if `is_watched`
@@ -241,3 +242,23 @@
         None => false,
     }
 }
+
+/// Looks whether a process listens at `addr`.
+///
+/// A process that terminates closes its connections before its listener, and the system accepts new ones
+/// until then. So a connection that is closed at once doesn't show that the process runs.
+async fn listener(addr: SocketAddr) -> Listener {
+    for _ in 0..MAX_PROBES {
+        match running_timeout(PROBE_TIMEOUT, Connection::open(addr)).await {
+            Some(Ok(mut probe)) => {
+                if timeout(PROBE_OPEN_TIME, probe.closed()).await.is_none() {
+                    return Listener::Open;
+                }
+            }
+            Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Listener::None,
+            Some(Err(_)) | None => return Listener::Silent,
+        }
+        Timer::after(PROBE_PAUSE).await;
+    }
+    Listener::Open
+}
--- a/crates/rw-relay/src/streaming.rs
+++ b/crates/rw-relay/src/streaming.rs
@@ -7,6 +7,7 @@
     call::Call,
     exchange_error::{ExchangeError, caller_result},
     response_progress::ResponseProgress,
+    unframed_body::UnframedBody,
 };
 use rw_gate::{Event, is_refusal_status};
 
@@ -27,6 +28,8 @@
     pub(crate) resume_after: Option<u64>,
     /// Target or node that sends it.
     pub(crate) from: &'a str,
+    /// The target, if only the end of its connection marks that of the body.
+    pub(crate) unframed: Option<UnframedBody<'a>>,
     /// Event for the gate when the first event of the stream is about to be delivered.
     pub(crate) begun: Event,
 }
@@ -63,6 +66,7 @@
             }
             caller_result(writer.write(&bytes).await)?;
         }
+        self.check_end(streamed.unframed).await?;
         caller_result(writer.finish().await)
     }
 
@@ -94,6 +98,7 @@
             }
             run.write(&events).await.map_err(failed)?;
         }
+        self.check_end(streamed.unframed).await?;
         run.finish().await.map_err(failed)
     }
 
--- /dev/null
+++ b/crates/rw-relay/src/unframed_body.rs
@@ -0,0 +1,49 @@
+//! Bodies that have neither a length nor chunks.
+
+use crate::{Dialect, Framing, Relay, io_error::truncated};
+use rw_gate::Availability;
+use std::{io, net::SocketAddr};
+
+/// Where a body comes from that ends with its connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UnframedBody<'a> {
+    target: &'a str,
+    addr: SocketAddr,
+}
+
+impl<'a> UnframedBody<'a> {
+    /// A body of `target`; `None` if its framing marks its end.
+    pub(crate) fn new(framing: Framing, target: &'a str, addr: SocketAddr) -> Option<Self> {
+        (framing == Framing::Close).then_some(Self { target, addr })
+    }
+}
+
+impl<D: Dialect> Relay<D> {
+    /// Checks the end of a body, which is no end if its target has crashed: the system closes the
+    /// connections of a process that terminates in an orderly way.
+    ///
+    /// # Errors
+    ///
+    /// `UnexpectedEof` if nothing listens at the target's address any more, unless the target is known to
+    /// leave: it may close its listener before it ends its last bodies.
+    pub(crate) async fn check_end(&self, body: Option<UnframedBody<'_>>) -> io::Result<()> {
+        let Some(UnframedBody { target, addr }) = body else {
+            return Ok(());
+        };
+        if self.may_exit(target) || !self.pool.has_exited(addr).await {
+            return Ok(());
+        }
+        Err(truncated())
+    }
+
+    /// Whether a target is leaving, or has left the registry.
+    fn may_exit(&self, target: &str) -> bool {
+        let gate = self.gate.borrow();
+        let known = gate.targets().find(target);
+        let availability = known.map(|t| t.availability(self.clock.now()));
+        matches!(
+            availability,
+            None | Some(Availability::Gone | Availability::Leaving(_))
+        )
+    }
+}
