Keep streams away from a target whose process may be another one

Cause: the name passed for the identity, and the latest entry for the newest fact. Ruled out: asking each target for its report (a request for each stream); doubting after any failed connection (a node that is cut off would refuse streams that others can take).

A refused connection puts a target in doubt (ProcessDoubt): no stream goes on there until a new entry, a call that outlasted the doubt, or 5 s of an entry that lives on settle it; digests tell others. Near a return from a copy an earlier start doesn't replace a later one, and DepartedTargets pauses those whose entries had been dropped.

--- a/crates/rw-gate/src/attempt_flow.rs
+++ b/crates/rw-gate/src/attempt_flow.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CacheInsert, Delivered, Dispatch, DispatchMode, DispatchOutcome, Effect, Gate, KvHandle,
-    Prompt, RefusalKind, SentPrefill, SoftwareId, TargetLoad, account_usage::Decision,
+    Prompt, RefusalKind, SentPrefill, TargetLoad, account_usage::Decision,
     call_state::ActiveDispatch, placement::Placement, prefix_cache::prefix_hashes,
     refusal_status::is_refusal_status,
 };
@@ -274,7 +274,7 @@
         let incarnation = target.spec.incarnation;
         let addr = target.spec.addr.clone();
         let software = target.spec.software.clone();
-        let software_id = SoftwareId::of_target(&target.spec);
+        let software_id = target.software_id();
         self.targets.record_request(now, &placement.target);
         call.dispatches += 1;
         call.active = Some(ActiveDispatch {
@@ -363,12 +363,14 @@
         match outcome {
             DispatchOutcome::Complete { status } => {
                 target.health.record_outcome(now, false);
+                target.doubt.call_completed(current.sent_at);
                 if (200..300).contains(status) {
                     self.part_suspects.record_completion(now, parts);
                 }
             }
             DispatchOutcome::Delivered => {
                 target.health.record_outcome(now, false);
+                target.doubt.call_completed(current.sent_at);
                 self.part_suspects.record_completion(now, parts);
             }
             DispatchOutcome::Prefilled(_) => target.health.record_outcome(now, false),
--- a/crates/rw-gate/src/call_state.rs
+++ b/crates/rw-gate/src/call_state.rs
@@ -1,8 +1,8 @@
 //! State of an open call.
 
 use crate::{
-    CallRequest, Delivered, DispatchMode, KvHandle, PrefillSize, RetryPolicy, SoftwareId,
-    TargetSpec, scheduling::Placing,
+    CallRequest, Delivered, DispatchMode, KvHandle, PrefillSize, RetryPolicy, SoftwareId, Target,
+    scheduling::Placing,
 };
 use rw_types::{Millis, RequestId};
 
@@ -91,9 +91,9 @@
 
 impl CallState {
     /// Whether the call may be sent to a target with the version of this one.
-    pub(crate) fn accepts_version(&self, spec: &TargetSpec) -> bool {
+    pub(crate) fn accepts_version(&self, target: &Target) -> bool {
         let required = self.software;
-        required.is_none_or(|software| software == SoftwareId::of_target(spec))
+        required.is_none_or(|software| software == target.software_id())
     }
 
     /// Event after which a run goes on with the stream, for this node or for the caller, who may have
--- a/crates/rw-gate/src/digest.rs
+++ b/crates/rw-gate/src/digest.rs
@@ -220,6 +220,9 @@
     /// Targets that have said that they are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<TargetIncarnation>,
+    /// Targets whose processes have ended, so that others may run at their addresses.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<TargetIncarnation>,
     /// Rate limits that targets have named or withdrawn.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -162,6 +162,8 @@
     },
     /// No connection to the platform's API could be opened.
     ApiUnreachable,
+    /// Nothing listens at the address of a target, so that its process has ended.
+    TargetEnded(TargetIncarnation),
     /// The time of day was read, when this process started.
     TimeOfDay {
         /// Milliseconds since the start of 1970.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -3,19 +3,21 @@
 use crate::{
     Digest, DispatchMode, Effect, Event, FleetNode, GateSettings, LeavingSource, LimitReport,
     LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, ResponseSource,
-    Routing, Target, TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
+    Routing, TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
     account_keys::AccountKeys,
     account_usage::AccountUsage,
     call_state::CallState,
     delegation::{Delegates, Reachability},
     demand::DemandMeter,
     demand_flow::LeaderContact,
+    departed_targets::DepartedTargets,
     duty_reach::DutyReach,
     engine_estimates::EngineEstimates,
     fleet_demand::FleetDemand,
     lease::Lease,
     origin_flow::{answered_question, origin_ttl_ms},
     placer::Placer,
+    process_doubt::ENTRY_LIFE_MS,
     publication::Publication,
     rate_limits::Sharers,
     roles::{PEER_TIMEOUT_MS, PeerConnection, Roles},
@@ -55,6 +57,7 @@
     pub(crate) part_suspects: PartSuspects,
     /// Where recent streams began.
     pub(crate) origins: StreamOrigins,
+    departed: DepartedTargets,
     /// Time for which origins and versions matter, by the routes in force, in milliseconds.
     pub(crate) origin_ttl_ms: u64,
     /// Versions of the targets' software.
@@ -118,6 +121,7 @@
             suspects: Suspects::default(),
             part_suspects: PartSuspects::default(),
             origins: StreamOrigins::default(),
+            departed: DepartedTargets::default(),
             origin_ttl_ms: origin_ttl_ms(&Routing::default()),
             software: SoftwareHistory::default(),
             records: Vec::new(),
@@ -177,6 +181,11 @@
             Event::Routing(routing) => self.apply_routing(routing),
             Event::ConfigConfirmed { asked_at } => self.keys.confirm(asked_at),
             Event::ApiUnreachable => self.api_silent(now, &mut effects),
+            Event::TargetEnded(target) => {
+                if self.target_ended(now, &target) {
+                    effects.push(Effect::PublishDigest);
+                }
+            }
             Event::TimeOfDay { unix_ms } => self.true_time.set(now, unix_ms),
             Event::UsageRead(row) => self.usage_read(now, row, &mut effects),
             Event::UsageCollected(collection) => {
@@ -223,6 +232,7 @@
             }
             Event::StoreDisconnected => self.roles.connected_since = None,
             Event::Tick => {
+                self.check_doubts(now);
                 self.update_speeds(now);
                 self.check_software(now, &mut effects);
                 self.check_sizing(now, &mut effects);
@@ -460,16 +470,19 @@
 
     fn update_target(&mut self, now: Millis, spec: TargetSpec) {
         let name = spec.name.clone();
-        let spec = self.with_lost_notice(now, spec);
         // Its version may be replaced.
         self.observe_target(now, &name);
-        self.targets.upsert(spec);
+        self.upsert_target(now, spec);
         self.observe_target(now, &name);
     }
 
     fn remove_target(&mut self, now: Millis, name: &str) {
         let at = self.removal_time(now);
         self.observe_target(now, name);
+        let incarnation = self.targets.find(name).map(|t| t.spec.incarnation);
+        if let Some(incarnation) = incarnation.filter(|_| at <= now) {
+            self.departed.record(now, name, incarnation);
+        }
         self.targets.remove(name, now, at);
         self.targets.remove_expired(now);
     }
@@ -486,22 +499,57 @@
             .iter()
             .for_each(|name| self.remove_target(now, name));
         for spec in specs {
-            let spec = self.with_lost_notice(now, spec);
-            self.targets.upsert(spec);
+            self.upsert_target(now, spec);
+        }
+    }
+
+    /// Takes over an entry. If the store's copy may be from before the target has left, it gets no work
+    /// until its entry would have lapsed without heartbeats.
+    fn upsert_target(&mut self, now: Millis, spec: TargetSpec) {
+        let spec = self.newest_entry(now, spec);
+        let target = TargetIncarnation {
+            name: spec.name.clone(),
+            incarnation: spec.incarnation,
+        };
+        self.targets.upsert(spec);
+        let is_restored = self.restored_entries_deadline(now).is_some();
+        if is_restored && self.departed.contains(&target.name, target.incarnation) {
+            self.targets.pause(now, &target, now.plus(ENTRY_LIFE_MS));
         }
     }
 
-    /// The entry of a target, which keeps on leaving if the store's copy may be from before that.
-    fn with_lost_notice(&self, now: Millis, spec: TargetSpec) -> TargetSpec {
-        let is_same = |t: &&Target| t.spec.incarnation == spec.incarnation && t.spec.leaving;
-        let known = self.targets.find(&spec.name).filter(is_same);
-        let is_lost = known.is_some() && self.restored_entries_deadline(now).is_some();
+    /// The entry of a target, or what is known of it if the store's copy may be from before that: a later
+    /// incarnation, or that it is leaving.
+    fn newest_entry(&self, now: Millis, spec: TargetSpec) -> TargetSpec {
+        if self.restored_entries_deadline(now).is_none() {
+            return spec;
+        }
+        let known = self.targets.find(&spec.name).map(|t| &t.spec);
+        if let Some(newer) = known.filter(|k| k.incarnation > spec.incarnation) {
+            return newer.clone();
+        }
+        let is_leaving = |k: &TargetSpec| k.incarnation == spec.incarnation && k.leaving;
         TargetSpec {
-            leaving: spec.leaving || is_lost,
+            leaving: spec.leaving || known.is_some_and(is_leaving),
             ..spec
         }
     }
 
+    /// Records that the process of a target has ended; returns whether this is news.
+    fn target_ended(&mut self, now: Millis, target: &TargetIncarnation) -> bool {
+        let found = self
+            .targets
+            .find_incarnation(&target.name, target.incarnation);
+        found.is_some_and(|t| t.doubt.begin(now))
+    }
+
+    /// Ends doubts that the registry has settled.
+    fn check_doubts(&mut self, now: Millis) {
+        let connected_since = self.roles.connected_since;
+        let targets = self.targets.iter_mut();
+        targets.for_each(|t| t.doubt.check_registry(now, connected_since));
+    }
+
     fn receive_digest(&mut self, now: Millis, digest: &Digest) {
         self.suspects.merge(now, &digest.suspects);
         self.suspects.prune(now, self.settings.poison_ms);
@@ -513,6 +561,9 @@
         for target in &digest.leaving {
             self.targets.set_leaving(now, target, LeavingSource::Peer);
         }
+        for target in &digest.ended {
+            self.target_ended(now, target);
+        }
         if let Some(report) = &digest.shares {
             self.account_usage.receive(now, &digest.vm, report);
         }
--- a/crates/rw-gate/src/placer.rs
+++ b/crates/rw-gate/src/placer.rs
@@ -135,7 +135,7 @@
             t.spec.service == service.name
                 && t.is_available(self.now)
                 && !call.excluded.contains(&t.spec.name)
-                && call.accepts_version(&t.spec)
+                && call.accepts_version(t)
         });
         let estimates = self.gate.estimates(&service.name);
         let usual_ms = estimates.baselines[WorkKind::Plain.index()].mean().exp();
@@ -186,7 +186,7 @@
                 && !t.is_changing_role(self.now)
                 && t.has_model(&prompt.model)
                 && !call.excluded.contains(&t.spec.name)
-                && call.accepts_version(&t.spec)
+                && call.accepts_version(t)
         })
     }
 
@@ -224,12 +224,13 @@
         unhealthy + no_slot + no_memory
     }
 
-    /// Cost of beginning a stream that may be resumed at a software version that other nodes may not
-    /// know of.
+    /// Cost of beginning a stream that may be resumed at a software version that isn't known, here or at
+    /// other nodes.
     fn settling_cost(&self, call: &CallState, t: &Target) -> f64 {
         let begins = call.software.is_none() && call.retry_policy.is_resumable();
         let software = &self.gate.software;
-        match begins && software.is_settling(self.now, &t.spec.service, &t.spec.software) {
+        let is_settling = software.is_settling(self.now, &t.spec.service, &t.spec.software);
+        match begins && (is_settling || t.doubt.is_open()) {
             true => SETTLING_COST_MS,
             false => 0.0,
         }
--- /dev/null
+++ b/crates/rw-gate/src/process_doubt.rs
@@ -0,0 +1,62 @@
+//! Doubt whether the process at a target's address is still the one of its entry.
+
+use rw_types::Millis;
+
+/// Time after which an entry has lapsed whose target sends no heartbeats, in milliseconds. If the registry
+/// is reached without interruption for so long, it has the entry of the process that runs now.
+pub(crate) const ENTRY_LIFE_MS: u64 = 5_000;
+/// Number of digests that carry a doubt, since one may be lost.
+const SENDS: u32 = 2;
+
+/// Set once nothing listened at a target's address. The process that is found there next may be another
+/// one, with other software, that the registry doesn't know of yet. The entry of a new incarnation brings
+/// a target without doubt.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ProcessDoubt {
+    since: Option<Millis>,
+    /// Number of digests that are still to carry it.
+    sends: u32,
+}
+
+impl ProcessDoubt {
+    /// Whether the target's software isn't known.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Records that the process has ended; returns whether this is news.
+    pub(crate) fn begin(&mut self, now: Millis) -> bool {
+        let is_news = self.since.is_none();
+        if is_news {
+            self.sends = SENDS;
+        }
+        self.since = Some(now);
+        is_news
+    }
+
+    /// A call that was sent at `sent_at` has ended well, on a connection that the end of the process would
+    /// have broken.
+    pub(crate) fn call_completed(&mut self, sent_at: Millis) {
+        if self.since.is_some_and(|since| sent_at < since) {
+            *self = Self::default();
+        }
+    }
+
+    /// Ends the doubt if the registry has been reached since `connected_since`, for long enough that the
+    /// entry would have lapsed or been replaced.
+    pub(crate) fn check_registry(&mut self, now: Millis, connected_since: Option<Millis>) {
+        let proof = self.since.max(connected_since);
+        let is_proved = proof.is_some_and(|at| now.since(at) >= ENTRY_LIFE_MS);
+        if connected_since.is_some() && is_proved {
+            *self = Self::default();
+        }
+    }
+
+    /// Whether the next digest is to carry the doubt; counts it as carried.
+    pub(crate) fn take_send(&mut self) -> bool {
+        let is_due = self.is_open() && self.sends > 0;
+        self.sends -= u32::from(is_due);
+        is_due
+    }
+}
--- a/crates/rw-gate/src/publication.rs
+++ b/crates/rw-gate/src/publication.rs
@@ -24,6 +24,8 @@
 const MAX_PARTS: usize = 4;
 /// Maximum number of leaving targets that one digest carries.
 const MAX_LEAVING: usize = 8;
+/// Maximum number of targets whose processes have ended that one digest carries.
+const MAX_ENDED: usize = 8;
 /// Maximum number of rate limits that one digest carries.
 const MAX_LIMITS: usize = 4;
 /// Maximum number of streams with their origins that one digest carries.
@@ -216,6 +218,7 @@
         let suspects = self.publication.take_suspects(recent);
         let parts = self.part_suspects.take_reports(now, MAX_PARTS);
         let leaving = self.targets.take_leaving(MAX_LEAVING);
+        let ended = self.targets.take_ended(MAX_ENDED);
         let limits = self.targets.take_limits(now, MAX_LIMITS);
         let origins = self.origins.take_reports(MAX_ORIGINS);
         let history = self.software.take_news(now, self.origin_ttl_ms);
@@ -224,6 +227,7 @@
             || !suspects.is_empty()
             || !parts.is_empty()
             || !leaving.is_empty()
+            || !ended.is_empty()
             || !limits.is_empty()
             || !origins.is_empty()
             || history.is_some()
@@ -239,6 +243,7 @@
             suspects,
             parts,
             leaving,
+            ended,
             limits,
             speeds: self.take_speeds(now, speeds),
             origins,
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -1,8 +1,8 @@
 //! A target and its estimated state.
 
 use crate::{
-    Availability, Health, LeavingSource, PrefillQueue, PrefillSize, PrefixCache, Prompt,
-    Reservation, SendWindow, TargetLoad, TargetSpeed, digest::REPORT_TTL_MS,
+    Availability, Health, LeavingSource, PrefillQueue, PrefillSize, PrefixCache, ProcessDoubt,
+    Prompt, Reservation, SendWindow, SoftwareId, TargetLoad, TargetSpeed, digest::REPORT_TTL_MS,
 };
 use rw_types::{Millis, Role};
 use serde::{Deserialize, Serialize};
@@ -63,6 +63,8 @@
     pub cache: PrefixCache,
     /// Failure rate and slowdown.
     pub health: Health,
+    /// Whether another process may run by now.
+    pub doubt: ProcessDoubt,
     /// How long work takes, relative to the other targets of the service.
     pub speed: TargetSpeed,
     /// Open calls of this node on the target.
@@ -92,6 +94,7 @@
             queue: PrefillQueue::default(),
             cache: PrefixCache::default(),
             health: Health::default(),
+            doubt: ProcessDoubt::default(),
             speed: TargetSpeed::default(),
             open_calls: 0,
             open_tokens: 0,
@@ -101,6 +104,17 @@
         }
     }
 
+    /// The version of its software. In doubt which process runs, it is one that no other target has and
+    /// no stream began at.
+    #[must_use]
+    pub fn software_id(&self) -> SoftwareId {
+        if !self.doubt.is_open() {
+            return SoftwareId::of_target(&self.spec);
+        }
+        let unknown = format!("after {} of {}", self.spec.incarnation, self.spec.name);
+        SoftwareId::of(&self.spec.service, &unknown)
+    }
+
     /// Whether a role change is under way.
     #[must_use]
     pub fn is_changing_role(&self, now: Millis) -> bool {
--- a/crates/rw-gate/src/target_list.rs
+++ b/crates/rw-gate/src/target_list.rs
@@ -120,6 +120,18 @@
         self.notices.take_leaving(max)
     }
 
+    /// The targets whose processes have ended and that are due to be published, at most `max`.
+    pub(crate) fn take_ended(&mut self, max: usize) -> Vec<TargetIncarnation> {
+        let due = self.list.iter_mut().filter(|t| t.doubt.is_open());
+        let taken = due.filter_map(|t| {
+            t.doubt.take_send().then(|| TargetIncarnation {
+                name: t.spec.name.clone(),
+                incarnation: t.spec.incarnation,
+            })
+        });
+        taken.take(max).collect()
+    }
+
     /// All targets that have said that they are leaving.
     pub(crate) fn leaving(&self) -> Vec<TargetIncarnation> {
         self.notices.export()
--- a/crates/rw-gate/tests/targets.rs
+++ b/crates/rw-gate/tests/targets.rs
@@ -146,6 +146,25 @@
             ],
             used_targets: &["p2", "p3"],
         },
+        Case {
+            name: "a target that has left gets no work if the store's copy is from before that",
+            events: vec![
+                (0, removed()),
+                (500, Event::StoreRestored),
+                (0, Event::TargetUpdated(entry())),
+            ],
+            used_targets: &["p2", "p3"],
+        },
+        Case {
+            name: "until its entry would have lapsed without heartbeats",
+            events: vec![
+                (0, removed()),
+                (500, Event::StoreRestored),
+                (0, Event::TargetUpdated(entry())),
+                (5_000, Event::Tick),
+            ],
+            used_targets: &["p1", "p2", "p3"],
+        },
         Case {
             name: "a leaving target stays so if the store's copy is from before that",
             events: vec![
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -10,7 +10,7 @@
     head::is_hop,
     io_error::malformed,
     notices::Addressee,
-    pool::ConnectError,
+    pool::{ConnectError, Listener, listener},
     response_body::read_response_body,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::{StreamedResponse, is_streamed},
@@ -18,7 +18,7 @@
     timeout::timeout_at,
     unframed_body::UnframedBody,
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
+use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event, TargetIncarnation};
 use smol::future;
 use std::{
     fmt::Write as _,
@@ -58,6 +58,10 @@
         let conn = match conn {
             Some(Ok(conn)) => conn,
             Some(Err(ConnectError::AtLimit)) => return Ok(DispatchOutcome::Rejected { status: 0 }),
+            Some(Err(ConnectError::Refused)) => {
+                self.target_ended(dispatch);
+                return Ok(DispatchOutcome::NotSent);
+            }
             Some(Err(ConnectError::Failed)) | None => return Ok(DispatchOutcome::NotSent),
         };
         if !self.may_send(dispatch) {
@@ -87,7 +91,7 @@
                 // A malformed response is no sign that its target has terminated.
                 let is_malformed = error.kind() == io::ErrorKind::InvalidData;
                 let crashed = !is_malformed
-                    && self.pool.is_down(addr).await
+                    && self.is_down(dispatch, addr).await
                     && self.reaches_others(&dispatch.target).await;
                 let request = self.dialect.call_request(&call.head, &call.body);
                 let parts = request.prompt.map(|p| p.parts).unwrap_or_default();
@@ -101,6 +105,23 @@
         }
     }
 
+    /// Whether nothing listens at the target's address any more, or nothing responds there.
+    async fn is_down(&self, dispatch: &Dispatch, addr: SocketAddr) -> bool {
+        let found = listener(addr).await;
+        if found == Listener::None {
+            self.target_ended(dispatch);
+        }
+        found != Listener::Open
+    }
+
+    /// The process of the target has ended; another one may run at its address next.
+    fn target_ended(&self, dispatch: &Dispatch) {
+        self.step(Event::TargetEnded(TargetIncarnation {
+            name: dispatch.target.clone(),
+            incarnation: dispatch.incarnation,
+        }));
+    }
+
     async fn exchange(
         &self,
         call: &Call,
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -44,13 +44,15 @@
 pub(crate) enum ConnectError {
     /// All connections that this node may open to the address are in use.
     AtLimit,
-    /// Connecting failed or timed out.
+    /// Nothing listens at the address.
+    Refused,
+    /// Connecting failed in another way, or timed out.
     Failed,
 }
 
 /// What a probe of an address has found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Listener {
+pub(crate) enum Listener {
     Open,
     /// New connections are refused.
     None,
@@ -118,7 +120,8 @@
                 let key = (addr, incarnation);
                 Ok(TargetConnection::new(connection, key, count))
             }
-            _ => Err(ConnectError::Failed),
+            Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Err(ConnectError::Refused),
+            Some(Err(_)) | None => Err(ConnectError::Failed),
         }
     }
 
@@ -169,16 +172,6 @@
         self.open_counts.borrow_mut().retain(|(_, n)| n.get() > 0);
     }
 
-    /// Whether nothing listens at `addr` any more, or nothing responds there.
-    pub(crate) async fn is_down(&self, addr: SocketAddr) -> bool {
-        matches!(listener(addr).await, Listener::None | Listener::Silent)
-    }
-
-    /// Whether the process at `addr` has terminated, on a system that responds.
-    pub(crate) async fn has_exited(&self, addr: SocketAddr) -> bool {
-        listener(addr).await == Listener::None
-    }
-
     /// Completes with an error once nothing at `addr` responds to new connections; never if `is_watched`
     /// is false. For a message without a limit on the time for which it may stay unacknowledged.
     pub(crate) async fn contact_lost<T>(
@@ -247,7 +240,7 @@
 ///
 /// A process that terminates closes its connections before its listener, and the system accepts new ones
 /// until then. So a connection that is closed at once doesn't show that the process runs.
-async fn listener(addr: SocketAddr) -> Listener {
+pub(crate) async fn listener(addr: SocketAddr) -> Listener {
     for _ in 0..MAX_PROBES {
         match running_timeout(PROBE_TIMEOUT, Connection::open(addr)).await {
             Some(Ok(mut probe)) => {
--- a/crates/rw-relay/src/unframed_body.rs
+++ b/crates/rw-relay/src/unframed_body.rs
@@ -1,6 +1,10 @@
 //! Bodies that have neither a length nor chunks.
 
-use crate::{Dialect, Framing, Relay, io_error::truncated};
+use crate::{
+    Dialect, Framing, Relay,
+    io_error::truncated,
+    pool::{Listener, listener},
+};
 use rw_gate::Availability;
 use std::{io, net::SocketAddr};
 
@@ -30,7 +34,7 @@
         let Some(UnframedBody { target, addr }) = body else {
             return Ok(());
         };
-        if self.may_exit(target) || !self.pool.has_exited(addr).await {
+        if self.may_exit(target) || listener(addr).await != Listener::None {
             return Ok(());
         }
         Err(truncated())
