--- a/crates/rw-relay/src/connection.rs
+++ b/crates/rw-relay/src/connection.rs
@@ -59,8 +59,8 @@
         })
     }
 
-    /// Opens a connection to `addr`. It also breaks when a message is not acknowledged, unless
-    /// [`Self::begin_message`] lifts that limit.
+    /// Opens a connection to `addr`. It also breaks when a message is not acknowledged, unless that is a
+    /// long one.
     ///
     /// # Errors
     ///
