Don't pass on that another node has found a process ended

Found when reading the change: a node that was told of a doubt told others, and each may end it by itself, so that nodes could begin it again for each other without end.

Change: only the node that found the refused connection tells others. target_processes has a test of it, which fails if begin_elsewhere is begin.

--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -561,8 +561,10 @@
         for target in &digest.leaving {
             self.targets.set_leaving(now, target, LeavingSource::Peer);
         }
-        for target in &digest.ended {
-            self.target_ended(now, target);
+        for TargetIncarnation { name, incarnation } in &digest.ended {
+            if let Some(target) = self.targets.find_incarnation(name, *incarnation) {
+                target.doubt.begin_elsewhere(now);
+            }
         }
         if let Some(report) = &digest.shares {
             self.account_usage.receive(now, &digest.vm, report);
--- a/crates/rw-gate/src/process_doubt.rs
+++ b/crates/rw-gate/src/process_doubt.rs
@@ -25,7 +25,7 @@
         self.since.is_some()
     }
 
-    /// Records that the process has ended; returns whether this is news.
+    /// Records that this node has found that the process has ended; returns whether this is news.
     pub(crate) fn begin(&mut self, now: Millis) -> bool {
         let is_news = self.since.is_none();
         if is_news {
@@ -35,6 +35,12 @@
         is_news
     }
 
+    /// Records that another node has found so. It isn't passed on, as a doubt that nodes end and begin
+    /// again for each other might never end.
+    pub(crate) fn begin_elsewhere(&mut self, now: Millis) {
+        self.since.get_or_insert(now);
+    }
+
     /// A call that was sent at `sent_at` has ended well, on a connection that the end of the process would
     /// have broken.
     pub(crate) fn call_completed(&mut self, sent_at: Millis) {
--- a/crates/rw-gate/tests/target_processes.rs
+++ b/crates/rw-gate/tests/target_processes.rs
@@ -235,6 +235,21 @@
     assert_eq!(told, vec![vec![incarnation("0", 1)]; 2]);
 }
 
+/// Guards against a doubt that nodes pass to each other without end.
+#[test]
+fn what_another_node_has_told_of_a_process_is_not_passed_on() {
+    let mut world = world();
+    world.step(Event::DigestReceived(Digest {
+        vm: "b".to_owned(),
+        ended: vec![incarnation("0", 1)],
+        ..Digest::default()
+    }));
+    let target = world.gate.targets().find("0");
+    assert!(target.is_some_and(|t| t.doubt.is_open()));
+    let digest = world.gate.publish(Millis(world.now));
+    assert!(digest.is_none_or(|d| d.ended.is_empty()));
+}
+
 #[test]
 fn a_call_that_outlasts_the_doubt_shows_that_the_process_runs() {
     let mut world = world();
