Group the probes of addresses in a module

pool.rs held the pool, what a target's listener says and whether an address responds; the last two are probe.rs now, moved as they were. Comments of the gate say "expired" for entries throughout the change.

--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -504,7 +504,7 @@
     }
 
     /// Takes over an entry. If the store's copy may be from before the target has left, it gets no work
-    /// until its entry would have lapsed without heartbeats.
+    /// until its entry would have expired without heartbeats.
     fn upsert_target(&mut self, now: Millis, spec: TargetSpec) {
         let spec = self.newest_entry(now, spec);
         let target = TargetIncarnation {
--- a/crates/rw-gate/src/process_doubt.rs
+++ b/crates/rw-gate/src/process_doubt.rs
@@ -2,8 +2,8 @@
 
 use rw_types::Millis;
 
-/// Time after which an entry has lapsed whose target sends no heartbeats, in milliseconds. If the registry
-/// is reached without interruption for so long, it has the entry of the process that runs now.
+/// Time after which the entry of a target that sends no heartbeats has expired, in milliseconds. If the
+/// registry is reached without interruption for so long, it has the entry of the process that runs now.
 pub(crate) const ENTRY_LIFE_MS: u64 = 5_000;
 /// Number of digests that carry a doubt, since one may be lost.
 const SENDS: u32 = 2;
@@ -50,7 +50,7 @@
     }
 
     /// Ends the doubt if the registry has been reached since `connected_since`, for long enough that the
-    /// entry would have lapsed or been replaced.
+    /// entry would have expired or been replaced.
     pub(crate) fn check_registry(&mut self, now: Millis, connected_since: Option<Millis>) {
         let proof = self.since.max(connected_since);
         let is_proved = proof.is_some_and(|at| now.since(at) >= ENTRY_LIFE_MS);
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -10,7 +10,8 @@
     head::is_hop,
     io_error::malformed,
     notices::Addressee,
-    pool::{ConnectError, Listener, listener},
+    pool::ConnectError,
+    probe::{Listener, contact_lost, listener},
     response_body::read_response_body,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::{StreamedResponse, is_streamed},
@@ -144,7 +145,7 @@
         progress: &mut ResponseProgress,
     ) -> Result<DispatchOutcome, ExchangeError> {
         let is_watched = !conn.connection().is_unacked_limited();
-        let lost = self.pool.contact_lost(conn.addr(), is_watched);
+        let lost = contact_lost(conn.addr(), is_watched);
         let reading = self.read_response_head(call, dispatch, &mut conn);
         let (head, metadata) = future::or(reading, lost).await?;
         let event = Event::ResponseStarted {
--- a/crates/rw-relay/src/delegation/send.rs
+++ b/crates/rw-relay/src/delegation/send.rs
@@ -10,6 +10,7 @@
     head::is_hop,
     io_error::malformed,
     notices::Addressee,
+    probe::contact_lost,
     response_body::read_response_body,
     response_progress::{BufferedResponse, ResponseProgress},
     streaming::{StreamedResponse, is_streamed},
@@ -124,7 +125,7 @@
     ) -> Result<DelegationOutcome, ExchangeError> {
         conn.begin_message(call.body.len());
         let is_watched = !conn.is_unacked_limited();
-        let lost = self.pool.contact_lost(conn.peer_addr()?, is_watched);
+        let lost = contact_lost(conn.peer_addr()?, is_watched);
         let responded = async {
             write_chunked(conn, &call.body).await?;
             read_head(conn, call).await
--- a/crates/rw-relay/src/lib.rs
+++ b/crates/rw-relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod peers;
 mod placements;
 mod pool;
+mod probe;
 mod registry;
 mod relay;
 mod request_body;
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -4,30 +4,19 @@
     BootClock, Connection,
     carried_calls::CallKey,
     target_connection::{OpenCount, TargetConnection},
-    timeout::{running_timeout, timeout},
+    timeout::running_timeout,
 };
 use rw_types::Millis;
-use smol::{Timer, future};
 use std::{
     cell::{Cell, RefCell},
-    io::{self, ErrorKind},
+    io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 /// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for a connection that only checks whether a target listens.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum number of such connections for one check.
-const MAX_PROBES: u32 = 5;
-/// Pause between them.
-const PROBE_PAUSE: Duration = Duration::from_millis(20);
-/// Time after which a connection that stays open shows that the target runs.
-const PROBE_OPEN_TIME: Duration = Duration::from_millis(20);
-/// Time until it is checked first whether an address still responds; it doubles with each check.
-const CONTACT_INTERVAL: Duration = Duration::from_millis(1_500);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle timeout of a connection whose target announces none.
 const IDLE_TIMEOUT_MS: u64 = 2_000;
 /// A connection expires this much before the idle timeout that its target announces.
@@ -50,16 +39,6 @@
     Failed,
 }
 
-/// What a probe of an address has found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Listener {
-    Open,
-    /// New connections are refused.
-    None,
-    /// New connections fail in another way, or time out.
-    Silent,
-}
-
 /// Idle connections, and the number of open connections of each address.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -172,26 +151,6 @@
         self.open_counts.borrow_mut().retain(|(_, n)| n.get() > 0);
     }
 
-    /// Completes with an error once nothing at `addr` responds to new connections; never if `is_watched`
-    /// is false. For a message without a limit on the time for which it may stay unacknowledged.
-    pub(crate) async fn contact_lost<T>(
-        &self,
-        addr: SocketAddr,
-        is_watched: bool,
-    ) -> io::Result<T> {
-        if !is_watched {
-            return future::pending().await;
-        }
-        let mut pause = CONTACT_INTERVAL;
-        loop {
-            Timer::after(pause).await;
-            if !responds(addr).await && !responds(addr).await {
-                return Err(ErrorKind::TimedOut.into());
-            }
-            pause *= 2;
-        }
-    }
-
     fn take_idle(
         &self,
         addr: SocketAddr,
@@ -223,35 +182,3 @@
         }
     }
 }
-
-/// Whether the system at `addr` responds to a new connection, if only by refusing it.
-async fn responds(addr: SocketAddr) -> bool {
-    match running_timeout(CONNECT_TIMEOUT, Connection::open(addr)).await {
-        Some(Ok(_)) => true,
-        Some(Err(e)) => matches!(
-            e.kind(),
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-        ),
-        None => false,
-    }
-}
-
-/// Looks whether a process listens at `addr`.
-///
-/// A process that terminates closes its connections before its listener, and the system accepts new ones
-/// until then. So a connection that is closed at once doesn't show that the process runs.
-pub(crate) async fn listener(addr: SocketAddr) -> Listener {
-    for _ in 0..MAX_PROBES {
-        match running_timeout(PROBE_TIMEOUT, Connection::open(addr)).await {
-            Some(Ok(mut probe)) => {
-                if timeout(PROBE_OPEN_TIME, probe.closed()).await.is_none() {
-                    return Listener::Open;
-                }
-            }
-            Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Listener::None,
-            Some(Err(_)) | None => return Listener::Silent,
-        }
-        Timer::after(PROBE_PAUSE).await;
-    }
-    Listener::Open
-}
--- a/crates/rw-relay/src/unframed_body.rs
+++ b/crates/rw-relay/src/unframed_body.rs
@@ -3,7 +3,7 @@
 use crate::{
     Dialect, Framing, Relay,
     io_error::truncated,
-    pool::{Listener, listener},
+    probe::{Listener, listener},
 };
 use rw_gate::Availability;
 use std::{io, net::SocketAddr};
