Don't take the refusals of a node's own links for a crashed target

The same would have cut a body without a length that ends on a live connection.

Cause: a refused connection alone counted as the end of a process; the links of a node may refuse, too.

Change: both need another target of the service that is reached, as a crash did already. A refusal when connecting for a new call says nothing any more; a broken connection followed by one does.

--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -59,10 +59,6 @@
         let conn = match conn {
             Some(Ok(conn)) => conn,
             Some(Err(ConnectError::AtLimit)) => return Ok(DispatchOutcome::Rejected { status: 0 }),
-            Some(Err(ConnectError::Refused)) => {
-                self.target_ended(dispatch);
-                return Ok(DispatchOutcome::NotSent);
-            }
             Some(Err(ConnectError::Failed)) | None => return Ok(DispatchOutcome::NotSent),
         };
         if !self.may_send(dispatch) {
@@ -91,9 +87,7 @@
                 self.pool.drop_idle(addr);
                 // A malformed response is no sign that its target has terminated.
                 let is_malformed = error.kind() == io::ErrorKind::InvalidData;
-                let crashed = !is_malformed
-                    && self.is_down(dispatch, addr).await
-                    && self.reaches_others(&dispatch.target).await;
+                let crashed = !is_malformed && self.has_crashed(dispatch, addr).await;
                 let request = self.dialect.call_request(&call.head, &call.body);
                 let parts = request.prompt.map(|p| p.parts).unwrap_or_default();
                 self.log
@@ -106,21 +100,21 @@
         }
     }
 
-    /// Whether nothing listens at the target's address any more, or nothing responds there.
-    async fn is_down(&self, dispatch: &Dispatch, addr: SocketAddr) -> bool {
+    /// Whether nothing listens at the target's address any more, or nothing responds there, while this
+    /// node reaches others.
+    async fn has_crashed(&self, dispatch: &Dispatch, addr: SocketAddr) -> bool {
         let found = listener(addr).await;
+        if found == Listener::Open || !self.reaches_others(&dispatch.target).await {
+            return false;
+        }
         if found == Listener::None {
-            self.target_ended(dispatch);
+            // Another process may run at the address next.
+            self.step(Event::TargetEnded(TargetIncarnation {
+                name: dispatch.target.clone(),
+                incarnation: dispatch.incarnation,
+            }));
         }
-        found != Listener::Open
-    }
-
-    /// The process of the target has ended; another one may run at its address next.
-    fn target_ended(&self, dispatch: &Dispatch) {
-        self.step(Event::TargetEnded(TargetIncarnation {
-            name: dispatch.target.clone(),
-            incarnation: dispatch.incarnation,
-        }));
+        true
     }
 
     async fn exchange(
--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -9,7 +9,6 @@
 use rw_types::Millis;
 use std::{
     cell::{Cell, RefCell},
-    io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -33,9 +32,7 @@
 pub(crate) enum ConnectError {
     /// All connections that this node may open to the address are in use.
     AtLimit,
-    /// Nothing listens at the address.
-    Refused,
-    /// Connecting failed in another way, or timed out.
+    /// Connecting failed or timed out.
     Failed,
 }
 
@@ -99,7 +96,6 @@
                 let key = (addr, incarnation);
                 Ok(TargetConnection::new(connection, key, count))
             }
-            Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Err(ConnectError::Refused),
             Some(Err(_)) | None => Err(ConnectError::Failed),
         }
     }
--- a/crates/rw-relay/src/unframed_body.rs
+++ b/crates/rw-relay/src/unframed_body.rs
@@ -28,16 +28,19 @@
     ///
     /// # Errors
     ///
-    /// `UnexpectedEof` if nothing listens at the target's address any more, unless the target is known to
-    /// leave: it may close its listener before it ends its last bodies.
+    /// `UnexpectedEof` if nothing listens at the target's address any more, while this node reaches others.
+    /// A target that is known to leave is exempt: it may close its listener before it ends its last bodies.
     pub(crate) async fn check_end(&self, body: Option<UnframedBody<'_>>) -> io::Result<()> {
         let Some(UnframedBody { target, addr }) = body else {
             return Ok(());
         };
-        if self.may_exit(target) || listener(addr).await != Listener::None {
-            return Ok(());
+        let has_crashed = !self.may_exit(target)
+            && listener(addr).await == Listener::None
+            && self.reaches_others(target).await;
+        match has_crashed {
+            true => Err(truncated()),
+            false => Ok(()),
         }
-        Err(truncated())
     }
 
     /// Whether a target is leaving, or has left the registry.
