--- a/crates/rw-relay/src/pool.rs
+++ b/crates/rw-relay/src/pool.rs
@@ -21,6 +21,9 @@
 /// A connection expires this much before the idle timeout that its target announces.
 const IDLE_MARGIN_MS: u64 = 500;
 
+/// Time for which a broken connection casts doubt on the others to its address, in milliseconds.
+const BROKEN_MS: u64 = 500;
+
 #[derive(Debug)]
 struct IdleConnection {
     conn: TargetConnection,
@@ -45,6 +48,8 @@
     open_counts: RefCell<Vec<(SocketAddr, Rc<Cell<u32>>)>>,
     /// Connections opened so far, including failed attempts.
     opened: Cell<u64>,
+    /// Addresses where a connection has broken lately, and when the latest one did.
+    broken: RefCell<Vec<(SocketAddr, Millis)>>,
 }
 
 impl Pool {
@@ -54,6 +59,7 @@
             idle: RefCell::default(),
             open_counts: RefCell::default(),
             opened: Cell::new(0),
+            broken: RefCell::default(),
         }
     }
 
@@ -129,6 +135,25 @@
     /// too.
     pub(crate) fn drop_idle(&self, addr: SocketAddr) {
         self.idle.borrow_mut().retain(|i| i.conn.addr() != addr);
+        let now = self.clock.now();
+        let mut broken = self.broken.borrow_mut();
+        broken.retain(|(a, at)| *a != addr && now.since(*at) < BROKEN_MS);
+        broken.push((addr, now));
+    }
+
+    /// Whether another connection to an address has just broken, or was closed by the other side, as all
+    /// are when a process ends.
+    pub(crate) fn has_lost_others(&self, addr: SocketAddr) -> bool {
+        let now = self.clock.now();
+        let broken = self.broken.borrow();
+        let has_broken = broken
+            .iter()
+            .any(|(a, at)| *a == addr && now.since(*at) < BROKEN_MS);
+        let idle = self.idle.borrow();
+        has_broken
+            || idle
+                .iter()
+                .any(|i| i.conn.addr() == addr && !i.conn.is_idle())
     }
 
     /// Drops an idle connection to an address where none fits a call, so that calls of one identifier
--- a/crates/rw-relay/src/unframed_body.rs
+++ b/crates/rw-relay/src/unframed_body.rs
@@ -6,7 +6,13 @@
     probe::{Listener, listener},
 };
 use rw_gate::Availability;
-use std::{io, net::SocketAddr};
+use smol::Timer;
+use std::{io, net::SocketAddr, time::Duration};
+
+/// Number of further looks at a listener while other connections to it are lost.
+const SECOND_LOOKS: u32 = 3;
+/// Pause before each of them.
+const LOOK_PAUSE: Duration = Duration::from_millis(30);
 
 /// Where a body comes from that ends with its connection.
 #[derive(Debug, Clone, Copy)]
@@ -35,7 +41,7 @@
             return Ok(());
         };
         let has_crashed = !self.may_exit(target)
-            && listener(addr).await == Listener::None
+            && self.has_no_listener(addr).await
             && self.reaches_others(target).await;
         match has_crashed {
             true => Err(truncated()),
@@ -43,6 +49,20 @@
         }
     }
 
+    /// Whether nothing listens at `addr` any more. Where other connections were lost as well, the process may
+    /// be about to close its listener, so that it is looked at again.
+    async fn has_no_listener(&self, addr: SocketAddr) -> bool {
+        let mut found = listener(addr).await;
+        for _ in 0..SECOND_LOOKS {
+            if found != Listener::Open || !self.pool.has_lost_others(addr) {
+                break;
+            }
+            Timer::after(LOOK_PAUSE).await;
+            found = listener(addr).await;
+        }
+        found == Listener::None
+    }
+
     /// Whether a target is leaving, or has left the registry.
     fn may_exit(&self, target: &str) -> bool {
         let gate = self.gate.borrow();
