--- a/crates/rw-relay/src/probe.rs
+++ b/crates/rw-relay/src/probe.rs
@@ -46,6 +46,8 @@
                 }
             }
             Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Listener::None,
+            // The other side has closed it before it was set up.
+            Some(Err(e)) if is_closed(&e) => {}
             Some(Err(_)) | None => return Listener::Silent,
         }
         Timer::after(PROBE_PAUSE).await;
@@ -53,6 +55,18 @@
     Listener::Open
 }
 
+/// Whether an error tells that a connection was open, and has been closed since.
+fn is_closed(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::NotConnected
+            | ErrorKind::BrokenPipe
+            | ErrorKind::InvalidInput
+    )
+}
+
 /// Completes with an error once nothing at `addr` responds to new connections; never if `is_watched` is
 /// false. For a message without a limit on the time for which it may stay unacknowledged.
 pub(crate) async fn contact_lost<T>(addr: SocketAddr, is_watched: bool) -> io::Result<T> {
