Bring back the test of origins that are published late

The test stands again with every assertion; only its first digest is left out, since that now carries the origin.

--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -471,6 +471,31 @@
     }
 }
 
+#[test]
+fn streams_that_began_before_a_second_version_came_are_published_when_it_comes() {
+    let mut first = world("a", &[("0", "v1")]);
+    let mut second = world("b", &[("0", "v1")]);
+    for world in [&mut first, &mut second] {
+        world.now += 60_000;
+        world.step(Event::Tick);
+        confirm(world);
+    }
+    begin(&mut first, "c");
+    let request = resumed(Some("c"));
+    let now = Millis(second.now);
+    assert!(second.gate.missing_origin(now, &request).is_none());
+    for world in [&mut first, &mut second] {
+        world.now += 1_000;
+        world.step(Event::TargetUpdated(spec("1", "v2")));
+    }
+    let now = Millis(second.now);
+    assert!(second.gate.missing_origin(now, &request).is_some());
+    tell(&mut first, &mut second);
+    assert!(second.gate.missing_origin(now, &request).is_none());
+    let (_, effects) = second.arrive(request);
+    assert_eq!(sent_to(&effects), "0");
+}
+
 #[test]
 fn a_digest_stays_small_however_many_streams_begin_at_once() {
     /// A digest fits into one datagram on any link.
