--- /dev/null
+++ b/review/standins-4/restored_lease.rs
@@ -0,0 +1,182 @@
+//! The first lease on the duties is acquired; then the store comes back from a copy that is older, while
+//! all nodes are killed and start again. Runners don't check fencing tokens.
+
+use crate::{
+    Verdict, config, engine_spec,
+    fleet::{HEARTBEAT, Heartbeat, Node, Temporary, free_addr, new_record, wait_ready},
+    plain_spec,
+    runner::Runner,
+    store::Store,
+};
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
+    let record = new_record(folder)?;
+    let temporary = Temporary::new("restored-lease")?;
+    let store = Store::start(free_addr())?;
+    store.put("op", "config", Some(&config(1)));
+    let engine = |id: &str, stage| Runner::start(engine_spec(id, stage, "v1"), free_addr(), record.clone());
+    let mut runners = Vec::new();
+    for i in 1..=8 {
+        let stage = if i <= 5 { "prefill" } else { "decode" };
+        runners.push(engine(&format!("i-{i}"), stage)?);
+    }
+    for i in 1..=3 {
+        let spec = plain_spec(&format!("i-desk-{i}"), "desk");
+        runners.push(Runner::start(spec, free_addr(), record.clone())?);
+    }
+    let mut beats: Vec<Heartbeat> = runners.iter().map(|r| Heartbeat::start(r, &store)).collect();
+    let spread = Instant::now() + HEARTBEAT;
+    for (i, beat) in beats.iter().enumerate() {
+        beat.set_next(spread + HEARTBEAT.mul_f64(i as f64 / 11.0));
+    }
+    for runner in &runners {
+        store.put("servers", &runner.spec.id, Some(&runner.entry()));
+    }
+    let node = |i| Node::new(&format!("frontend-{i}"), "a", &temporary.0);
+    let mut nodes: Vec<Node> = (1..=3).map(node).collect();
+    let seeds: Vec<SocketAddr> = nodes.iter().map(|n| n.control).collect();
+    for node in &mut nodes {
+        node.write_settings(store.addr, &seeds)?;
+        node.start()?;
+    }
+    if !wait_ready(&nodes, Duration::from_secs(10)) {
+        return Err(io::Error::other("the nodes are not ready"));
+    }
+    thread::sleep(Duration::from_secs(3));
+    let copied = Instant::now();
+    record.line(&format!("the store is copied at version {}", store.version()));
+    thread::sleep(Duration::from_millis(4_500));
+    // Planned work: two runners are emptied and taken away.
+    for runner in runners.iter().filter(|r| matches!(r.spec.id.as_str(), "i-7" | "i-8")) {
+        runner.leave();
+        store.put("servers", &runner.spec.id, Some(&runner.entry()));
+    }
+    record.line("runners i-7 and i-8 report draining");
+    // Until the order is given and the runner has changed.
+    let until = Instant::now() + Duration::from_secs(5);
+    while orders(&fs::read_to_string(folder.join("record.txt"))?).is_empty() && Instant::now() < until {
+        thread::sleep(Duration::from_millis(10));
+    }
+    thread::sleep(Duration::from_millis(300));
+    let lease = store.value("leases", "roles").unwrap_or_default();
+    record.line(&format!("version {}, lease {lease}", store.version()));
+    let (is_killed, is_restored) = match std::env::var("ONLY").as_deref() {
+        Ok("kill") => (true, false),
+        Ok("drill") => (false, true),
+        _ => (true, true),
+    };
+    if has_trouble {
+        store.leave();
+        if is_killed {
+            nodes.iter_mut().for_each(Node::kill);
+        }
+        record.line(&format!("the store is away; all nodes are killed: {is_killed}"));
+        thread::sleep(Duration::from_millis(300));
+        if is_restored {
+            let (lost, kept) = store.restore(copied);
+            let age = copied.elapsed().as_millis();
+            record.line(&format!(
+                "the store is back from a copy {age} ms old: version {lost} goes back to {kept}"
+            ));
+        } else {
+            store.come_back();
+            record.line("the store is back as it was");
+        }
+        // The node that held the lease starts later than the others.
+        for node in nodes.iter_mut().skip(1).filter(|_| is_killed) {
+            node.start()?;
+        }
+        store.put("op", "config", Some(&config(1)));
+    }
+    thread::sleep(Duration::from_millis(500));
+    // Planned work: two empty runners are added.
+    for id in ["i-9a", "i-9b"] {
+        let added = engine(id, "decode")?;
+        store.put("servers", id, Some(&added.entry()));
+        beats.push(Heartbeat::start(&added, &store));
+        runners.push(added);
+    }
+    record.line("runners i-9a and i-9b register to decode");
+    thread::sleep(Duration::from_secs(3));
+    if has_trouble && is_killed {
+        nodes[0].start()?;
+    }
+    thread::sleep(Duration::from_secs(11));
+    let lease = store.value("leases", "roles").unwrap_or_default();
+    record.line(&format!("version {}, lease {lease}", store.version()));
+    let orders = orders(&fs::read_to_string(folder.join("record.txt"))?);
+    let mut broken = 0;
+    let mut text = String::new();
+    for (i, order) in orders.iter().enumerate() {
+        let before = orders[..i].iter().filter(|o| o.runner == order.runner);
+        if let Some(higher) = before.max_by_key(|o| o.token).filter(|o| o.token > order.token) {
+            broken += 1;
+            text += &format!(
+                "; at {} token {} of {} after token {} of {}",
+                order.runner, order.token, order.holder, higher.token, higher.holder
+            );
+        }
+        let same = |o: &&Order| o.token == order.token && o.holder != order.holder;
+        if let Some(other) = orders[..i].iter().find(same) {
+            broken += 1;
+            text += &format!("; token {} of {} and of {}", order.token, order.holder, other.holder);
+        }
+        let is_recent = |o: &Order| order.at_ms.saturating_sub(o.at_ms) < LEASE_MS;
+        let turn = |o: &&Order| o.runner == order.runner && o.holder != order.holder && is_recent(o);
+        if let Some(other) = orders[..i].iter().find(turn) {
+            broken += 1;
+            text += &format!(
+                "; at {} an order of {} comes {} ms after one of {}",
+                order.runner,
+                order.holder,
+                order.at_ms - other.at_ms,
+                other.holder
+            );
+        }
+    }
+    let text = format!(
+        "ONE: {broken} breaches in {} orders (a lower fencing token after a higher one at a runner, one token of two holders, or holders that take turns within {LEASE_MS} ms){text}",
+        orders.len()
+    );
+    record.line(&text);
+    if orders.is_empty() {
+        return Err(io::Error::other("no order was given"));
+    }
+    Ok(Verdict { broken, text })
+}
+
+/// `lease-ms` of the deployment.
+const LEASE_MS: u64 = 3_000;
+
+struct Order {
+    at_ms: u64,
+    runner: String,
+    holder: String,
+    token: u64,
+}
+
+/// The orders that a record tells.
+fn orders(record: &str) -> Vec<Order> {
+    let parse = |line: &str| {
+        let (at, rest) = line.split_once(" order at ")?;
+        let (s, ms) = at.trim().split_once('.')?;
+        let (runner, rest) = rest.split_once(": ")?;
+        let (_, rest) = rest.split_once("holder ")?;
+        let (holder, rest) = rest.split_once(", fencing-token ")?;
+        let (token, _) = rest.split_once(',')?;
+        Some(Order {
+            at_ms: s.parse::<u64>().ok()? * 1_000 + ms.parse::<u64>().ok()?,
+            runner: runner.to_owned(),
+            holder: holder.to_owned(),
+            token: token.parse().ok()?,
+        })
+    };
+    record.lines().filter_map(parse).collect()
+}
