--- a/review/standins-4/caller.rs
+++ b/review/standins-4/caller.rs
@@ -42,6 +42,8 @@
             "POST /query/{number} HTTP/1.1\r\nhost: {HOST}\r\nredwingweir-attempt-id: {attempt}\r\nredwingweir-model: m\r\nredwingweir-token-usage: 100,{EVENTS}\r\nredwingweir-prompt-prefix: {attempt}:100\r\nredwingweir-deadline-ms: {}\r\n{resumed}content-length: 4\r\n\r\nbody",
             left.as_millis()
         );
+        let after = origin.as_ref().map_or(0, |_| stream.last);
+        record.line(&format!("{attempt}: sent to {front}, last event so far {after}"));
         let before = stream.last;
         let mut text = String::new();
         let answer = client::send(front, &request, Duration::from_secs(2), |part| {
--- a/review/standins-4/crashed_runners.rs
+++ b/review/standins-4/crashed_runners.rs
@@ -238,6 +238,7 @@
     let request = format!(
         "{request}host: {HOST}\r\nredwingweir-attempt-id: {attempt}\r\nredwingweir-deadline-ms: 6000\r\n\r\n{body}"
     );
+    record.line(&format!("{attempt}: sent to {front}"));
     let answer = match client::send(front, &request, Duration::from_secs(7), |_| ()) {
         Ok(answer) => answer,
         Err(error) => {
