--- a/review/standins-4/fleet.rs
+++ b/review/standins-4/fleet.rs
@@ -223,14 +223,19 @@
     thread::spawn(move || {
         thread::sleep(limit);
         println!("the case couldn't run: it took too long");
-        let started = STARTED.lock().map(|s| s.clone()).unwrap_or_default();
-        for pid in started {
-            let _ = Command::new("kill").arg("-9").arg(pid.to_string()).status();
-        }
+        end_started();
         std::process::exit(2);
     });
 }
 
+/// Ends the processes that were started and that still run.
+pub fn end_started() {
+    let started = STARTED.lock().map(|s| s.clone()).unwrap_or_default();
+    for pid in started {
+        let _ = Command::new("kill").arg("-9").arg(pid.to_string()).status();
+    }
+}
+
 /// A record that begins anew.
 pub fn new_record(folder: &Path) -> io::Result<Record> {
     let path = folder.join("record.txt");
--- a/review/standins-4/main.rs
+++ b/review/standins-4/main.rs
@@ -53,6 +53,7 @@
             return ExitCode::from(2);
         }
     };
+    fleet::end_started();
     match result {
         Ok(verdict) => {
             println!("{}", verdict.text);
