Review case 13: a node that starts in an outage doesn't know of doubts

Takes the place of restored-lease, which was in doubt: it showed holders A, B within lease-ms, and the rule may mean A, B, A.

Found by a random search on real processes (not kept).

--- a/review/standins-4/fleet.rs
+++ b/review/standins-4/fleet.rs
@@ -21,7 +21,8 @@
 /// A loopback address with a free port below those that the system gives to outgoing connections.
 pub fn free_addr() -> SocketAddr {
     static NEXT: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
-    let start = 12_000 + (std::process::id() % 17_000) as u16;
+    // Far from those of a process with the next number, which may run another case.
+    let start = 12_000 + (std::process::id() % 17_000 * 331 % 17_000) as u16;
     loop {
         let port = 12_000 + (start - 12_000 + NEXT.fetch_add(1, Ordering::Relaxed)) % 18_000;
         let addr = SocketAddr::from(([127, 0, 0, 1], port));
@@ -114,6 +115,25 @@
         }
     }
 
+    /// Tells the process to stop (SIGTERM).
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
+        }
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = match &mut self.child {
+            Some(child) => matches!(child.try_wait(), Ok(Some(_))),
+            None => return true,
+        };
+        if ended {
+            self.kill();
+        }
+        ended
+    }
+
     pub fn is_ready(&self) -> bool {
         crate::client::get(self.ready, "/redwingweir/readiness").is_ok_and(|status| status == 200)
     }
--- a/review/standins-4/main.rs
+++ b/review/standins-4/main.rs
@@ -9,8 +9,10 @@
 mod fleet;
 mod http;
 mod json;
+mod process;
 mod record;
 mod restored_lease;
+mod restarted_node;
 mod restarted_runners;
 mod restored_versions;
 mod runner;
@@ -46,6 +48,7 @@
             crashed_runners::run_with_notice(Path::new(folder), has_trouble)
         }
         ["restarted-runners", folder] => restarted_runners::run(Path::new(folder), has_trouble),
+        ["restarted-node", folder] => restarted_node::run(Path::new(folder), has_trouble),
         ["restored-versions", folder] => restored_versions::run(Path::new(folder), has_trouble),
         ["restored-lease", folder] => restored_lease::run(Path::new(folder), has_trouble),
         _ => {
--- a/review/standins-4/restarted_runners.rs
+++ b/review/standins-4/restarted_runners.rs
@@ -5,17 +5,17 @@
     Verdict,
     caller::{EVENTS, Stream, caller},
     config,
-    fleet::{HEARTBEAT, Node, Temporary, free_addr, new_record, track, untrack, wait_ready},
+    fleet::{HEARTBEAT, Node, Temporary, free_addr, new_record, wait_ready},
+    process::RunnerProcess,
     store::Store,
 };
 use std::{
     io,
     net::SocketAddr,
     path::Path,
-    process::{Child, Command, Stdio},
     sync::{Arc, Mutex, PoisonError},
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 const CALLERS: usize = 24;
@@ -26,53 +26,6 @@
 /// Time between the starts of two runners.
 const APART: Duration = Duration::from_millis(30);
 
-struct RunnerProcess {
-    id: String,
-    addr: SocketAddr,
-    stage: &'static str,
-    version: &'static str,
-    born: u128,
-    child: Option<Child>,
-}
-
-impl RunnerProcess {
-    fn start(&mut self, version: &'static str, folder: &Path) -> io::Result<()> {
-        self.version = version;
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        self.born = since.map_or(0, |d| d.as_millis());
-        let child = Command::new(std::env::current_exe()?)
-            .env("FRAMED", "1")
-            .args(["runner", &self.addr.to_string(), &self.id, "llm", self.stage, version])
-            .arg(folder.join("record.txt"))
-            .stdin(Stdio::null())
-            .spawn()?;
-        track(&child);
-        self.child = Some(child);
-        Ok(())
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-            untrack(child.id());
-        }
-    }
-
-    fn entry(&self) -> String {
-        format!(
-            "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"{}\",\"slots\":64,\"state\":\"ready\",\"cold-remaining-ms\":0,\"stage\":\"{}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"born\":{},\"sequence\":1}}",
-            self.addr, self.version, self.stage, self.born
-        )
-    }
-}
-
-impl Drop for RunnerProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
     let record = new_record(folder)?;
     let temporary = Temporary::new("restarted-runners")?;
@@ -80,14 +33,8 @@
     store.put("op", "config", Some(&config(1)));
     let mut runners = Vec::new();
     for i in 1..=6 {
-        let mut runner = RunnerProcess {
-            id: format!("i-{i}"),
-            addr: free_addr(),
-            stage: if i <= 4 { "prefill" } else { "decode" },
-            version: "v1",
-            born: 0,
-            child: None,
-        };
+        let stage = if i <= 4 { "prefill" } else { "decode" };
+        let mut runner = RunnerProcess::new(&format!("i-{i}"), stage);
         runner.start("v1", folder)?;
         runners.push(runner);
     }
@@ -96,7 +43,7 @@
     thread::spawn(move || {
         loop {
             let listed = entries.lock().unwrap_or_else(PoisonError::into_inner);
-            for runner in listed.iter().filter(|r| r.child.is_some()) {
+            for runner in listed.iter().filter(|r| r.runs()) {
                 beating.put("servers", &runner.id, Some(&runner.entry()));
             }
             drop(listed);
