Rely on the store's rows at a start only once a node has confirmed them

Ruled out: a wait for entries alone.

A node without the store relies on the entries that a peer states as proved; peers state the processes that have ended as well. Streams that begin at an entry in doubt go on once it is proved.

Why this works: a copy brings back a row of an earlier era only, so that the row of the present one is written by a node that was there, or that has waited.

No assertion was changed.

--- a/crates/rw-gate/src/account_flow.rs
+++ b/crates/rw-gate/src/account_flow.rs
@@ -26,6 +26,7 @@
             return Ok(None);
         }
         let max_age_ms = self.settings.max_config_age_ms();
+        let has_key = matches!(request.credential, Credential::Key(_));
         let state = match &request.credential {
             Credential::Key(key) => self.keys.check(now, max_age_ms, key),
             Credential::Missing | Credential::Malformed => KeyState::Unknown,
@@ -33,6 +34,8 @@
         match state {
             KeyState::Of(i) => Ok(self.routing.accounts.get(i)),
             KeyState::Unknown | KeyState::Unverifiable if route.public => Ok(None),
+            // The configuration may be from before the key.
+            KeyState::Unknown if has_key && !self.knows_rows(now) => Err(RefusalKind::StaleConfig),
             KeyState::Unknown => Err(RefusalKind::UnknownKey),
             KeyState::Unverifiable => Err(RefusalKind::StaleConfig),
         }
--- a/crates/rw-gate/src/account_keys.rs
+++ b/crates/rw-gate/src/account_keys.rs
@@ -25,6 +25,8 @@
     is_missing: bool,
     /// Latest time at which the configuration was asked for that the store then gave or confirmed.
     confirmed_at: Option<Millis>,
+    /// The same while it isn't known whether the store may have lost a newer configuration.
+    unproved_at: Option<Millis>,
     /// Highest version of the configuration that another node has named, and when it was first named.
     heard_version: u64,
     heard_at: Millis,
@@ -49,6 +51,20 @@
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
     }
 
+    /// Like [`AccountKeys::confirm`], but the store may have lost a newer configuration: it counts once that
+    /// is ruled out.
+    pub(crate) fn confirm_later(&mut self, asked_at: Millis) {
+        self.unproved_at = self.unproved_at.max(Some(asked_at));
+    }
+
+    /// It is known whether the store may have lost a configuration that was newer than those confirmed.
+    pub(crate) fn settle(&mut self, may_be_lost: bool) {
+        let unproved = self.unproved_at.take();
+        if let Some(asked_at) = unproved.filter(|_| !may_be_lost) {
+            self.confirm(asked_at);
+        }
+    }
+
     /// Another node named the version of its configuration.
     pub(crate) fn version_heard(&mut self, now: Millis, version: u64) {
         if version > self.heard_version {
--- a/crates/rw-gate/src/admission.rs
+++ b/crates/rw-gate/src/admission.rs
@@ -57,7 +57,7 @@
             return Err(self.refusal(RefusalKind::NotReady, self.settings.retry_ms));
         }
         let Some(route) = routing.find_route(&request.host, &request.path) else {
-            return Err(self.refusal(RefusalKind::NoRoute, 0));
+            return Err(self.unknown_route(now));
         };
         let account = self.identify(now, route, &request);
         let account = account.map(|a| a.map(|a| (a.name.clone(), a.priority)));
@@ -116,6 +116,14 @@
         })
     }
 
+    /// The refusal of a call whose path no route matches. The configuration may be from before the route.
+    fn unknown_route(&self, now: Millis) -> Refusal {
+        match self.knows_rows(now) {
+            true => self.refusal(RefusalKind::NoRoute, 0),
+            false => self.refusal(RefusalKind::NotReady, self.settings.retry_ms),
+        }
+    }
+
     /// Milliseconds for which a request is refused because it, or others with a part of its prompt,
     /// crashed their targets.
     pub(crate) fn poisoned_ms(&self, now: Millis, request: &CallRequest) -> Option<u64> {
--- a/crates/rw-gate/src/effect.rs
+++ b/crates/rw-gate/src/effect.rs
@@ -257,8 +257,8 @@
         /// The order must not be sent at or after this time.
         until: Millis,
     },
-    /// Replace the registry's record of the versions of a service, unless another node has changed it
-    /// since it was read. Then the records are read again.
+    /// Change the registry's records of software versions, unless another node has changed them since they
+    /// were read. Then the records are read again.
     RecordVersions(RecordRequest),
     /// Release the handle of a prefilled prompt that will not be used.
     ReleaseHandle(KvHandle),
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -211,11 +211,20 @@
     /// All entries were read; known targets that are not listed were removed.
     TargetsListed(Vec<TargetSpec>),
     /// All records of software versions were read: when this node started, after an outage, after changes
-    /// were missed, or because a record could not be written.
+    /// were missed, or because a record could not be written. Follows [`Event::RowsRead`] of the same read.
     VersionsRead(Vec<VersionRecord>),
-    /// All entries that another node knows; ignored once any entry is known from the store, whose
-    /// data is newer.
+    /// The store was read.
+    RowsRead {
+        /// Set if a node has confirmed since the store's latest return from a copy that nothing is missing;
+        /// otherwise, what isn't in the store may have been there. Milliseconds for which the records
+        /// of software versions have all that there were.
+        confirmed_ms: Option<u64>,
+    },
+    /// All entries that another node knows. Once any is known from the store, whose data is newer, only those
+    /// count that the store's copy may lack.
     TargetsReported(Vec<TargetSpec>),
+    /// Another node knows that the processes of these targets have written their entries.
+    TargetsProved(Vec<TargetIncarnation>),
     /// The store is reachable again after an outage.
     StoreConnected,
     /// The store came back from a copy, which lacks what was written last. All that follows from the
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -3,7 +3,7 @@
 use crate::{
     Digest, DispatchMode, Effect, Event, FleetNode, GateSettings, LeavingSource, LimitReport,
     LocalRetryBudget, Overrun, PartReport, PartSuspects, Refusal, RefusalKind, ResponseSource,
-    Routing, TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
+    Routing, SoftwareId, TargetIncarnation, TargetList, TargetSpec, VersionRecord, WorkReport,
     account_keys::AccountKeys,
     account_usage::AccountUsage,
     call_state::CallState,
@@ -25,6 +25,7 @@
     shutdown::Shutdown,
     sizing::Sizing,
     software_history::SoftwareHistory,
+    store_return::StoreReturn,
     stream_origins::StreamOrigins,
     true_time::TrueTime,
     usage_counter::UsageCounter,
@@ -62,10 +63,15 @@
     pub(crate) origin_ttl_ms: u64,
     /// Versions of the targets' software.
     pub(crate) software: SoftwareHistory,
+    /// Versions of targets that were in doubt when streams began there, and those that they have turned out to be.
+    pub(crate) settled: Vec<(SoftwareId, SoftwareId)>,
     /// Records of versions as they were read, or as this node has requested them as the leader since.
     pub(crate) records: Vec<VersionRecord>,
     /// Number of times that they were read.
     pub(crate) record_reads: u64,
+    /// Set if a node has confirmed them since the store's latest return from a copy: milliseconds for which
+    /// they were complete then.
+    pub(crate) confirmed_ms: Option<u64>,
     pub(crate) nodes: usize,
     /// Estimates of engine speed by service, sorted by name.
     pub(crate) estimates: Vec<(String, EngineEstimates)>,
@@ -76,8 +82,8 @@
     pub(crate) rng: fastrand::Rng,
     /// Time at which the store became reachable again after the latest outage, if any.
     reconnected_at: Option<Millis>,
-    /// Time at which this node learned that the store came back from a copy, if it has.
-    restored_at: Option<Millis>,
+    /// What this node knows of the store's latest return from a copy.
+    pub(crate) store_return: StoreReturn,
     pub(crate) roles: Roles,
     /// The lease on the duties of the fleet.
     pub(crate) lease: Lease,
@@ -124,15 +130,17 @@
             departed: DepartedTargets::default(),
             origin_ttl_ms: origin_ttl_ms(&Routing::default()),
             software: SoftwareHistory::default(),
+            settled: Vec::new(),
             records: Vec::new(),
             record_reads: 0,
+            confirmed_ms: None,
             nodes: settings.nodes,
             estimates: Vec::new(),
             overrun: Overrun::default(),
             publication: Publication::default(),
             rng: fastrand::Rng::with_seed(settings.seed),
             reconnected_at: None,
-            restored_at: None,
+            store_return: StoreReturn::default(),
             roles: Roles::default(),
             lease: Lease::default(),
             duty_reach: DutyReach::default(),
@@ -179,7 +187,7 @@
             }
             Event::CallerDisconnected { id } => self.cancel_call(now, id, &mut effects),
             Event::Routing(routing) => self.apply_routing(routing),
-            Event::ConfigConfirmed { asked_at } => self.keys.confirm(asked_at),
+            Event::ConfigConfirmed { asked_at } => self.config_confirmed(asked_at),
             Event::ApiUnreachable => self.api_silent(now, &mut effects),
             Event::TargetEnded(target) => {
                 if self.target_ended(now, &target) {
@@ -216,20 +224,16 @@
             }
             Event::ChangesMissed => self.software.restart(),
             Event::TargetsConfirmed { at } => self.software.confirm(at.min(now)),
+            Event::RowsRead { confirmed_ms } => self.rows_read(now, confirmed_ms),
             Event::VersionsRead(records) => self.merge_records(now, &records),
             Event::TargetsReported(specs) => self.apply_reported(now, specs),
+            Event::TargetsProved(proved) => self.targets_proved(&proved),
             Event::StoreConnected => {
                 self.reconnected_at = Some(now);
                 self.software.restart();
                 self.roles.connected_since = Some(now);
             }
-            Event::StoreRestored => {
-                self.restored_at = Some(now);
-                self.lease.store_restored();
-                self.usage.store_restored();
-                // The records may lack versions, and must not be written before they are read.
-                self.software.restart();
-            }
+            Event::StoreRestored => self.store_restored(now),
             Event::StoreDisconnected => self.roles.connected_since = None,
             Event::Tick => {
                 self.check_doubts(now);
@@ -354,6 +358,20 @@
         self.targets.leaving()
     }
 
+    /// All targets whose processes have ended while their entries remain, for a node that has just
+    /// started.
+    #[must_use]
+    pub fn ended_targets(&self) -> Vec<TargetIncarnation> {
+        self.targets.incarnations(|t| t.doubt.has_ended())
+    }
+
+    /// All targets whose processes are known to be those of their entries, for a node that has just
+    /// started.
+    #[must_use]
+    pub fn proved_targets(&self) -> Vec<TargetIncarnation> {
+        self.targets.incarnations(|t| !t.doubt.is_open())
+    }
+
     pub(crate) fn call_index(&self, id: RequestId) -> Option<usize> {
         self.calls.binary_search_by_key(&id, |c| c.id).ok()
     }
@@ -423,7 +441,7 @@
 
     /// Time at which a target whose entry disappears now is removed.
     fn removal_time(&self, now: Millis) -> Millis {
-        if let Some(deadline) = self.restored_entries_deadline(now) {
+        if let Some(deadline) = self.store_return.deadline(now, self.settings.return_ms) {
             return deadline;
         }
         // A node that reached the store without interruption shows that the outage affected only
@@ -438,13 +456,6 @@
         renewal_deadline.filter(|until| now < *until).unwrap_or(now)
     }
 
-    /// Time until which entries that the store's copy lacks are written again, if that isn't over. The
-    /// copy lacks them for all nodes, however well they reach the store.
-    fn restored_entries_deadline(&self, now: Millis) -> Option<Millis> {
-        let deadline = self.restored_at?.plus(self.settings.return_ms);
-        (now < deadline).then_some(deadline)
-    }
-
     /// Whether another node has reached the store for longer than entries take to be renewed.
     fn peer_stayed_connected(&self, now: Millis) -> bool {
         let peers = self.roles.peers.iter();
@@ -461,18 +472,25 @@
     }
 
     fn apply_reported(&mut self, now: Millis, specs: Vec<TargetSpec>) {
-        if self.targets.all().is_empty() {
-            specs
-                .into_iter()
-                .for_each(|spec| self.update_target(now, spec));
+        let is_first = self.targets.all().is_empty();
+        let knows_rows = self.knows_rows(now);
+        for spec in specs {
+            let known = self.targets.find(&spec.name);
+            let is_later = known.is_some_and(|t| t.spec.incarnation < spec.incarnation);
+            if is_first || is_later && !knows_rows {
+                self.list_target(now, spec);
+            }
         }
+        self.observe_software(now);
     }
 
     fn update_target(&mut self, now: Millis, spec: TargetSpec) {
-        let name = spec.name.clone();
+        let (name, incarnation) = (spec.name.clone(), spec.incarnation);
         // Its version may be replaced.
         self.observe_target(now, &name);
         self.upsert_target(now, spec);
+        // A change was written after the rows that this node read first.
+        self.prove_entries(|t| t.spec.name == name && t.spec.incarnation == incarnation);
         self.observe_target(now, &name);
     }
 
@@ -498,30 +516,52 @@
         missing
             .iter()
             .for_each(|name| self.remove_target(now, name));
-        for spec in specs {
-            self.upsert_target(now, spec);
+        specs
+            .into_iter()
+            .for_each(|spec| self.list_target(now, spec));
+    }
+
+    /// Takes over an entry of a list. A node that doesn't know what the store had before its return from a
+    /// copy can't tell whether the entry is an old one.
+    fn list_target(&mut self, now: Millis, spec: TargetSpec) {
+        let name = spec.name.clone();
+        let is_new = self.upsert_target(now, spec);
+        let knows_rows = self.store_return.knows_rows(now, self.settings.return_ms);
+        if let Some(target) = self
+            .targets
+            .find_mut(&name)
+            .filter(|_| is_new && !knows_rows)
+        {
+            target.doubt.begin_for_entry();
         }
     }
 
-    /// Takes over an entry. If the store's copy may be from before the target has left, it gets no work
-    /// until its entry would have expired without heartbeats.
-    fn upsert_target(&mut self, now: Millis, spec: TargetSpec) {
+    /// Takes over an entry; returns whether its process is new to this node. If the store's copy may be from
+    /// before the target has left, it gets no work until its entry would have expired without
+    /// heartbeats.
+    fn upsert_target(&mut self, now: Millis, spec: TargetSpec) -> bool {
         let spec = self.newest_entry(now, spec);
         let target = TargetIncarnation {
             name: spec.name.clone(),
             incarnation: spec.incarnation,
         };
-        self.targets.upsert(spec);
-        let is_restored = self.restored_entries_deadline(now).is_some();
-        if is_restored && self.departed.contains(&target.name, target.incarnation) {
+        let is_new = self.targets.upsert(spec);
+        let may_be_old = self.may_read_old(now);
+        if may_be_old && self.departed.contains(&target.name, target.incarnation) {
             self.targets.pause(now, &target, now.plus(ENTRY_LIFE_MS));
         }
+        is_new
+    }
+
+    /// Whether entries that are read now may be older than what the store had before.
+    pub(crate) fn may_read_old(&self, now: Millis) -> bool {
+        self.store_return.may_read_old(now, self.settings.return_ms)
     }
 
     /// The entry of a target, or what is known of it if the store's copy may be from before that: a later
     /// incarnation, or that it is leaving.
     fn newest_entry(&self, now: Millis, spec: TargetSpec) -> TargetSpec {
-        if self.restored_entries_deadline(now).is_none() {
+        if !self.may_read_old(now) {
             return spec;
         }
         let known = self.targets.find(&spec.name).map(|t| &t.spec);
@@ -548,6 +588,7 @@
         let connected_since = self.roles.connected_since;
         let targets = self.targets.iter_mut();
         targets.for_each(|t| t.doubt.check_registry(now, connected_since));
+        self.check_entries(now);
     }
 
     fn receive_digest(&mut self, now: Millis, digest: &Digest) {
@@ -586,7 +627,9 @@
             lacks_keys: digest.lacks_keys,
             leaves_duties: digest.leaves_duties,
         });
-        if self.peer_stayed_connected(now) && self.restored_entries_deadline(now).is_none() {
+        let return_ms = self.settings.return_ms;
+        let is_renewed = self.store_return.deadline(now, return_ms).is_none();
+        if self.peer_stayed_connected(now) && is_renewed {
             self.targets.remove_lapsed();
         }
         for report in &digest.reports {
--- a/crates/rw-gate/src/known_span.rs
+++ b/crates/rw-gate/src/known_span.rs
@@ -25,9 +25,9 @@
         self.until_ms = self.until_ms.max(until.0 as i64);
     }
 
-    /// Adds the `length_ms` milliseconds before `now`.
-    pub(crate) fn extend_back(&mut self, now: Millis, length_ms: u64) {
-        self.since_ms = self.since_ms.min(now.0 as i64 - length_ms as i64);
+    /// Adds the time from `since_ms`, in milliseconds of this process's clock.
+    pub(crate) fn extend_back(&mut self, since_ms: i64) {
+        self.since_ms = self.since_ms.min(since_ms);
     }
 
     /// Both spans if they touch, otherwise the later one: between them, versions may have come and
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Its beginning, in milliseconds of this process's clock.
+    pub(crate) fn since_ms(self) -> i64 {
+        self.since_ms
+    }
+
     /// Milliseconds since its end.
     pub(crate) fn age_ms(self, now: Millis) -> u64 {
         u64::try_from(now.0 as i64 - self.until_ms).unwrap_or_default()
--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -65,6 +65,8 @@
 mod speed_flow;
 mod speed_report;
 mod store_era;
+mod store_flow;
+mod store_return;
 mod stream_origin;
 mod stream_origins;
 mod target;
@@ -130,7 +132,7 @@
     StoredUsage, UsageAnswer, UsageCollection, UsageQuery, UsageRecord, UsageReport,
 };
 
-pub use version_record::{RecordRequest, VersionRecord};
+pub use version_record::{RecordChange, RecordRequest, VersionRecord};
 pub use work_kind::WorkKind;
 
 pub use rw_types::{MAX_PAUSE_MS, RateNotice, RequestRate, Role, TargetNotice};
--- a/crates/rw-gate/src/origin_flow.rs
+++ b/crates/rw-gate/src/origin_flow.rs
@@ -1,8 +1,8 @@
 //! Streams that callers take up again, and where they may go on.
 
 use crate::{
-    CallRequest, Digest, Effect, Gate, RecordRequest, RefusalKind, Route, Routing, SoftwareId,
-    StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, software_history::MAX_AGE_MS,
+    CallRequest, Digest, Effect, Gate, RecordChange, RecordRequest, RefusalKind, Route, Routing,
+    SoftwareId, StreamId, VersionRecord, roles::PEER_TIMEOUT_MS, software_history::MAX_AGE_MS,
 };
 use rw_types::{Millis, RequestId};
 
@@ -64,6 +64,7 @@
         request: &CallRequest,
     ) -> Option<&'a str> {
         let software = self.origins.find(resumed_stream(request)?)?;
+        let software = self.settled_version(software);
         let has_version = |service: &str| {
             let mut targets = self.targets.all().iter();
             targets.any(|t| t.spec.service == service && SoftwareId::of_target(&t.spec) == software)
@@ -84,7 +85,7 @@
         request: &CallRequest,
     ) -> Result<Option<SoftwareId>, RefusalKind> {
         if let Some(delegated) = &request.delegated {
-            return Ok(delegated.software);
+            return Ok(delegated.software.map(|s| self.settled_version(s)));
         }
         let is_resumed = request.last_event.is_some() || request.resumes.is_some();
         if !is_resumed || !route.retry_policy.is_resumable() {
@@ -92,10 +93,22 @@
         }
         let stream = resumed_stream(request);
         let known = stream.and_then(|s| self.origins.find(s));
+        let known = known.map(|s| self.settled_version(s));
         let version = known.or_else(|| self.only_version(now, route));
         version.map(Some).ok_or(RefusalKind::UnknownOrigin)
     }
 
+    /// The version at which a stream began that is recorded as begun at `software`. A target that was in
+    /// doubt then may be known by now.
+    pub(crate) fn settled_version(&self, software: SoftwareId) -> SoftwareId {
+        if let Some((_, settled)) = self.settled.iter().find(|(begun, _)| *begun == software) {
+            return *settled;
+        }
+        let mut known = self.targets.all().iter().filter(|t| !t.doubt.is_open());
+        let target = known.find(|t| t.unknown_software() == software);
+        target.map_or(software, |t| SoftwareId::of_target(&t.spec))
+    }
+
     /// An event of a stream is about to be delivered: from now on it may go on only at the version
     /// that made this event.
     pub(crate) fn stream_begun(&mut self, now: Millis, id: RequestId) {
@@ -161,6 +174,7 @@
         }
         if self.is_leader(now) {
             self.update_records(now, effects);
+            self.confirm_records(now, effects);
         } else {
             // Another node may change the records.
             self.records.clear();
@@ -191,7 +205,20 @@
                 None => self.records.push(record.clone()),
             }
             effects.push(Effect::RecordVersions(RecordRequest {
-                record,
+                change: RecordChange::Replace(record),
+                reads: self.record_reads,
+            }));
+        }
+    }
+
+    /// Has the store's rows confirmed once those that it may have lost are written again. Until then, a node
+    /// that starts relies on none of them.
+    fn confirm_records(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let is_due = self.confirmed_ms.is_none() && !self.may_read_old(now);
+        if let Some(known_ms) = self.software.recorded_ms(now).filter(|_| is_due) {
+            self.confirmed_ms = Some(known_ms);
+            effects.push(Effect::RecordVersions(RecordRequest {
+                change: RecordChange::Confirm { known_ms },
                 reads: self.record_reads,
             }));
         }
@@ -200,7 +227,8 @@
     /// Takes over the registry's records of versions. Requests that were made before don't apply any
     /// more, so that the leader requests those anew that differ.
     pub(crate) fn merge_records(&mut self, now: Millis, records: &[VersionRecord]) {
-        self.software.merge_records(now, records);
+        let confirmed_ms = self.confirmed_ms.unwrap_or_default();
+        self.software.merge_records(now, records, confirmed_ms);
         self.records = records.to_vec();
         self.record_reads += 1;
     }
--- a/crates/rw-gate/src/process_doubt.rs
+++ b/crates/rw-gate/src/process_doubt.rs
@@ -1,4 +1,4 @@
-//! Doubt whether the process at a target's address is still the one of its entry.
+//! Doubt whether the process at a target's address is the one of its entry.
 
 use rw_types::Millis;
 
@@ -8,23 +8,40 @@
 /// Number of digests that carry a doubt, since one may be lost.
 const SENDS: u32 = 2;
 
-/// Set once nothing listened at a target's address. The process that is found there next may be another
-/// one, with other software, that the registry doesn't know of yet. The entry of a new incarnation brings
-/// a target without doubt.
+/// Set once nothing listened at a target's address, or while its entry may be from a copy of the registry.
+/// The process that is found there may be another one, with other software, that the registry doesn't
+/// know of yet. The entry of a new incarnation brings a target without doubt.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ProcessDoubt {
     since: Option<Millis>,
     /// Number of digests that are still to carry it.
     sends: u32,
+    /// Whether the entry may be an old one, from a copy of the registry.
+    is_entry_old: bool,
 }
 
 impl ProcessDoubt {
     /// Whether the target's software isn't known.
     #[must_use]
     pub fn is_open(&self) -> bool {
+        self.since.is_some() || self.is_entry_old
+    }
+
+    /// Whether a process of the target is known to have ended.
+    pub(crate) fn has_ended(&self) -> bool {
         self.since.is_some()
     }
 
+    /// The entry may be from before the process that runs now.
+    pub(crate) fn begin_for_entry(&mut self) {
+        self.is_entry_old = true;
+    }
+
+    /// The entry is the latest one that a process has written. Returns whether that was in doubt.
+    pub(crate) fn entry_proved(&mut self) -> bool {
+        std::mem::take(&mut self.is_entry_old)
+    }
+
     /// Records that this node has found that the process has ended; returns whether this is news.
     pub(crate) fn begin(&mut self, now: Millis) -> bool {
         let is_news = self.since.is_none();
@@ -45,7 +62,7 @@
     /// have broken.
     pub(crate) fn call_completed(&mut self, sent_at: Millis) {
         if self.since.is_some_and(|since| sent_at < since) {
-            *self = Self::default();
+            self.end();
         }
     }
 
@@ -55,13 +72,17 @@
         let proof = self.since.max(connected_since);
         let is_proved = proof.is_some_and(|at| now.since(at) >= ENTRY_LIFE_MS);
         if connected_since.is_some() && is_proved {
-            *self = Self::default();
+            self.end();
         }
     }
 
+    fn end(&mut self) {
+        (self.since, self.sends) = (None, 0);
+    }
+
     /// Whether the next digest is to carry the doubt; counts it as carried.
     pub(crate) fn take_send(&mut self) -> bool {
-        let is_due = self.is_open() && self.sends > 0;
+        let is_due = self.since.is_some() && self.sends > 0;
         self.sends -= u32::from(is_due);
         is_due
     }
--- a/crates/rw-gate/src/software_history.rs
+++ b/crates/rw-gate/src/software_history.rs
@@ -13,9 +13,9 @@
 /// Time for which a new version gets streams only if no other can, in milliseconds, so that by then no
 /// node relies on knowledge from the time before it came.
 const SETTLE_MS: u64 = 1_000;
-/// Time for which a node counts as having known all versions after it has read the registry's
-/// records, in milliseconds. Callers take up no stream that began earlier.
-const RECORDED_MS: u64 = 86_400_000;
+/// Maximum time for which a node counts as having known all versions, in milliseconds. Callers take up no
+/// stream that began earlier.
+const MAX_KNOWN_MS: u64 = 86_400_000;
 /// Interval at which other nodes are told of services with several versions, in milliseconds, since a
 /// digest may be lost. A new version is told at once.
 const TELL_INTERVAL_MS: u64 = 1_000;
@@ -71,8 +71,11 @@
     seen: Vec<SeenSoftware>,
     /// Time for which all versions are known.
     known: Option<KnownSpan>,
-    /// Whether the registry's records have been read.
-    has_records: bool,
+    /// The same before versions may have been missed.
+    known_before: Option<KnownSpan>,
+    /// Time since which this node knows all versions by the registry's records, in milliseconds of this
+    /// process's clock; `None` if they have not been read since this node reached the registry.
+    recorded_since_ms: Option<i64>,
     /// Time at which the versions of all targets are recorded next.
     next_observation: Millis,
     /// When other nodes were last told of services with several versions.
@@ -99,22 +102,33 @@
         }
     }
 
-    /// Records what the registry keeps about all versions that streams may have begun at.
-    pub(crate) fn merge_records(&mut self, now: Millis, records: &[VersionRecord]) {
+    /// Records what the registry keeps about versions that streams may have begun at. It has all of the last
+    /// `confirmed_ms`, and all that this node has missed since it knew them.
+    pub(crate) fn merge_records(
+        &mut self,
+        now: Millis,
+        records: &[VersionRecord],
+        confirmed_ms: u64,
+    ) {
         for record in records {
             for version in &record.versions {
                 self.observe(now, &record.service, version);
             }
         }
+        let confirmed = KnownSpan::ending(now, now, confirmed_ms.min(MAX_KNOWN_MS));
+        let since_ms = confirmed.since_ms();
+        let since_ms = self
+            .known_before
+            .map_or(since_ms, |k| since_ms.min(k.since_ms()));
+        self.recorded_since_ms = Some(since_ms);
         if let Some(known) = &mut self.known {
-            known.extend_back(now, RECORDED_MS);
+            known.extend_back(since_ms);
         }
-        self.has_records = true;
     }
 
     /// Whether the registry's records have been read since this node reached the registry.
     pub(crate) fn has_records(&self) -> bool {
-        self.has_records
+        self.recorded_since_ms.is_some()
     }
 
     /// What the registry is to keep about a service: the versions seen within `ttl_ms`; `None` before
@@ -122,7 +136,7 @@
     pub(crate) fn record(&self, now: Millis, service: &str, ttl_ms: u64) -> Option<VersionRecord> {
         let seen = self.recent(now, ttl_ms);
         let versions = seen.filter(|s| s.service == service);
-        self.has_records.then(|| VersionRecord {
+        self.has_records().then(|| VersionRecord {
             service: service.to_owned(),
             versions: versions.map(|s| s.version.clone()).collect(),
         })
@@ -141,18 +155,22 @@
     /// Records that all versions are known that there were at the time `at`, and none was missed since
     /// the call before.
     pub(crate) fn confirm(&mut self, at: Millis) {
-        let length_ms = if self.has_records { RECORDED_MS } else { 0 };
+        let mut span = KnownSpan::ending(at, at, 0);
+        if let Some(since_ms) = self.recorded_since_ms {
+            span.extend_back(since_ms);
+        }
         match &mut self.known {
             Some(known) => known.extend(at),
-            None => self.known = Some(KnownSpan::ending(at, at, length_ms)),
+            None => self.known = Some(span),
         }
     }
 
     /// Records that versions may have been missed until now, and may be until the records are read
     /// again.
     pub(crate) fn restart(&mut self) {
-        self.known = None;
-        self.has_records = false;
+        let spans = [self.known.take(), self.known_before];
+        self.known_before = spans.into_iter().flatten().min_by_key(|k| k.since_ms());
+        self.recorded_since_ms = None;
     }
 
     /// Forgets what was last seen longer than `ttl_ms` ago.
@@ -243,11 +261,18 @@
         };
         if asked_at <= now && age_ms <= asked_at.0 {
             let until = Millis(asked_at.0 - age_ms);
-            let told = KnownSpan::ending(until, now, report.observed_ms.min(RECORDED_MS));
+            let told = KnownSpan::ending(until, now, report.observed_ms.min(MAX_KNOWN_MS));
             self.known = Some(self.known.map_or(told, |own| own.union(told)));
         }
     }
 
+    /// Milliseconds for which all versions are known and recorded; `None` if they are not, or if the records
+    /// have not been read since this node reached the registry.
+    pub(crate) fn recorded_ms(&self, now: Millis) -> Option<u64> {
+        let known = self.known.filter(|_| self.has_records())?;
+        Some(known.observed_ms(now))
+    }
+
     /// Milliseconds for which all versions are known.
     fn observed_ms(&self, now: Millis) -> u64 {
         self.known.map_or(0, |k| k.observed_ms(now))
--- a/crates/rw-gate/src/target.rs
+++ b/crates/rw-gate/src/target.rs
@@ -111,6 +111,12 @@
         if !self.doubt.is_open() {
             return SoftwareId::of_target(&self.spec);
         }
+        self.unknown_software()
+    }
+
+    /// The version at which streams have begun here while it was in doubt which process runs. Once that
+    /// doubt is over, it stands for the version of the entry.
+    pub(crate) fn unknown_software(&self) -> SoftwareId {
         let unknown = format!("after {} of {}", self.spec.incarnation, self.spec.name);
         SoftwareId::of(&self.spec.service, &unknown)
     }
--- a/crates/rw-gate/src/target_list.rs
+++ b/crates/rw-gate/src/target_list.rs
@@ -132,6 +132,19 @@
         taken.take(max).collect()
     }
 
+    /// The targets that `is_meant` names.
+    pub(crate) fn incarnations(
+        &self,
+        is_meant: impl Fn(&Target) -> bool,
+    ) -> Vec<TargetIncarnation> {
+        let meant = self.list.iter().filter(|t| is_meant(t));
+        let named = meant.map(|t| TargetIncarnation {
+            name: t.spec.name.clone(),
+            incarnation: t.spec.incarnation,
+        });
+        named.collect()
+    }
+
     /// All targets that have said that they are leaving.
     pub(crate) fn leaving(&self) -> Vec<TargetIncarnation> {
         self.notices.export()
--- a/crates/rw-gate/src/usage_flow.rs
+++ b/crates/rw-gate/src/usage_flow.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     DispatchOutcome, DutyOutcome, Effect, Gate, StoredUsage, UsageAnswer, UsageCollection,
-    UsageQuery, UsageReport,
+    UsageQuery, UsageReport, store_return::StoreReturn,
 };
 use rw_types::Millis;
 
@@ -45,6 +45,11 @@
     /// The row as this node last knew it, also while other nodes lead: the store may lose reports that
     /// have been sent.
     acknowledged: StoredUsage,
+    /// Whether this node has led since it knew the row, so that it knows all reports that were sent.
+    knows_reports: bool,
+    /// Windows that ended before this time may have been reported, though the row, which is from a copy,
+    /// lacks them and this node doesn't know them.
+    unknown_until: Option<Millis>,
     /// Reports that the row lacks since the store came back from a copy. They are written again before
     /// anything else happens.
     lost: Vec<UsageReport>,
@@ -74,11 +79,20 @@
         self.row = None;
         self.lost.clear();
         self.collected = None;
+        self.knows_reports = false;
     }
 
-    /// The store came back from a copy: the row must be read again.
-    pub(crate) fn store_restored(&mut self) {
+    /// The store came back from a copy: the row must be read again. Only the leader knows what it has lost.
+    pub(crate) fn store_restored(&mut self, now: Millis) {
         self.row = None;
+        if !self.knows_reports {
+            self.reports_missed(now);
+        }
+    }
+
+    /// Windows that ended before `at` may have been reported without a trace.
+    pub(crate) fn reports_missed(&mut self, at: Millis) {
+        self.unknown_until = self.unknown_until.max(Some(at));
     }
 
     /// The row was read. If it is of a later era than what this node knew, it may lack reports of
@@ -99,6 +113,7 @@
             self.acknowledged = row.clone();
         }
         self.row = Some(row);
+        self.knows_reports = true;
     }
 
     /// Gives up operations that never ended.
@@ -197,6 +212,10 @@
         let Some(offset) = self.true_time.offset() else {
             return;
         };
+        // Which windows have been reported can't be told before the store was read.
+        if self.store_return == StoreReturn::Unknown {
+            return;
+        }
         self.usage.expire(now);
         // A leader that shuts down goes on until it exits, because no other node leads before that.
         if !self.is_leader(now) {
@@ -240,7 +259,9 @@
             // Before the first report, there was no service in the windows before this node's start.
             None => self.true_time.own(Millis(0))? / length_ms,
         };
-        let window = next.max(oldest);
+        let unknown_until = self.usage.unknown_until;
+        let first = unknown_until.and_then(|at| Some(self.true_time.own(at)? / length_ms));
+        let window = next.max(oldest).max(first.unwrap_or_default());
         (window.saturating_mul(length_ms) <= unix_ms).then_some(window)
     }
 
--- a/crates/rw-gate/src/version_record.rs
+++ b/crates/rw-gate/src/version_record.rs
@@ -12,12 +12,25 @@
     pub versions: Vec<String>,
 }
 
-/// Request to replace the registry's record of a service.
+/// A change of the registry's records.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecordChange {
+    /// Replace the record of a service.
+    Replace(VersionRecord),
+    /// State that nothing is missing until the registry's next return from a copy: what it had lost is
+    /// written again, and the records have all versions at which streams may have begun lately.
+    Confirm {
+        /// For how long before now the records have them all, in milliseconds.
+        known_ms: u64,
+    },
+}
+
+/// Request to change the registry's records.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordRequest {
-    /// The new record.
-    pub record: VersionRecord,
+    /// The change.
+    pub change: RecordChange,
     /// Number of reads of the registry's records on which this request is based. The request is void
-    /// after a later read, as the new record may lack versions.
+    /// after a later read, as the records may lack versions.
     pub reads: u64,
 }
--- a/crates/rw-gate/tests/duties.rs
+++ b/crates/rw-gate/tests/duties.rs
@@ -149,6 +149,12 @@
             let unix_ms = START_UNIX_MS.saturating_add_signed(case.clock_errors[i]);
             gate.step(Millis(0), Event::TimeOfDay { unix_ms });
             gate.step(Millis(0), Event::Routing(Arc::new(with_account())));
+            gate.step(
+                Millis(0),
+                Event::RowsRead {
+                    confirmed_ms: Some(1_000),
+                },
+            );
             gate.step(Millis(0), Event::TargetsListed(fleet()));
             Node {
                 gate,
@@ -770,3 +776,70 @@
         }
     }
 }
+
+/// Guards against a second report for a window whose first one the store has lost, with its writer.
+#[test]
+fn a_window_that_may_have_been_reported_before_a_restore_is_not_collected() {
+    struct Case {
+        name: &'static str,
+        /// What the node has learned 500 ms after its start, in window 7.
+        events: Vec<Event>,
+        /// The first window that it collects, if the row's last one is window 5.
+        first: u64,
+    }
+    let read = |confirmed_ms| Event::RowsRead { confirmed_ms };
+    let cases = [
+        Case {
+            name: "the rows are confirmed",
+            events: vec![read(Some(0))],
+            first: 6,
+        },
+        Case {
+            name: "the rows may be from a copy",
+            events: vec![read(None)],
+            first: 7,
+        },
+        Case {
+            name: "another node led at the return",
+            events: vec![read(Some(0)), Event::StoreRestored, read(None)],
+            first: 7,
+        },
+        Case {
+            name: "this node led at the return",
+            events: vec![
+                read(Some(0)),
+                Event::Tick,
+                Event::UsageRead(Some(StoredUsage::default())),
+                Event::StoreRestored,
+                read(None),
+            ],
+            first: 6,
+        },
+    ];
+    for case in cases {
+        let mut gate = Gate::new(GateSettings {
+            duties: duties(false),
+            ..GateSettings::default()
+        });
+        let unix_ms = START_UNIX_MS;
+        gate.step(Millis(0), Event::TimeOfDay { unix_ms });
+        gate.step(Millis(0), Event::Routing(Arc::new(with_account())));
+        gate.step(Millis(0), Event::TargetsListed(fleet()));
+        for event in case.events {
+            gate.step(Millis(500), event);
+        }
+        let reported = UsageReport {
+            window: 5,
+            counts: Vec::new(),
+        };
+        let mut row = StoredUsage::default();
+        row.record.reports.push(reported);
+        gate.step(Millis(6_000), Event::Tick);
+        let effects = gate.step(Millis(6_000), Event::UsageRead(Some(row)));
+        let mut windows = effects.iter().filter_map(|e| match e {
+            Effect::CollectUsage(query) => Some(query.window),
+            _ => None,
+        });
+        assert_eq!(windows.next(), Some(case.first), "{}", case.name);
+    }
+}
--- a/crates/rw-gate/tests/roll_outs.rs
+++ b/crates/rw-gate/tests/roll_outs.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    CallRequest, Digest, DispatchOutcome, Effect, Event, GateSettings, RefusalKind, Role,
-    TargetSpec, VersionRecord,
+    CallRequest, Digest, DispatchOutcome, Effect, Event, GateSettings, RecordChange, RefusalKind,
+    Role, TargetSpec, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
 use support::*;
@@ -304,8 +304,10 @@
             }
         }
         for effect in node.world.step(Event::Tick) {
-            if let Effect::RecordVersions(request) = effect {
-                node.writes.push(request.record);
+            if let Effect::RecordVersions(request) = effect
+                && let RecordChange::Replace(record) = request.change
+            {
+                node.writes.push(record);
             }
         }
         if node.hangs_since.is_none() && !node.is_cut {
--- a/crates/rw-gate/tests/stream_origins.rs
+++ b/crates/rw-gate/tests/stream_origins.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rw_gate::{
-    CallRequest, Delivered, Digest, DispatchOutcome, Effect, Event, GateSettings, RefusalKind,
-    Role, TargetSpec, VersionRecord,
+    CallRequest, Delivered, Digest, DispatchOutcome, Effect, Event, GateSettings, RecordChange,
+    RecordRequest, RefusalKind, Role, TargetSpec, VersionRecord,
 };
 use rw_types::{Millis, RequestId};
 use std::sync::Arc;
@@ -537,14 +537,20 @@
 fn recorded(world: &mut World) -> Vec<Vec<String>> {
     let effects = world.step(Event::Tick);
     let records = effects.into_iter().filter_map(|e| match e {
-        Effect::RecordVersions(request) if request.record.service == ENGINES => {
-            Some(request.record.versions)
-        }
+        Effect::RecordVersions(request) => replaced(request),
         _ => None,
     });
     records.collect()
 }
 
+/// The versions that a request records for the engines.
+fn replaced(request: RecordRequest) -> Option<Vec<String>> {
+    match request.change {
+        RecordChange::Replace(record) if record.service == ENGINES => Some(record.versions),
+        RecordChange::Replace(_) | RecordChange::Confirm { .. } => None,
+    }
+}
+
 fn record(versions: &[&str]) -> Event {
     Event::VersionsRead(vec![VersionRecord {
         service: ENGINES.to_owned(),
@@ -622,11 +628,14 @@
                 let Effect::RecordVersions(request) = effect else {
                     continue;
                 };
-                let is_meant = request.record.service == ENGINES && request.reads == self.reads;
-                if is_meant && self.known == row.0 {
-                    *row = (row.0 + 1, request.record.versions);
+                let is_current = request.reads == self.reads;
+                let Some(versions) = replaced(request).filter(|_| is_current) else {
+                    continue;
+                };
+                if self.known == row.0 {
+                    *row = (row.0 + 1, versions);
                     self.known = row.0;
-                } else if is_meant {
+                } else {
                     self.read(row);
                 }
             }
--- a/crates/rw-gate/tests/support/mod.rs
+++ b/crates/rw-gate/tests/support/mod.rs
@@ -17,6 +17,8 @@
 pub const HOST: &str = "a.example";
 pub const ENGINES: &str = "engines";
 pub const PLAIN: &str = "plain";
+/// Time for which the records of a deployment that has run for long are complete.
+pub const DAY_MS: u64 = 86_400_000;
 
 pub struct World {
     pub gate: Gate,
@@ -163,6 +165,9 @@
 
     pub fn with(settings: GateSettings) -> Self {
         let mut world = Self::starting(settings);
+        world.step(Event::RowsRead {
+            confirmed_ms: Some(DAY_MS),
+        });
         world.step(Event::TargetsListed(fleet()));
         world.step(nodes_listed(1));
         world
--- a/crates/rw-load/src/relay/fleet.rs
+++ b/crates/rw-load/src/relay/fleet.rs
@@ -218,6 +218,12 @@
                 gate.step(now, Event::SchedulersListed(self.scheduler_nodes()));
             }
             gate.step(now, Event::Routing(routing.clone()));
+            gate.step(
+                now,
+                Event::RowsRead {
+                    confirmed_ms: Some(0),
+                },
+            );
             gate.step(now, Event::TargetsListed(specs.clone()));
             self.nodes.push(gate);
             let offset = n as u64 * US_PER_MS;
--- a/crates/rw-relay/src/peers.rs
+++ b/crates/rw-relay/src/peers.rs
@@ -121,11 +121,11 @@
         future::zip(digests, queries).await;
     }
 
-    /// Fetches snapshots from the seeds until a configuration is known from any source.
+    /// Fetches snapshots from the seeds until one has answered, or until a configuration is known from any
+    /// source and each was asked once: a seed knows what the store doesn't have.
     pub(crate) async fn query_seeds(self: Rc<Self>) {
         let client = Client::default();
-        let mut known = false;
-        while !known {
+        loop {
             for seed in self.settings.seeds.clone() {
                 if Some(seed) == self.settings.control {
                     continue;
@@ -135,18 +135,19 @@
                         let version = snapshot.routing.version;
                         log::info!(from:% = seed, version, targets = snapshot.targets.len(); "snapshot received from a peer");
                         self.apply_snapshot(snapshot);
+                        if self.gate.borrow().is_ready() {
+                            return;
+                        }
                     }
                     Err(why) => {
                         log::debug!(from:% = seed, why = why.as_str(); "snapshot could not be fetched from a peer")
                     }
                 }
-                known = self.gate.borrow().is_ready();
-                if known {
-                    break;
-                }
+            }
+            if self.gate.borrow().is_ready() {
+                return;
             }
             Timer::after(HELLO_INTERVAL).await;
-            known |= self.gate.borrow().is_ready();
         }
     }
 
@@ -154,10 +155,12 @@
         self.merge_peers(snapshot.peers);
         self.step(Event::Routing(snapshot.routing));
         self.step(Event::TargetsReported(snapshot.targets));
+        self.step(Event::TargetsProved(snapshot.proved));
         let received = Digest {
             suspects: snapshot.suspects,
             parts: snapshot.parts,
             leaving: snapshot.leaving,
+            ended: snapshot.ended,
             limits: snapshot.limits,
             token: snapshot.token,
             ..Digest::default()
--- a/crates/rw-relay/src/registry.rs
+++ b/crates/rw-relay/src/registry.rs
@@ -34,6 +34,12 @@
     /// Targets that have said that they are leaving.
     #[serde(default)]
     pub leaving: Vec<rw_gate::TargetIncarnation>,
+    /// Targets whose processes have ended while their entries remain.
+    #[serde(default)]
+    pub ended: Vec<rw_gate::TargetIncarnation>,
+    /// Targets whose processes are known to be those of their entries; older builds state none.
+    #[serde(default)]
+    pub proved: Vec<rw_gate::TargetIncarnation>,
     /// Rate limits that targets have named.
     #[serde(default)]
     pub limits: Vec<rw_gate::LimitReport>,
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -254,6 +254,8 @@
             suspects: gate.suspects(self.clock.now()),
             parts: gate.part_suspects(self.clock.now()),
             leaving: gate.leaving_targets(),
+            ended: gate.ended_targets(),
+            proved: gate.proved_targets(),
             limits: gate.rate_limits(self.clock.now()),
             token: gate.highest_token(),
         }
