Hold processes in doubt that refuse connections, also if no other target is reached

Cause: a refused connection counted only with another target that was reached, as a node's own links may refuse. With all targets down there is none, and what wasn't known was taken for "has not ended".

Change: without a witness the process is in doubt at this node alone. A stream that breaks then goes to another node. Witnesses that refuse are in doubt as well.

--- a/crates/rw-gate/src/delegation/delegation_flow.rs
+++ b/crates/rw-gate/src/delegation/delegation_flow.rs
@@ -80,6 +80,16 @@
         call.unsent >= MAX_UNSENT || self.reachability.is_unreachable(&call.service)
     }
 
+    /// Whether targets with the version of a call are in doubt here although this node's own links may be
+    /// the cause, so that another node may know better.
+    pub(crate) fn may_doubt_wrongly(&self, i: usize) -> bool {
+        let call = &self.calls[i];
+        self.targets.all().iter().any(|t| {
+            let is_meant = t.spec.service == call.service && t.doubt.is_unwitnessed();
+            is_meant && call.software == Some(SoftwareId::of_target(&t.spec))
+        })
+    }
+
     pub(crate) fn end_delegation(
         &mut self,
         now: Millis,
--- a/crates/rw-gate/src/event.rs
+++ b/crates/rw-gate/src/event.rs
@@ -162,8 +162,14 @@
     },
     /// No connection to the platform's API could be opened.
     ApiUnreachable,
-    /// Nothing listens at the address of a target, so that its process has ended.
-    TargetEnded(TargetIncarnation),
+    /// Nothing listens at the address of a target.
+    TargetEnded {
+        /// The target.
+        target: TargetIncarnation,
+        /// Whether this node reaches other targets, so that the process has ended. Otherwise, its own
+        /// links may refuse connections.
+        is_witnessed: bool,
+    },
     /// The time of day was read, when this process started.
     TimeOfDay {
         /// Milliseconds since the start of 1970.
--- a/crates/rw-gate/src/gate.rs
+++ b/crates/rw-gate/src/gate.rs
@@ -189,8 +189,11 @@
             Event::Routing(routing) => self.apply_routing(routing),
             Event::ConfigConfirmed { asked_at } => self.config_confirmed(asked_at),
             Event::ApiUnreachable => self.api_silent(now, &mut effects),
-            Event::TargetEnded(target) => {
-                if self.target_ended(now, &target) {
+            Event::TargetEnded {
+                target,
+                is_witnessed,
+            } => {
+                if self.target_ended(now, &target, is_witnessed) {
                     effects.push(Effect::PublishDigest);
                 }
             }
@@ -575,12 +578,18 @@
         }
     }
 
-    /// Records that the process of a target has ended; returns whether this is news.
-    fn target_ended(&mut self, now: Millis, target: &TargetIncarnation) -> bool {
+    /// Records that the process of a target has ended, or may have; returns whether this is news for
+    /// other nodes.
+    fn target_ended(
+        &mut self,
+        now: Millis,
+        target: &TargetIncarnation,
+        is_witnessed: bool,
+    ) -> bool {
         let found = self
             .targets
             .find_incarnation(&target.name, target.incarnation);
-        found.is_some_and(|t| t.doubt.begin(now))
+        found.is_some_and(|t| t.doubt.begin(now, is_witnessed))
     }
 
     /// Ends doubts that the registry has settled.
--- a/crates/rw-gate/src/process_doubt.rs
+++ b/crates/rw-gate/src/process_doubt.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ProcessDoubt {
     since: Option<Millis>,
+    /// Whether this node has found so while it reached other targets.
+    is_witnessed: bool,
     /// Number of digests that are still to carry it.
     sends: u32,
     /// Whether the entry may be an old one, from a copy of the registry.
@@ -29,7 +31,12 @@
 
     /// Whether a process of the target is known to have ended.
     pub(crate) fn has_ended(&self) -> bool {
-        self.since.is_some()
+        self.since.is_some() && self.is_witnessed
+    }
+
+    /// Whether only this node has found that the process may have ended, and its own links may be the cause.
+    pub(crate) fn is_unwitnessed(&self) -> bool {
+        self.since.is_some() && !self.is_witnessed
     }
 
     /// The entry may be from before the process that runs now.
@@ -42,12 +49,14 @@
         std::mem::take(&mut self.is_entry_old)
     }
 
-    /// Records that this node has found that the process has ended; returns whether this is news.
-    pub(crate) fn begin(&mut self, now: Millis) -> bool {
-        let is_news = self.since.is_none();
+    /// Records that this node has found that the process has ended; returns whether this is news. It tells
+    /// others only if `is_witnessed`: its own links may be the cause otherwise.
+    pub(crate) fn begin(&mut self, now: Millis, is_witnessed: bool) -> bool {
+        let is_news = is_witnessed && !self.is_witnessed;
         if is_news {
             self.sends = SENDS;
         }
+        self.is_witnessed |= is_witnessed;
         self.since = Some(now);
         is_news
     }
@@ -56,6 +65,7 @@
     /// again for each other might never end.
     pub(crate) fn begin_elsewhere(&mut self, now: Millis) {
         self.since.get_or_insert(now);
+        self.is_witnessed = true;
     }
 
     /// A call that was sent at `sent_at` has ended well, on a connection that the end of the process would
@@ -77,7 +87,10 @@
     }
 
     fn end(&mut self) {
-        (self.since, self.sends) = (None, 0);
+        *self = Self {
+            is_entry_old: self.is_entry_old,
+            ..Self::default()
+        };
     }
 
     /// Whether the next digest is to carry the doubt; counts it as carried.
--- a/crates/rw-gate/src/retry_flow.rs
+++ b/crates/rw-gate/src/retry_flow.rs
@@ -37,8 +37,8 @@
         match self.prefers_delegate(i) {
             true => self.delegate(now, i, effects) || self.retry(now, i, effects),
             false => {
-                let is_unsent = self.calls[i].unsent > 0;
-                self.retry(now, i, effects) || (is_unsent && self.delegate(now, i, effects))
+                let may_be_cut_off = self.calls[i].unsent > 0 || self.may_doubt_wrongly(i);
+                self.retry(now, i, effects) || (may_be_cut_off && self.delegate(now, i, effects))
             }
         }
     }
--- a/crates/rw-gate/tests/target_processes.rs
+++ b/crates/rw-gate/tests/target_processes.rs
@@ -24,8 +24,15 @@
     }
 }
 
+fn found_ended(name: &str, is_witnessed: bool) -> Event {
+    Event::TargetEnded {
+        target: incarnation(name, 1),
+        is_witnessed,
+    }
+}
+
 fn ended(name: &str) -> Event {
-    Event::TargetEnded(incarnation(name, 1))
+    found_ended(name, true)
 }
 
 /// A node that knows targets "0" and "1" of version v1 in their first incarnations.
@@ -106,6 +113,11 @@
             events: vec![(0, ended("other"))],
             goes_on: false,
         },
+        Case {
+            name: "it refuses connections, and no other target is reached",
+            events: vec![(0, found_ended("other", false))],
+            goes_on: false,
+        },
         Case {
             name: "another node has told so",
             events: vec![(0, digest("other", 1))],
@@ -206,7 +218,13 @@
 fn rename(event: Event, name: &str) -> Event {
     let renamed = |target: TargetIncarnation| incarnation(name, target.incarnation);
     match event {
-        Event::TargetEnded(target) => Event::TargetEnded(renamed(target)),
+        Event::TargetEnded {
+            target,
+            is_witnessed,
+        } => Event::TargetEnded {
+            target: renamed(target),
+            is_witnessed,
+        },
         Event::TargetUpdated(spec) => Event::TargetUpdated(TargetSpec {
             name: name.to_owned(),
             ..spec
@@ -235,6 +253,23 @@
     assert_eq!(told, vec![vec![incarnation("0", 1)]; 2]);
 }
 
+/// Guards against a node that takes the refusals of its own links for the end of a process.
+#[test]
+fn other_nodes_are_told_of_an_end_only_if_other_targets_are_reached() {
+    let mut world = world();
+    world.gate.publish(Millis(world.now));
+    let publishes = |effects: Vec<Effect>| effects.contains(&Effect::PublishDigest);
+    assert!(!publishes(world.step(found_ended("0", false))));
+    world.now += 50;
+    let digest = world.gate.publish(Millis(world.now));
+    assert!(
+        digest.is_none_or(|d| d.ended.is_empty()),
+        "links may refuse"
+    );
+    assert!(publishes(world.step(found_ended("0", true))));
+    assert!(!publishes(world.step(found_ended("0", true))), "told again");
+}
+
 /// Guards against a doubt that nodes pass to each other without end.
 #[test]
 fn what_another_node_has_told_of_a_process_is_not_passed_on() {
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -19,7 +19,7 @@
     timeout::timeout_at,
     unframed_body::UnframedBody,
 };
-use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event, TargetIncarnation};
+use rw_gate::{Dispatch, DispatchMode, DispatchOutcome, Event};
 use smol::future;
 use std::{
     fmt::Write as _,
@@ -104,17 +104,14 @@
     /// node reaches others.
     async fn has_crashed(&self, dispatch: &Dispatch, addr: SocketAddr) -> bool {
         let found = listener(addr).await;
-        if found == Listener::Open || !self.reaches_others(&dispatch.target).await {
+        if found == Listener::Open {
             return false;
         }
+        let is_witnessed = self.reaches_others(&dispatch.target).await;
         if found == Listener::None {
-            // Another process may run at the address next.
-            self.step(Event::TargetEnded(TargetIncarnation {
-                name: dispatch.target.clone(),
-                incarnation: dispatch.incarnation,
-            }));
+            self.target_ended(&dispatch.target, dispatch.incarnation, is_witnessed);
         }
-        true
+        is_witnessed
     }
 
     async fn exchange(
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -11,6 +11,7 @@
     origin_query::OriginQuery,
     placements::{Datagram, PLACED_METHOD, PlacementWaiters, SCHEDULE_METHOD, scheduler_nodes},
     pool::Pool,
+    probe::{Listener, listener},
     timeout::timeout,
 };
 use async_channel::Sender;
@@ -302,21 +303,42 @@
         is_reached
     }
 
-    /// Whether this node reaches another target of the service of `target`, to which it can't connect.
-    /// If it reaches none, its own links may be the cause.
+    /// Whether this node reaches another target of the service of `target`, to which it can't connect. If
+    /// it reaches none, its own links may be the cause. Those that refuse connections meanwhile are held
+    /// in doubt as well.
     pub(crate) async fn reaches_others(&self, target: &str) -> bool {
         let now = self.clock.now();
         let witnesses = self.gate.borrow().witnesses(now, target, MAX_WITNESSES);
-        let is_only = witnesses.is_empty();
+        let mut is_reached = witnesses.is_empty();
+        let mut ended = Vec::new();
         for witness in witnesses {
             let Ok(addr) = witness.addr.parse() else {
                 continue;
             };
-            if self.open_probe(witness, addr).await {
-                return true;
+            if self.open_probe(witness.clone(), addr).await {
+                is_reached = true;
+                break;
             }
+            if listener(addr).await == Listener::None {
+                ended.push(witness);
+            }
+        }
+        for witness in ended {
+            self.target_ended(&witness.name, witness.incarnation, is_reached);
         }
-        is_only
+        is_reached
+    }
+
+    /// Nothing listens at the address of a target. Another process may run there next.
+    pub(crate) fn target_ended(&self, name: &str, incarnation: u64, is_witnessed: bool) {
+        let target = TargetIncarnation {
+            name: name.to_owned(),
+            incarnation,
+        };
+        self.step(Event::TargetEnded {
+            target,
+            is_witnessed,
+        });
     }
 
     /// Logs a size order with the inputs of the decision.
