Ask more targets before an end passes for whole, as neighbours crash together

Cause: such an end counts as a crash only if another target is reached, and only the next two by name were asked. If these have crashed as well, the crash was taken for refusals of the node's own links.

Change: if connections are refused, which takes no time, up to eight are asked: the next two by name, then others at equal distances.

If all targets crash at once, such an end still passes for whole.

--- a/crates/rw-gate/src/delegation/delegation_flow.rs
+++ b/crates/rw-gate/src/delegation/delegation_flow.rs
@@ -9,6 +9,8 @@
 /// Number of failed connections of one call after which it is passed to another node rather than
 /// sent to a further target.
 const MAX_UNSENT: u32 = 2;
+/// Number of witnesses that follow a target by name.
+const NEXT_WITNESSES: usize = 2;
 
 impl Gate {
     /// Passes a call to another node, unless it was itself passed to this one; returns whether a node
@@ -251,7 +253,8 @@
     }
 
     /// Other targets of the service of `target` that aren't known to be down, at most `max`: if none of
-    /// them can be connected to either, `target` need not have crashed.
+    /// them can be connected to either, `target` need not have crashed. The next two by name come first,
+    /// then others at equal distances, as neighbours may crash together.
     #[must_use]
     pub fn witnesses(&self, now: Millis, target: &str, max: usize) -> Vec<ProbeTarget> {
         let Some(service) = self.targets.find(target).map(|t| &t.spec.service) else {
@@ -264,7 +267,12 @@
             let is_other = t.spec.service == *service && t.spec.name != target;
             is_other && !t.health.is_down() && t.is_staying(now)
         });
-        others.take(max).map(probe_target).collect()
+        let others: Vec<&Target> = others.collect();
+        let (next, rest) = others.split_at(others.len().min(NEXT_WITNESSES));
+        let stride = rest.len().div_ceil(max.saturating_sub(next.len()).max(1));
+        let spread = rest.iter().step_by(stride.max(1));
+        let chosen = next.iter().chain(spread).take(max);
+        chosen.map(|t| probe_target(t)).collect()
     }
 
     /// Services with a dispatch that has had no response for a while, and without a sign of any of
--- a/crates/rw-relay/src/attempt.rs
+++ b/crates/rw-relay/src/attempt.rs
@@ -107,7 +107,7 @@
         if found == Listener::Open {
             return false;
         }
-        let is_witnessed = self.reaches_others(&dispatch.target).await;
+        let is_witnessed = self.reaches_others(&dispatch.target, found).await;
         if found == Listener::None {
             self.target_ended(&dispatch.target, dispatch.incarnation, is_witnessed);
         }
--- a/crates/rw-relay/src/relay.rs
+++ b/crates/rw-relay/src/relay.rs
@@ -31,6 +31,9 @@
 
 /// Maximum number of other targets that are connected to before one counts as crashed.
 const MAX_WITNESSES: usize = 2;
+/// The same if connections to the target are refused: that takes no time, and neighbours may have crashed with
+/// it.
+const MAX_REFUSING_WITNESSES: usize = 8;
 /// Room for held responses, as a divisor of that for the bodies of requests.
 const ANSWER_SHARE: usize = 4;
 /// Timeout for releasing a handle; a handle that is not released expires by itself.
@@ -303,12 +306,16 @@
         is_reached
     }
 
-    /// Whether this node reaches another target of the service of `target`, to which it can't connect. If
+    /// Whether this node reaches another target of the service of `target`, where it has found `found`. If
     /// it reaches none, its own links may be the cause. Those that refuse connections meanwhile are held
     /// in doubt as well.
-    pub(crate) async fn reaches_others(&self, target: &str) -> bool {
+    pub(crate) async fn reaches_others(&self, target: &str, found: Listener) -> bool {
+        let max = match found {
+            Listener::None => MAX_REFUSING_WITNESSES,
+            Listener::Open | Listener::Silent => MAX_WITNESSES,
+        };
         let now = self.clock.now();
-        let witnesses = self.gate.borrow().witnesses(now, target, MAX_WITNESSES);
+        let witnesses = self.gate.borrow().witnesses(now, target, max);
         let mut is_reached = witnesses.is_empty();
         let mut ended = Vec::new();
         for witness in witnesses {
--- a/crates/rw-relay/src/unframed_body.rs
+++ b/crates/rw-relay/src/unframed_body.rs
@@ -42,7 +42,7 @@
         };
         let has_crashed = !self.may_exit(target)
             && self.has_no_listener(addr).await
-            && self.reaches_others(target).await;
+            && self.reaches_others(target, Listener::None).await;
         match has_crashed {
             true => Err(truncated()),
             false => Ok(()),
