--- a/crates/rw-gate/src/lib.rs
+++ b/crates/rw-gate/src/lib.rs
@@ -24,6 +24,7 @@
 mod effect;
 mod engine_estimates;
 mod engine_scorer;
+mod entry_flow;
 mod event;
 mod fleet_demand;
 mod gate;
