Judge every dispatch of a resumed stream in the random roll-outs again

Cause: with the returns of the store, the test looked only at the process that a stream reached, where it had looked at the version of each dispatch. A dispatch at a wrong version to a target that was gone passed unseen, so that the check was weaker than before.

Change: each dispatch is judged as before, and the process that runs as well.

--- a/crates/rw-gate/tests/roll_outs.rs
+++ b/crates/rw-gate/tests/roll_outs.rs
@@ -33,6 +33,7 @@
 const REWRITE_MS: u64 = 2_000;
 
 /// A stream as its caller sees it.
+#[derive(Clone)]
 struct Stream {
     call_id: String,
     /// Version of its first event.
@@ -291,10 +292,21 @@
         }
     }
 
-    /// Sends a call to the targets that its node chooses, until one runs; returns that one's version.
-    fn run(&mut self, n: usize, id: RequestId, mut effects: Vec<Effect>) -> Option<String> {
+    /// Sends a call to the targets that its node chooses, until one runs; returns that one's version. A stream
+    /// that began at the version `began` is sent nowhere else, whether or not the target runs.
+    fn run(
+        &mut self,
+        n: usize,
+        id: RequestId,
+        mut effects: Vec<Effect>,
+        began: Option<&Stream>,
+    ) -> Option<String> {
         loop {
-            let name = dispatch(&effects)?.target.clone();
+            let dispatch = dispatch(&effects)?;
+            if let Some(stream) = began {
+                assert_eq!(dispatch.software, stream.version, "{}", stream.call_id);
+            }
+            let name = dispatch.target.clone();
             if let Some(target) = self.targets.iter().find(|t| t.name == name) {
                 return Some(target.software.clone());
             }
@@ -381,7 +393,7 @@
         let request = stream(&call_id);
         let world = &mut self.nodes[n].world;
         let (id, effects) = world.arrive(request);
-        let Some(version) = self.run(n, id, effects) else {
+        let Some(version) = self.run(n, id, effects, None) else {
             return;
         };
         let world = &mut self.nodes[n].world;
@@ -418,9 +430,9 @@
             Some(_) => self.tally.other_refusals += 1,
             None => {}
         }
-        if let Some(version) = self.run(n, id, effects) {
-            let began = &self.streams[i].version;
-            assert_eq!(&version, began, "{}", self.streams[i].call_id);
+        let began = self.streams[i].clone();
+        if let Some(version) = self.run(n, id, effects, Some(&began)) {
+            assert_eq!(version, began.version, "{}", began.call_id);
             self.tally.resumed += 1;
             self.nodes[n].world.end(id, DispatchOutcome::Delivered);
         }
